feat: workspace, wire messages, configuration types and settings

Sealed connection ids and tickets, frames, the closed list of error kinds with its table of answers, the time line's events and the blackboard.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,7 @@
+//! The operators' command-line tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sassafrasmast::main()
+}
--- /dev/null
+++ b/crates/core/src/blackboard.rs
@@ -0,0 +1,74 @@
+//! What the controllers of one process share.
+//!
+//! Lock order: `config` before `timeline`. No lock is held across an await point or while
+//! calling into another module that takes a lock.
+
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+use sassafrasmast_wire::ConfigVersion;
+
+use crate::{
+    config::Snapshot,
+    timeline::{Event, Ring},
+};
+
+/// Shared state of one process that controllers read and write.
+#[derive(Debug)]
+pub struct Blackboard {
+    config: RwLock<Option<Arc<Snapshot>>>,
+    timeline: Mutex<Ring>,
+}
+
+impl Blackboard {
+    /// An empty blackboard whose time line keeps `events` events.
+    pub fn new(events: usize) -> Self {
+        Self {
+            config: RwLock::new(None),
+            timeline: Mutex::new(Ring::new(events)),
+        }
+    }
+
+    /// The configuration in force, if any was received yet.
+    pub fn config(&self) -> Option<Arc<Snapshot>> {
+        self.config
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Version of the configuration in force; 0 without one.
+    pub fn version(&self) -> ConfigVersion {
+        self.config()
+            .map_or(0, |snapshot| snapshot.document.version)
+    }
+
+    /// Puts a configuration in force. Returns `false` and changes nothing unless its version is
+    /// higher than the one in force: a configuration never reverts.
+    pub fn install(&self, snapshot: Snapshot) -> bool {
+        let mut config = self.config.write().unwrap_or_else(PoisonError::into_inner);
+        let current = config
+            .as_ref()
+            .map_or(0, |current| current.document.version);
+        let newer = snapshot.document.version > current;
+        if newer {
+            *config = Some(Arc::new(snapshot));
+        }
+        newer
+    }
+
+    /// Appends an event to the time line.
+    pub fn record(&self, event: Event) {
+        self.timeline
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(event);
+    }
+
+    /// Copies the events after sequence number `after`, oldest first.
+    pub fn events(&self, after: u64) -> Vec<(u64, Event)> {
+        self.timeline
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .after(after)
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/upstream.rs
@@ -0,0 +1,29 @@
+//! An admitted upstream.
+
+use std::net::SocketAddr;
+
+use sassafrasmast_wire::ServiceId;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::ZoneName;
+
+/// An upstream that operators admitted, and the agent beside it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Upstream {
+    /// Service the upstream belongs to.
+    pub service: ServiceId,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Address of the agent for frames and peer calls.
+    pub agent: SocketAddr,
+    /// Address of the upstream itself.
+    pub upstream: SocketAddr,
+    /// Requests the upstream runs at once.
+    pub slots: u16,
+    /// Connections the upstream holds at once.
+    pub connections: u32,
+    /// Operators want the upstream to leave: no new work, open work is finished.
+    pub draining: bool,
+}
--- /dev/null
+++ b/crates/core/src/error/kind.rs
@@ -0,0 +1,110 @@
+//! The closed list of error kinds.
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error as ThisError;
+
+use super::{Answer, Outcome};
+
+/// Seconds after which a caller refused for load should come back.
+const RETRY_SOON: Option<u64> = Some(1);
+
+/// Seconds after which a caller refused for an outage should come back.
+const RETRY_LATER: Option<u64> = Some(5);
+
+/// Why a request got no answer from its upstream. [`Kind::answer`] is the table to answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, ThisError)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// The queue is full or the wait would pass the deadline.
+    #[error("the service is overloaded")]
+    Overloaded,
+    /// The deadline passed while the request was waiting.
+    #[error("the deadline passed before the request was started")]
+    DeadlinePassed,
+    /// The agent is draining and no peer took the request.
+    #[error("the upstream is leaving")]
+    Draining,
+    /// Operators took the availability zone out.
+    #[error("the availability zone is out")]
+    ZoneOut,
+    /// The process has no configuration, or the upstream is not admitted.
+    #[error("the service is not ready")]
+    NotReady,
+    /// The upstream could not be reached; nothing was sent.
+    #[error("the upstream cannot be reached")]
+    UpstreamUnreachable,
+    /// The upstream itself said that it refused the request.
+    #[error("the upstream refused the request")]
+    UpstreamRefused,
+    /// The connection to the upstream broke after the request was handed over.
+    #[error("the upstream's answer was cut")]
+    UpstreamCut,
+    /// The upstream did not answer before the deadline.
+    #[error("the upstream did not answer in time")]
+    UpstreamTimeout,
+    /// The ticket has expired and its request has not run.
+    #[error("the ticket has expired")]
+    TicketExpired,
+    /// The ticket was not made by this fleet or is for another service.
+    #[error("the ticket is not valid")]
+    TicketInvalid,
+    /// The same key came with a different request.
+    #[error("the idempotency key belongs to another request")]
+    KeyReused,
+    /// The agent that the ticket names is gone.
+    #[error("the executor of this ticket is gone")]
+    HomeGone,
+    /// The key was claimed elsewhere and the result is not known here.
+    #[error("the idempotency key was claimed elsewhere")]
+    ClaimedElsewhere,
+    /// The claim could not be settled: the store is down or the write budget is spent.
+    #[error("the claim cannot be made now")]
+    ClaimUnavailable,
+    /// The request is malformed.
+    #[error("the request is malformed")]
+    BadRequest,
+    /// The request's body is larger than the service allows.
+    #[error("the request body is too large")]
+    BodyTooLarge,
+    /// The request ran, but its answer is no longer, or was never, kept for repeating.
+    #[error("the answer of this request is no longer kept")]
+    AnswerDropped,
+    /// The caller cancelled the request.
+    #[error("the caller cancelled the request")]
+    Cancelled,
+}
+
+impl Kind {
+    /// The answer a caller gets for this kind.
+    ///
+    /// ```
+    /// use sassafrasmast_core::error::{Kind, Outcome};
+    /// assert_eq!(Kind::Overloaded.answer().status, 503);
+    /// assert_eq!(Kind::HomeGone.answer().outcome, Outcome::Unknown);
+    /// ```
+    pub fn answer(self) -> Answer {
+        let (status, outcome, retry_after) = match self {
+            Self::Overloaded | Self::UpstreamRefused => (503, Outcome::NotRun, RETRY_SOON),
+            Self::DeadlinePassed => (504, Outcome::NotRun, RETRY_SOON),
+            Self::Draining => (503, Outcome::NotRun, Some(0)),
+            Self::ZoneOut | Self::NotReady | Self::UpstreamUnreachable => {
+                (503, Outcome::NotRun, RETRY_SOON)
+            }
+            Self::UpstreamCut => (502, Outcome::Unknown, RETRY_SOON),
+            Self::UpstreamTimeout => (504, Outcome::Unknown, RETRY_SOON),
+            Self::TicketExpired => (410, Outcome::NotRun, None),
+            Self::TicketInvalid | Self::BadRequest => (400, Outcome::NotRun, None),
+            Self::KeyReused => (422, Outcome::NotRun, None),
+            Self::HomeGone | Self::ClaimedElsewhere => (409, Outcome::Unknown, None),
+            Self::ClaimUnavailable => (503, Outcome::NotRun, RETRY_LATER),
+            Self::BodyTooLarge => (413, Outcome::NotRun, None),
+            Self::AnswerDropped => (409, Outcome::Ran, None),
+            Self::Cancelled => (499, Outcome::Unknown, None),
+        };
+        Answer {
+            status,
+            outcome,
+            retry_after,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/timeline/kind.rs
@@ -0,0 +1,78 @@
+//! The closed set of things that can happen.
+
+use sassafrasmast_wire::{AgentId, ConfigVersion, ServiceId};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// What an event tells.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(tag = "what", rename_all = "kebab-case")]
+pub enum Kind {
+    /// The process started.
+    Started,
+    /// The process was told to stop and finishes its work.
+    Draining,
+    /// The process stopped.
+    Stopped,
+    /// A configuration came in force.
+    ConfigInForce {
+        /// Its version.
+        version: ConfigVersion,
+    },
+    /// A configuration was refused.
+    ConfigRefused {
+        /// Its version.
+        version: ConfigVersion,
+        /// Why.
+        reason: String,
+    },
+    /// A flow was placed on an agent.
+    FlowPlaced {
+        /// Service of the flow.
+        service: ServiceId,
+        /// Chosen agent.
+        agent: AgentId,
+    },
+    /// A flow was accepted by its agent.
+    FlowOpened,
+    /// A flow ended.
+    FlowClosed {
+        /// Why.
+        reason: String,
+    },
+    /// A flow whose agent is gone was reset.
+    FlowReset {
+        /// The agent that is gone.
+        agent: AgentId,
+    },
+    /// A request arrived at an agent.
+    RequestArrived,
+    /// A request was handed to the upstream.
+    RequestStarted,
+    /// A request was relayed to a peer agent.
+    RequestRelayed {
+        /// The peer.
+        agent: AgentId,
+    },
+    /// A request got its final answer.
+    RequestAnswered {
+        /// HTTP status.
+        status: u16,
+        /// Text of [`crate::error::Outcome`].
+        outcome: String,
+    },
+    /// An agent changed the number of requests it lets run at once.
+    LimitChanged {
+        /// The new limit.
+        limit: u16,
+    },
+    /// An upstream collapsed and counts as cold.
+    UpstreamCollapsed,
+    /// A lease of the platform's store was lost.
+    LeaseLost,
+    /// The platform's store stopped or resumed answering.
+    StoreReachable {
+        /// Whether it answers.
+        reachable: bool,
+    },
+}
--- /dev/null
+++ b/crates/daemon/src/app.rs
@@ -0,0 +1,4 @@
+//! The two roles of the daemon.
+
+pub mod agent;
+pub mod balancer;
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,7 @@
+//! The sassafrasmast daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sassafrasmastd::main()
+}
--- /dev/null
+++ b/crates/daemon/src/options.rs
@@ -0,0 +1,11 @@
+//! Arguments and settings, and the one place that merges them.
+
+mod agent;
+mod arguments;
+mod balancer;
+mod role;
+mod settings;
+
+pub use self::{
+    agent::Agent, arguments::Arguments, balancer::Balancer, role::Role, settings::Settings,
+};
--- /dev/null
+++ b/crates/daemon/src/options/arguments.rs
@@ -0,0 +1,69 @@
+//! The command line of the daemon.
+
+use std::path::PathBuf;
+
+use anyhow::Context;
+
+/// Help text.
+const HELP: &str = "\
+sassafrasmastd: the daemon of the sassafrasmast load balancer
+
+USAGE:
+    sassafrasmastd --settings FILE [--log LEVEL] [--check-settings]
+
+OPTIONS:
+    --settings FILE     settings file (TOML); its role table decides what this process is
+    --log LEVEL         overrides the log level of the settings (error, warn, info, debug, trace)
+    --check-settings    checks the settings file and exits
+    --version           prints the version
+    --help              prints this text
+
+EXIT CODES:
+    0  stopped as told    1  failed while running    2  bad arguments or settings
+";
+
+/// Parsed arguments.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arguments {
+    /// Path of the settings file.
+    pub settings: PathBuf,
+    /// Log level that overrides the settings.
+    pub log: Option<String>,
+    /// Only check the settings.
+    pub check_settings: bool,
+}
+
+impl Arguments {
+    /// Parses the process's arguments. `None` means that help or version was printed.
+    ///
+    /// # Errors
+    ///
+    /// Names the missing or unknown argument.
+    pub fn from_env() -> anyhow::Result<Option<Self>> {
+        Self::parse(pico_args::Arguments::from_env())
+    }
+
+    /// Parses the given arguments.
+    ///
+    /// # Errors
+    ///
+    /// Names the missing or unknown argument.
+    pub fn parse(mut given: pico_args::Arguments) -> anyhow::Result<Option<Self>> {
+        if given.contains(["-h", "--help"]) {
+            print!("{HELP}");
+            return Ok(None);
+        }
+        if given.contains("--version") {
+            println!("sassafrasmastd {}", env!("CARGO_PKG_VERSION"));
+            return Ok(None);
+        }
+        let arguments = Self {
+            settings: given.value_from_str("--settings").context("see --help")?,
+            log: given.opt_value_from_str("--log")?,
+            check_settings: given.contains("--check-settings"),
+        };
+        let rest = given.finish();
+        anyhow::ensure!(rest.is_empty(), "unknown arguments {rest:?}, see --help");
+        Ok(Some(arguments))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/options/settings.rs
@@ -0,0 +1,70 @@
+//! The settings file.
+
+use std::{fs, net::SocketAddr};
+
+use anyhow::Context;
+use serde::Deserialize;
+
+use super::{Arguments, Role};
+
+/// Worker threads of the runtime.
+const DEFAULT_WORKERS: usize = 2;
+
+/// Events kept in the time line of one process.
+const DEFAULT_EVENTS: usize = 65_536;
+
+/// Settings of one process, merged from file and arguments.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the process in logs and on the time line.
+    pub name: String,
+    /// Availability zone of the process.
+    pub zone: String,
+    /// Address for frames (UDP) and peer calls (TCP).
+    pub listen: SocketAddr,
+    /// Address of the metrics exporter (Prometheus), if it is wanted.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// Log level or specification.
+    #[serde(default = "default_log")]
+    pub log: String,
+    /// Worker threads.
+    #[serde(default = "default_workers")]
+    pub workers: usize,
+    /// Events kept in the time line.
+    #[serde(default = "default_events")]
+    pub events: usize,
+    /// What this process is.
+    pub role: Role,
+}
+
+fn default_log() -> String {
+    "info".to_owned()
+}
+
+fn default_workers() -> usize {
+    DEFAULT_WORKERS
+}
+
+fn default_events() -> usize {
+    DEFAULT_EVENTS
+}
+
+impl Settings {
+    /// Reads the settings file and merges the arguments into it.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the key and the reason.
+    pub fn load(arguments: &Arguments) -> anyhow::Result<Self> {
+        let path = &arguments.settings;
+        let text = fs::read_to_string(path).with_context(|| format!("{}", path.display()))?;
+        let mut settings: Self =
+            toml::from_str(&text).with_context(|| format!("{}", path.display()))?;
+        if let Some(level) = &arguments.log {
+            settings.log.clone_from(level);
+        }
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test-only stand-ins for what surrounds the product: store, upstream, fabric, caller.
--- /dev/null
+++ b/crates/wire/src/keys.rs
@@ -0,0 +1,122 @@
+//! Keys derived from the fleet's secrets.
+
+use std::collections::BTreeMap;
+
+use aes::{
+    Aes128,
+    cipher::{BlockCipherDecrypt, BlockCipherEncrypt, KeyInit},
+};
+use ring::{aead, hmac};
+
+use crate::{AgentId, KeyPhase};
+
+/// Bytes of a fleet secret.
+pub const SECRET_BYTES: usize = 32;
+
+/// Bytes of a QUIC stateless reset token.
+pub const RESET_TOKEN_BYTES: usize = 16;
+
+/// Bytes of an AES block.
+pub(crate) const BLOCK_BYTES: usize = 16;
+
+/// Secret shared by all processes of the fleet.
+pub type Secret = [u8; SECRET_BYTES];
+
+/// Keys for sealing ids. Several phases may open; one seals.
+#[derive(Debug, Clone)]
+pub struct Keys {
+    sealing: KeyPhase,
+    phases: BTreeMap<KeyPhase, Phase>,
+    reset: Secret,
+}
+
+/// Ciphers of one key phase.
+#[derive(Debug, Clone)]
+struct Phase {
+    block: Aes128,
+    ticket: aead::LessSafeKey,
+}
+
+impl Phase {
+    fn new(secret: &Secret) -> Self {
+        let block = derive(secret, b"connection id");
+        let ticket = derive(secret, b"ticket");
+        Self {
+            block: Aes128::new_from_slice(&block[..BLOCK_BYTES]).expect("key has 16 bytes"),
+            ticket: aead::LessSafeKey::new(
+                aead::UnboundKey::new(&aead::AES_256_GCM, &ticket).expect("key has 32 bytes"),
+            ),
+        }
+    }
+}
+
+impl Keys {
+    /// Builds the keys. `sealing` is the phase used for new ids, `secrets` all phases that open.
+    ///
+    /// Returns `None` if `sealing` has no secret.
+    ///
+    /// ```
+    /// use sassafrasmast_wire::Keys;
+    /// let keys = Keys::new(1, [(1, [7; 32])], [9; 32]).unwrap();
+    /// assert_eq!(keys.sealing(), 1);
+    /// assert!(Keys::new(2, [(1, [7; 32])], [9; 32]).is_none());
+    /// ```
+    pub fn new(
+        sealing: KeyPhase,
+        secrets: impl IntoIterator<Item = (KeyPhase, Secret)>,
+        reset: Secret,
+    ) -> Option<Self> {
+        let phases: BTreeMap<_, _> = secrets
+            .into_iter()
+            .map(|(phase, secret)| (phase, Phase::new(&secret)))
+            .collect();
+        phases.contains_key(&sealing).then_some(Self {
+            sealing,
+            phases,
+            reset,
+        })
+    }
+
+    /// Phase used to seal new ids.
+    pub fn sealing(&self) -> KeyPhase {
+        self.sealing
+    }
+
+    /// Key from which the stateless reset tokens of an agent's flows derive. It does not depend
+    /// on the incarnation, so a new incarnation resets the flows of the old one.
+    pub fn reset_key(&self, agent: AgentId) -> hmac::Key {
+        let secret = derive(&self.reset, &agent.to_be_bytes());
+        hmac::Key::new(hmac::HMAC_SHA256, &secret)
+    }
+
+    /// Stateless reset token of a connection id of `agent`, as the agent's QUIC endpoint makes it.
+    pub fn reset_token(&self, agent: AgentId, cid: &[u8]) -> [u8; RESET_TOKEN_BYTES] {
+        let tag = hmac::sign(&self.reset_key(agent), cid);
+        let mut token = [0; RESET_TOKEN_BYTES];
+        token.copy_from_slice(&tag.as_ref()[..RESET_TOKEN_BYTES]);
+        token
+    }
+
+    pub(crate) fn seal_block(&self, block: &mut [u8; BLOCK_BYTES]) {
+        if let Some(phase) = self.phases.get(&self.sealing) {
+            phase.block.encrypt_block(block.into());
+        }
+    }
+
+    pub(crate) fn open_block(&self, phase: KeyPhase, block: &mut [u8; BLOCK_BYTES]) -> Option<()> {
+        self.phases.get(&phase)?.block.decrypt_block(block.into());
+        Some(())
+    }
+
+    pub(crate) fn ticket_key(&self, phase: KeyPhase) -> Option<&aead::LessSafeKey> {
+        Some(&self.phases.get(&phase)?.ticket)
+    }
+}
+
+/// Derives a purpose-bound secret.
+fn derive(secret: &Secret, purpose: &[u8]) -> Secret {
+    let tag = hmac::sign(&hmac::Key::new(hmac::HMAC_SHA256, secret), purpose);
+    let mut derived = [0; SECRET_BYTES];
+    derived.copy_from_slice(tag.as_ref());
+    derived
+}
--- /dev/null
+++ b/crates/wire/src/ticket.rs
@@ -0,0 +1,95 @@
+//! The ticket that names the one executor of a non-idempotent request.
+
+use std::time::Duration;
+
+use base64::{Engine, engine::general_purpose::URL_SAFE_NO_PAD};
+use ring::aead::{AES_256_GCM, Aad, Nonce};
+use serde::{Deserialize, Serialize};
+
+use crate::{AgentId, Error, Incarnation, Keys, ServiceId};
+
+/// Bytes of the nonce in clear.
+const NONCE_BYTES: usize = 12;
+
+/// Prefix of a ticket in text form. A key without it was minted by the caller.
+const PREFIX: &str = "st1-";
+
+/// Content of a ticket. Sealed, so a caller can neither read nor forge it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ticket {
+    /// Service the request is for.
+    pub service: ServiceId,
+    /// The only agent that may run the request.
+    pub agent: AgentId,
+    /// The only incarnation of that agent that may run it.
+    pub incarnation: Incarnation,
+    /// Unique within the incarnation.
+    pub nonce: u64,
+    /// Expiry, measured from the start of the incarnation on its monotonic clock.
+    pub expiry: Duration,
+}
+
+impl Ticket {
+    /// Whether a key given by a caller has the form of a ticket.
+    ///
+    /// ```
+    /// use sassafrasmast_wire::Ticket;
+    /// assert!(!Ticket::looks_like("order-17"));
+    /// ```
+    pub fn looks_like(key: &str) -> bool {
+        key.starts_with(PREFIX)
+    }
+
+    /// Seals into the text form used in headers. `nonce` must be fresh random bytes.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sassafrasmast_wire::{Keys, Ticket};
+    /// let keys = Keys::new(0, [(0, [1; 32])], [2; 32]).unwrap();
+    /// let ticket = Ticket {
+    ///     service: 1, agent: 2, incarnation: 3, nonce: 4, expiry: Duration::from_secs(600),
+    /// };
+    /// let text = ticket.seal(&keys, [5; 12]);
+    /// assert_eq!(Ticket::open(&keys, &text).unwrap(), ticket);
+    /// ```
+    pub fn seal(&self, keys: &Keys, nonce: [u8; NONCE_BYTES]) -> String {
+        let mut sealed = postcard::to_stdvec(self).expect("a ticket encodes");
+        let phase = keys.sealing();
+        let key = keys.ticket_key(phase).expect("the sealing phase has a key");
+        key.seal_in_place_append_tag(
+            Nonce::assume_unique_for_key(nonce),
+            Aad::from([phase]),
+            &mut sealed,
+        )
+        .expect("a ticket is short");
+        let mut bytes = vec![phase];
+        bytes.extend_from_slice(&nonce);
+        bytes.extend_from_slice(&sealed);
+        PREFIX.to_owned() + &URL_SAFE_NO_PAD.encode(bytes)
+    }
+
+    /// Opens the text form.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`], [`Error::Phase`] if the key was rotated away, or [`Error::Forged`].
+    pub fn open(keys: &Keys, text: &str) -> Result<Self, Error> {
+        let encoded = text.strip_prefix(PREFIX).ok_or(Error::Malformed)?;
+        let bytes = URL_SAFE_NO_PAD
+            .decode(encoded)
+            .map_err(|_| Error::Malformed)?;
+        let minimum = 1 + NONCE_BYTES + AES_256_GCM.tag_len();
+        if bytes.len() < minimum {
+            return Err(Error::Malformed);
+        }
+        let phase = bytes[0];
+        let key = keys.ticket_key(phase).ok_or(Error::Phase(phase))?;
+        let (nonce, sealed) = bytes[1..].split_at(NONCE_BYTES);
+        let nonce = Nonce::try_assume_unique_for_key(nonce).map_err(|_| Error::Malformed)?;
+        let mut sealed = sealed.to_vec();
+        let plain = key
+            .open_in_place(nonce, Aad::from([phase]), &mut sealed)
+            .map_err(|_| Error::Forged)?;
+        postcard::from_bytes(plain).map_err(|_| Error::Malformed)
+    }
+}
