feat(core): decisions of the agent

One state machine without I/O decides when a request runs, where, and what its caller is told.

"Not run" is said only by whoever can keep it true: the agent a ticket names, the agent that holds the claim of a minted key, or for a keyless request that was never handed over. Everything else is "unknown", for which repeating the same key is safe. A full registry gives up all unrecorded tickets up to the refused one's nonce, so a refusal without a record stays true. A new error kind tells apart tickets that expired too long ago to know what became of them.

--- /dev/null
+++ b/crates/core/src/agent/arrival.rs
@@ -0,0 +1,237 @@
+//! Arrival of requests.
+
+use std::time::{Duration, Instant};
+
+use sassafrasmast_wire::Ticket;
+
+use crate::{
+    error::{Kind, Outcome},
+    timeline::RequestId,
+};
+
+use super::{
+    Agent, Class, Entry, Key, Record, Reply, Request, Weight,
+    claim::HOLD,
+    flight::{Flight, Stage},
+};
+
+/// Share of callers' requests that may be offered to an upstream a second time.
+const RETRY_SHARE: f64 = 0.1;
+
+/// Time after its expiry for which it stays known what became of a ticket.
+const TICKET_MEMORY: Duration = Duration::from_secs(600);
+
+/// Repeats that wait for the same run at most.
+const TWINS: usize = 16;
+
+impl Agent {
+    /// A request arrived. An id that is already in use is ignored.
+    pub fn arrive(&mut self, now: Instant, request: Request) {
+        let id = request.id;
+        if self.flights.contains_key(&id) {
+            return;
+        }
+        if !request.relayed {
+            self.retries.earn(RETRY_SHARE);
+        }
+        let flight = Flight::new(now, request);
+        if flight.weight == Weight::Small {
+            self.small = Some(now);
+        }
+        let key = flight.key().cloned();
+        self.dues.insert((flight.due, id));
+        self.flights.insert(id, flight);
+        match key {
+            Some(Key::Ticket(ticket)) => self.ticketed(now, id, ticket),
+            Some(Key::Minted(_)) => self.minted(now, id),
+            None => self.admit(now, id),
+        }
+        self.pump(now);
+    }
+
+    /// Why no new work is taken, if so.
+    pub(super) fn closed(&self) -> Option<Kind> {
+        match &self.member {
+            None => Some(Kind::NotReady),
+            Some(member) if member.out => Some(Kind::ZoneOut),
+            Some(_) if self.drained.is_some() => Some(Kind::Draining),
+            Some(_) => None,
+        }
+    }
+
+    fn ticketed(&mut self, now: Instant, id: RequestId, ticket: Ticket) {
+        let Some(member) = &self.member else {
+            return self.refuse(now, id, Kind::NotReady);
+        };
+        if ticket.service != member.service {
+            return self.error(id, Kind::TicketInvalid, Outcome::NotRun);
+        }
+        if ticket.agent != member.agent {
+            return self.send_home(now, id, ticket);
+        }
+        if ticket.incarnation != self.settings.incarnation {
+            return self.refuse(now, id, Kind::HomeGone);
+        }
+        let key = Key::Ticket(ticket);
+        match self.registry.get(&key).cloned() {
+            Some(entry) => self.repeated(now, id, &key, &entry),
+            None => self.first_use(now, id, ticket),
+        }
+    }
+
+    /// Sends a ticketed request to the agent that its ticket names.
+    fn send_home(&mut self, now: Instant, id: RequestId, ticket: Ticket) {
+        let member = self.member.as_ref();
+        let live = member.is_some_and(|member| member.homes.contains(&ticket.agent));
+        let relayed = self.flights.get(&id).is_some_and(|flight| flight.relayed);
+        if live && !relayed {
+            self.relay_to(id, ticket.agent);
+        } else {
+            self.refuse(now, id, Kind::HomeGone);
+        }
+    }
+
+    /// A ticket of this incarnation that has no record. It never ran: records outlive tickets.
+    fn first_use(&mut self, now: Instant, id: RequestId, ticket: Ticket) {
+        let expires = self.started + ticket.expiry;
+        if now >= expires + TICKET_MEMORY {
+            return self.error(id, Kind::TicketForgotten, Outcome::Unknown);
+        }
+        if now >= expires {
+            return self.error(id, Kind::TicketExpired, Outcome::NotRun);
+        }
+        if ticket.nonce > self.ticket_count {
+            return self.error(id, Kind::TicketInvalid, Outcome::NotRun);
+        }
+        let key = Key::Ticket(ticket);
+        if self.registry.given_up(ticket.nonce) || !self.hold(now, id, key, expires + TICKET_MEMORY)
+        {
+            self.registry.give_up(ticket.nonce);
+            return self.error(id, Kind::Overloaded, Outcome::NotRun);
+        }
+        self.admit(now, id);
+    }
+
+    fn minted(&mut self, now: Instant, id: RequestId) {
+        let Some(key) = self
+            .flights
+            .get(&id)
+            .and_then(|flight| flight.key().cloned())
+        else {
+            return;
+        };
+        if let Some(entry) = self.registry.get(&key).cloned() {
+            return self.repeated(now, id, &key, &entry);
+        }
+        if self.closed().is_some() {
+            return self.admit(now, id);
+        }
+        if !self.hold(now, id, key, now + HOLD) {
+            return self.refuse(now, id, Kind::Overloaded);
+        }
+        self.admit(now, id);
+    }
+
+    fn hold(&mut self, now: Instant, id: RequestId, key: Key, expires: Instant) -> bool {
+        self.registry.expire(now);
+        let digest = self.flights.get(&id).map(|flight| flight.request.digest);
+        digest.is_some_and(|digest| self.registry.hold(key, digest, id, expires))
+    }
+
+    /// A key that came before.
+    fn repeated(&mut self, now: Instant, id: RequestId, key: &Key, entry: &Entry) {
+        let digest = self.flights.get(&id).map(|flight| flight.request.digest);
+        if digest != Some(entry.digest) {
+            let outcome = self.vouch_for_reuse(now, entry);
+            return self.error(id, Kind::KeyReused, outcome);
+        }
+        match &entry.record {
+            Record::Live(run) => self.attach(id, *run),
+            Record::Ran(Some(answer)) => self.conclude(id, Reply::Kept(answer.clone())),
+            Record::Ran(None) => self.error(id, Kind::AnswerDropped, Outcome::Ran),
+            Record::NotRun(kind) => {
+                let outcome = self.vouch_for_reuse(now, entry);
+                self.error(id, *kind, outcome);
+            }
+            Record::Unknown(kind) => self.error(id, *kind, Outcome::Unknown),
+            Record::Unsettled => {
+                self.registry.set(key, Record::Live(id));
+                self.admit(now, id);
+            }
+        }
+    }
+
+    /// "Not run" for a known key: for ever with a ticket, as long as the claim surely holds with
+    /// a minted key, and never while the claim is unsettled.
+    fn vouch_for_reuse(&self, now: Instant, entry: &Entry) -> Outcome {
+        let settled = entry.record != Record::Unsettled;
+        let holds = entry
+            .claim
+            .is_none_or(|(_, at)| super::claim::holds(now, at));
+        if settled && holds {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        }
+    }
+
+    fn attach(&mut self, id: RequestId, run: RequestId) {
+        let full = match self.flights.get_mut(&run) {
+            Some(flight) if flight.twins.len() < TWINS => {
+                flight.twins.push(id);
+                false
+            }
+            _ => true,
+        };
+        if full {
+            return self.error(id, Kind::Overloaded, Outcome::Unknown);
+        }
+        self.stage(id, Stage::Attached(run));
+    }
+
+    /// Lets a request wait for a slot, sends it to a peer, or refuses it at once.
+    pub(super) fn admit(&mut self, now: Instant, id: RequestId) {
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        let (weight, deadline) = (flight.weight, flight.request.deadline);
+        let feed = flight.request.class == Class::Feed;
+        if let Some(kind) = self.closed() {
+            let relayed = kind == Kind::Draining && self.divert(now, id, None);
+            if !relayed {
+                self.refuse(now, id, kind);
+            }
+            return;
+        }
+        if feed && self.feeds_full() {
+            return self.refuse(now, id, Kind::Overloaded);
+        }
+        let wait = self.wait(now, weight);
+        let full = self.queue.len() + self.claiming >= self.settings.queue;
+        let start = now.checked_add(wait + self.margin(id));
+        let late = now >= deadline || start.is_none_or(|at| at > deadline);
+        let pressed = full || late;
+        if self.divert(now, id, (!pressed).then_some(wait)) {
+            return;
+        }
+        if pressed {
+            return self.refuse(now, id, Kind::Overloaded);
+        }
+        self.claim_or_queue(now, id);
+    }
+
+    fn feeds_full(&self) -> bool {
+        let connections = self.member.as_ref().map_or(0, |member| {
+            (member.connections as usize).saturating_sub(member.slots.into())
+        });
+        self.slots.feeds() >= connections
+    }
+
+    /// Time that has to be left for the run itself.
+    pub(super) fn margin(&self, id: RequestId) -> Duration {
+        let flight = self.flights.get(&id);
+        flight.map_or(Duration::ZERO, |flight| {
+            self.predictor.service(flight.weight).min(flight.margin)
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/clock.rs
@@ -0,0 +1,88 @@
+//! What happens by the passing of time.
+
+use std::time::Instant;
+
+use crate::{
+    error::{Kind, Outcome},
+    timeline::RequestId,
+};
+
+use super::{Action, Agent, Reply, Sign, flight::Stage};
+
+impl Agent {
+    /// Lets time pass: ends what is due, gives up what a drain could not move, relays what waits
+    /// too long.
+    pub fn tick(&mut self, now: Instant) {
+        while let Some(&(at, id)) = self.dues.first() {
+            if at > now {
+                break;
+            }
+            self.undue(id);
+            self.overdue(now, id);
+        }
+        self.registry.expire(now);
+        self.end_drain(now);
+        self.rebalance(now);
+        self.pump(now);
+    }
+
+    fn overdue(&mut self, now: Instant, id: RequestId) {
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        let answered = flight.answered;
+        match flight.stage {
+            Stage::New | Stage::Claiming | Stage::Queued => {
+                self.refuse(now, id, Kind::DeadlinePassed);
+            }
+            Stage::Running(since) => {
+                self.observe(now, since, id, Sign::Timeout(now - since));
+                self.answer(id, timeout());
+                self.actions.push_back(Action::Abort { id });
+            }
+            Stage::Starting => {
+                self.answer(id, timeout());
+                self.actions.push_back(Action::Abort { id });
+            }
+            Stage::Relaying(_) | Stage::Attached(_) if !answered => {
+                self.conclude(id, timeout());
+            }
+            Stage::Relaying(_) | Stage::Attached(_) => self.remove(id),
+        }
+    }
+
+    /// After the grace of a drain, what still waits is refused.
+    fn end_drain(&mut self, now: Instant) {
+        let grace = self.settings.drain_grace;
+        if self.drained.is_none_or(|since| now < since + grace) {
+            return;
+        }
+        for id in self.queue.ids() {
+            self.refuse(now, id, Kind::Draining);
+        }
+    }
+
+    /// Sets when something has to happen to a request.
+    pub(super) fn due(&mut self, id: RequestId, at: Instant) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        self.dues.remove(&(flight.due, id));
+        flight.due = at;
+        self.dues.insert((at, id));
+    }
+
+    /// Nothing has to happen to a request by time any more.
+    pub(super) fn undue(&mut self, id: RequestId) {
+        if let Some(flight) = self.flights.get(&id) {
+            self.dues.remove(&(flight.due, id));
+        }
+    }
+}
+
+fn timeout() -> Reply {
+    Reply::Error {
+        kind: Kind::UpstreamTimeout,
+        outcome: Outcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/member.rs
@@ -0,0 +1,61 @@
+//! The agent's place in the configuration.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use sassafrasmast_wire::{AgentId, ServiceId};
+
+use crate::config::{Document, Upstream};
+
+/// What the configuration says about this agent and its peers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Member {
+    pub agent: AgentId,
+    pub service: ServiceId,
+    pub slots: u16,
+    pub connections: u32,
+    /// Operators want the upstream to leave.
+    pub draining: bool,
+    /// Operators took the zone out.
+    pub out: bool,
+    /// Agents of the same service that may be sent requests with their tickets.
+    pub homes: BTreeSet<AgentId>,
+    /// Agents of the same service that may be sent new work.
+    pub peers: BTreeSet<AgentId>,
+    /// All admitted upstreams of the fleet.
+    pub fleet: usize,
+}
+
+impl Member {
+    /// Finds the agent that listens on `listen`.
+    pub fn find(document: &Document, listen: SocketAddr) -> Option<Self> {
+        let mut upstreams = document.upstreams.iter();
+        let (&agent, upstream) = upstreams.find(|(_, upstream)| upstream.agent == listen)?;
+        let homes = Self::others(document, agent, upstream, |_| true);
+        let peers = Self::others(document, agent, upstream, |other| !other.draining);
+        Some(Self {
+            agent,
+            service: upstream.service,
+            slots: upstream.slots,
+            connections: upstream.connections,
+            draining: upstream.draining,
+            out: !document.admits(agent),
+            homes,
+            peers,
+            fleet: document.upstreams.len(),
+        })
+    }
+
+    fn others(
+        document: &Document,
+        agent: AgentId,
+        upstream: &Upstream,
+        wanted: impl Fn(&Upstream) -> bool,
+    ) -> BTreeSet<AgentId> {
+        let upstreams = document.upstreams.iter();
+        upstreams
+            .filter(|(id, other)| **id != agent && other.service == upstream.service)
+            .filter(|(id, other)| document.admits(**id) && wanted(other))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/peers.rs
@@ -0,0 +1,95 @@
+//! What is known about the load of peer agents.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use sassafrasmast_wire::{AgentId, Load};
+
+/// Age at which a report is no longer used.
+const STALE: Duration = Duration::from_secs(2);
+
+/// Time for which a peer that could not be reached is left alone.
+const UNREACHABLE: Duration = Duration::from_secs(2);
+
+/// Time a relay itself takes, about two messages between zones and the queue of the runtime.
+const RELAY_COST: Duration = Duration::from_millis(5);
+
+/// A report grows worse by this share of its age.
+const AGE_SHARE: u32 = 10;
+
+/// Soft state about the peers of the same service.
+#[derive(Debug, Clone, Default)]
+pub struct Peers {
+    reports: BTreeMap<AgentId, Report>,
+}
+
+/// The last report of one peer.
+#[derive(Debug, Clone)]
+struct Report {
+    load: Load,
+    at: Instant,
+    /// Requests relayed there since.
+    sent: u32,
+    avoid: Option<Instant>,
+}
+
+impl Peers {
+    /// Takes in a report.
+    pub fn report(&mut self, now: Instant, agent: AgentId, load: Load) {
+        let avoid = self.reports.get(&agent).and_then(|report| report.avoid);
+        let report = Report {
+            load,
+            at: now,
+            sent: 0,
+            avoid,
+        };
+        self.reports.insert(agent, report);
+    }
+
+    /// Forgets peers that are no longer configured.
+    pub fn retain(&mut self, peers: &BTreeSet<AgentId>) {
+        self.reports.retain(|agent, _| peers.contains(agent));
+    }
+
+    /// Counts a relay to a peer.
+    pub fn sent(&mut self, agent: AgentId) {
+        if let Some(report) = self.reports.get_mut(&agent) {
+            report.sent += 1;
+        }
+    }
+
+    /// Leaves a peer alone for a while.
+    pub fn avoid(&mut self, now: Instant, agent: AgentId) {
+        if let Some(report) = self.reports.get_mut(&agent) {
+            report.avoid = Some(now + UNREACHABLE);
+        }
+    }
+
+    /// The peer with the shortest predicted wait, the time of the relay included. `service` is
+    /// the expected service time of what was sent there since its report.
+    pub fn best(&self, now: Instant, service: Duration) -> Option<(AgentId, Duration)> {
+        let usable = self.reports.iter().filter(|(_, report)| report.usable(now));
+        usable
+            .map(|(agent, report)| (*agent, report.wait(now, service)))
+            .min_by_key(|(_, wait)| *wait)
+    }
+}
+
+impl Report {
+    fn usable(&self, now: Instant) -> bool {
+        let fresh = now.saturating_duration_since(self.at) < STALE;
+        let avoided = self.avoid.is_some_and(|until| now < until);
+        fresh && !avoided && self.load.state.takes_work()
+    }
+
+    fn wait(&self, now: Instant, service: Duration) -> Duration {
+        let age = now.saturating_duration_since(self.at);
+        let load = &self.load;
+        let limit = u32::from(load.limit.max(1));
+        let taken = u32::from(load.running) + u32::from(load.queued) + self.sent;
+        let beyond = (taken + 1).saturating_sub(limit).min(self.sent);
+        RELAY_COST + load.wait() + age / AGE_SHARE + service * beyond / limit
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/registry.rs
@@ -0,0 +1,199 @@
+//! What became of the requests with keys.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Instant,
+};
+
+use crate::{error::Kind, timeline::RequestId};
+
+use super::{Digest, Kept, Key, Nonce};
+
+/// What is known about one key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Record {
+    /// A request of this agent holds the key and waits or runs.
+    Live(RequestId),
+    /// A run ended with a whole answer, kept if there was room.
+    Ran(Option<Arc<Kept>>),
+    /// The request was refused and will never run.
+    NotRun(Kind),
+    /// A run ended without a whole answer.
+    Unknown(Kind),
+    /// No request holds the key; an earlier claim may or may not have taken effect.
+    Unsettled,
+}
+
+/// Record of a key with what belongs to it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Digest of the request that came first with the key.
+    pub digest: Digest,
+    /// What is known.
+    pub record: Record,
+    /// Nonce of the claim and when it was first asked for; minted keys only.
+    pub claim: Option<(Nonce, Instant)>,
+    expires: Instant,
+    /// Place in the order of kept answers.
+    kept: Option<u64>,
+}
+
+/// A bounded table of keys. An entry stays until it expires; there is no eviction, so a full
+/// table refuses new keys. Tickets refused for want of room are covered by a floor: ticket nonces
+/// grow, and no unrecorded ticket at or below the floor runs any more, so "not run" stays true
+/// without a record.
+#[derive(Debug, Clone)]
+pub struct Registry {
+    entries: BTreeMap<Key, Entry>,
+    expiries: BTreeSet<(Instant, Key)>,
+    capacity: usize,
+    /// Kept answers, oldest first.
+    kept: BTreeMap<u64, Key>,
+    kept_count: u64,
+    kept_bytes: usize,
+    kept_most: usize,
+    floor: Option<u64>,
+}
+
+impl Registry {
+    /// An empty table of `capacity` keys and `kept_most` bytes of answers.
+    pub fn new(capacity: usize, kept_most: usize) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            expiries: BTreeSet::new(),
+            capacity,
+            kept: BTreeMap::new(),
+            kept_count: 0,
+            kept_bytes: 0,
+            kept_most,
+            floor: None,
+        }
+    }
+
+    /// Keys in the table.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Bytes of the kept answers.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// What is known about a key.
+    pub fn get(&self, key: &Key) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// Whether an unrecorded ticket with this nonce was given up for want of room.
+    pub fn given_up(&self, nonce: u64) -> bool {
+        self.floor.is_some_and(|floor| nonce <= floor)
+    }
+
+    /// Gives up all unrecorded tickets up to this nonce.
+    pub fn give_up(&mut self, nonce: u64) {
+        self.floor = self.floor.max(Some(nonce));
+    }
+
+    /// Records that a request holds a key that has no entry. Returns `false` if the table is
+    /// full.
+    pub fn hold(&mut self, key: Key, digest: Digest, run: RequestId, expires: Instant) -> bool {
+        if self.entries.len() >= self.capacity {
+            return false;
+        }
+        let entry = Entry {
+            digest,
+            record: Record::Live(run),
+            claim: None,
+            expires,
+            kept: None,
+        };
+        self.expiries.insert((expires, key.clone()));
+        self.entries.insert(key, entry);
+        true
+    }
+
+    /// Changes what is known about a key.
+    pub fn set(&mut self, key: &Key, record: Record) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        self.kept_bytes -= entry.record.bytes();
+        if let Some(number) = entry.kept.take() {
+            self.kept.remove(&number);
+        }
+        entry.record = record;
+        let bytes = entry.record.bytes();
+        if bytes > 0 {
+            self.kept_count += 1;
+            self.kept_bytes += bytes;
+            entry.kept = Some(self.kept_count);
+            self.kept.insert(self.kept_count, key.clone());
+            self.trim();
+        }
+    }
+
+    /// Notes the claim of a minted key; an earlier one stays.
+    pub fn claim(&mut self, key: &Key, nonce: Nonce, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.claim.get_or_insert((nonce, now));
+        }
+    }
+
+    /// Removes the entry of a key of which nothing needs to be remembered.
+    pub fn release(&mut self, key: &Key) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.kept_bytes -= entry.record.bytes();
+            self.expiries.remove(&(entry.expires, key.clone()));
+            if let Some(number) = entry.kept {
+                self.kept.remove(&number);
+            }
+        }
+    }
+
+    /// Drops entries that expired, but for those that a request still holds.
+    pub fn expire(&mut self, now: Instant) {
+        let expired = self.expiries.iter().take_while(|(at, _)| *at <= now);
+        let keys: Vec<Key> = expired
+            .filter(|(_, key)| !self.is_live(key))
+            .map(|(_, key)| key.clone())
+            .collect();
+        for key in &keys {
+            self.release(key);
+        }
+    }
+
+    fn is_live(&self, key: &Key) -> bool {
+        let entry = self.entries.get(key);
+        entry.is_some_and(|entry| matches!(entry.record, Record::Live(_)))
+    }
+
+    /// Drops the oldest kept answers, not what is known about their keys.
+    fn trim(&mut self) {
+        while self.kept_bytes > self.kept_most {
+            let Some((_, key)) = self.kept.pop_first() else {
+                return;
+            };
+            if let Some(entry) = self.entries.get_mut(&key) {
+                self.kept_bytes -= entry.record.bytes();
+                entry.kept = None;
+                entry.record = Record::Ran(None);
+            }
+        }
+    }
+}
+
+impl Record {
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Ran(Some(answer)) => answer.bytes(),
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/relay.rs
@@ -0,0 +1,21 @@
+//! How the relay of a request to a peer ended.
+
+use crate::error::{Kind, Outcome};
+
+/// Reported once for each relayed request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Relay {
+    /// The peer's answer of an upstream arrived whole.
+    Whole,
+    /// The peer answered with an error of its own.
+    Refused {
+        /// Why.
+        kind: Kind,
+        /// Outcome as the peer told it.
+        outcome: Outcome,
+    },
+    /// No connection could be made; nothing was sent.
+    Unreachable,
+    /// The connection broke after something was sent.
+    Lost,
+}
--- /dev/null
+++ b/crates/core/src/agent/reply.rs
@@ -0,0 +1,25 @@
+//! The final answer of a request.
+
+use std::sync::Arc;
+
+use crate::error::{Kind, Outcome};
+
+use super::Kept;
+
+/// What a caller gets. Each request gets exactly one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// The answer that the request's own run, or its relay, has just delivered whole.
+    Own,
+    /// The answer of an earlier run of the same key. The outcome is [`Outcome::Ran`].
+    Kept(Arc<Kept>),
+    /// No answer of an upstream. Status and `Retry-After` are those of [`Kind::answer`]; the
+    /// outcome is the one given here, which is weaker than the table's where "not run" can't be
+    /// vouched for.
+    Error {
+        /// Why.
+        kind: Kind,
+        /// What the caller is told about the run.
+        outcome: Outcome,
+    },
+}
--- /dev/null
+++ b/crates/core/src/agent/settings.rs
@@ -0,0 +1,44 @@
+//! Settings of the decisions.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use sassafrasmast_wire::Incarnation;
+
+/// Settings of an [`super::Agent`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// The agent's own address, by which it finds its upstream in the configuration.
+    pub listen: SocketAddr,
+    /// The agent's incarnation.
+    pub incarnation: Incarnation,
+    /// Requests that wait in the queue at most.
+    pub queue: usize,
+    /// Keys remembered at most.
+    pub keys: usize,
+    /// Bytes of kept answers at most.
+    pub kept_bytes: usize,
+    /// Time a ticket stays valid.
+    pub ticket_life: Duration,
+    /// Time after which a draining agent gives up what it could neither start nor relay.
+    pub drain_grace: Duration,
+    /// Store writes per second that all agents of the fleet together may spend on claims.
+    pub fleet_claims_per_s: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            incarnation: 0,
+            queue: 256,
+            keys: 65_536,
+            kept_bytes: 32 << 20,
+            ticket_life: Duration::from_secs(600),
+            drain_grace: Duration::from_secs(3),
+            fleet_claims_per_s: 200.0,
+        }
+    }
+}
--- a/crates/core/src/error/kind.rs
+++ b/crates/core/src/error/kind.rs
@@ -45,6 +45,9 @@
     /// The ticket has expired and its request has not run.
     #[error("the ticket has expired")]
     TicketExpired,
+    /// The ticket expired so long ago that it is no longer known whether its request ran.
+    #[error("the ticket is no longer known")]
+    TicketForgotten,
     /// The ticket was not made by this fleet or is for another service.
     #[error("the ticket is not valid")]
     TicketInvalid,
@@ -93,6 +96,7 @@
             Self::UpstreamCut => (502, Outcome::Unknown, RETRY_SOON),
             Self::UpstreamTimeout => (504, Outcome::Unknown, RETRY_SOON),
             Self::TicketExpired => (410, Outcome::NotRun, None),
+            Self::TicketForgotten => (410, Outcome::Unknown, None),
             Self::TicketInvalid | Self::BadRequest => (400, Outcome::NotRun, None),
             Self::KeyReused => (422, Outcome::NotRun, None),
             Self::HomeGone | Self::ClaimedElsewhere => (409, Outcome::Unknown, None),
--- /dev/null
+++ b/crates/core/tests/agent/basics.rs
@@ -0,0 +1,77 @@
+//! The plain path.
+
+use sassafrasmast_core::{
+    agent::{Action, Agent, Class, Finish, Reply, Settings},
+    error::{Kind, Outcome},
+};
+
+use crate::rig::{Rig, whole};
+
+#[test]
+fn without_a_configuration_nothing_is_taken() {
+    let mut rig = Rig::new(5);
+    rig.agent = Agent::new(Settings::default(), rig.now);
+    rig.booking(1, None);
+    rig.assert_error(1, Kind::NotReady, Outcome::NotRun);
+    assert!(rig.agent.ticket(rig.now).is_none());
+}
+
+#[test]
+fn a_request_runs_and_is_answered_once() {
+    let mut rig = Rig::new(5);
+    rig.booking(1, None);
+    assert!(rig.started(1));
+    rig.run(1);
+    assert_eq!(rig.replies(1), [Reply::Own]);
+    rig.finish(1, whole(1));
+    assert_eq!(rig.replies(1), [Reply::Own]);
+    assert_eq!(rig.agent.open(), 0);
+}
+
+#[test]
+fn a_cold_upstream_gets_one_request_at_a_time() {
+    let mut rig = Rig::new(5);
+    rig.booking(1, None);
+    rig.booking(2, None);
+    assert!(rig.started(1) && !rig.started(2));
+    rig.run(1);
+    assert!(rig.started(2));
+}
+
+#[test]
+fn a_refused_keyless_booking_was_not_run() {
+    let mut rig = Rig::new(5);
+    rig.booking(1, None);
+    assert!(rig.hand_over(1));
+    rig.finish(1, Finish::Refused);
+    rig.assert_error(1, Kind::UpstreamRefused, Outcome::NotRun);
+}
+
+#[test]
+fn a_cut_booking_is_unknown_and_never_sent_again() {
+    let mut rig = Rig::new(5);
+    rig.booking(1, None);
+    assert!(rig.hand_over(1));
+    rig.finish(1, Finish::Cut);
+    rig.assert_error(1, Kind::UpstreamCut, Outcome::Unknown);
+    let starts = |action: &&Action| matches!(action, Action::Start { .. });
+    assert_eq!(rig.actions.iter().filter(starts).count(), 1);
+}
+
+#[test]
+fn feeds_take_connections_and_no_slots() {
+    let mut rig = Rig::new(5);
+    for id in 0..15 {
+        rig.arrive(rig.request(id, Class::Feed, None));
+        assert!(rig.hand_over(id), "feed {id}");
+        rig.agent
+            .opened(rig.now, id, std::time::Duration::from_millis(1));
+        rig.take();
+    }
+    rig.arrive(rig.request(15, Class::Feed, None));
+    rig.assert_error(15, Kind::Overloaded, Outcome::NotRun);
+    rig.tick(60_000);
+    assert_eq!(rig.agent.open(), 15);
+    rig.booking(16, None);
+    assert!(rig.started(16));
+}
--- /dev/null
+++ b/crates/core/tests/agent/main.rs
@@ -0,0 +1,5 @@
+//! Tests of an agent's decisions.
+
+mod basics;
+mod rig;
+mod tickets;
