--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -88,6 +88,7 @@
     /// When something has to happen to an unfinished request.
     dues: BTreeSet<(Instant, RequestId)>,
     claiming: usize,
+    relaying: usize,
     queue: Queue,
     slots: Slots,
     limiter: Limiter,
@@ -125,6 +126,7 @@
             flights: BTreeMap::new(),
             dues: BTreeSet::new(),
             claiming: 0,
+            relaying: 0,
             queue: Queue::default(),
             slots: Slots::default(),
             limiter: Limiter::new(0),
--- a/crates/core/src/agent/arrival.rs
+++ b/crates/core/src/agent/arrival.rs
@@ -10,8 +10,7 @@
 };
 
 use super::{
-    Agent, Class, Entry, Key, Record, Reply, Request, Weight,
-    claim::HOLD,
+    Agent, Class, Entry, Key, Record, Reply, Request, Weight, claim,
     flight::{Flight, Stage},
 };
 
@@ -25,8 +24,9 @@
 const TWINS: usize = 16;
 
 impl Agent {
-    /// A request arrived. An id that is already in use is ignored.
-    pub fn arrive(&mut self, now: Instant, request: Request) {
+    /// A request arrived. An id that is already in use is ignored. The deadline of a request with
+    /// a minted key is cut to [`claim::STARTABLE`], so that its run ends while its claim holds.
+    pub fn arrive(&mut self, now: Instant, mut request: Request) {
         let id = request.id;
         if self.flights.contains_key(&id) {
             return;
@@ -34,6 +34,9 @@
         if !request.relayed {
             self.retries.earn(RETRY_SHARE);
         }
+        if matches!(request.key, Some(Key::Minted(_))) {
+            request.deadline = request.deadline.min(now + claim::STARTABLE);
+        }
         let flight = Flight::new(now, request);
         if flight.weight == Weight::Small {
             self.small = Some(now);
@@ -84,10 +87,12 @@
         let member = self.member.as_ref();
         let live = member.is_some_and(|member| member.homes.contains(&ticket.agent));
         let relayed = self.flights.get(&id).is_some_and(|flight| flight.relayed);
-        if live && !relayed {
-            self.relay_to(id, ticket.agent);
-        } else {
+        if !live || relayed {
             self.refuse(now, id, Kind::HomeGone);
+        } else if self.relays_full() {
+            self.refuse(now, id, Kind::Overloaded);
+        } else {
+            self.relay_to(id, ticket.agent);
         }
     }
 
@@ -101,7 +106,7 @@
             return self.error(id, Kind::TicketExpired, Outcome::NotRun);
         }
         if ticket.nonce > self.ticket_count {
-            return self.error(id, Kind::TicketInvalid, Outcome::NotRun);
+            return self.error(id, Kind::TicketInvalid, Outcome::Unknown);
         }
         let key = Key::Ticket(ticket);
         if self.registry.given_up(ticket.nonce) || !self.hold(now, id, key, expires + TICKET_MEMORY)
@@ -126,7 +131,7 @@
         if self.closed().is_some() {
             return self.admit(now, id);
         }
-        if !self.hold(now, id, key, now + HOLD) {
+        if !self.hold(now, id, key, now + claim::HOLD) {
             return self.refuse(now, id, Kind::Overloaded);
         }
         self.admit(now, id);
@@ -165,9 +170,7 @@
     /// a minted key, and never while the claim is unsettled.
     fn vouch_for_reuse(&self, now: Instant, entry: &Entry) -> Outcome {
         let settled = entry.record != Record::Unsettled;
-        let holds = entry
-            .claim
-            .is_none_or(|(_, at)| super::claim::holds(now, at));
+        let holds = entry.claim.is_none_or(|(_, at)| claim::holds(now, at));
         if settled && holds {
             Outcome::NotRun
         } else {
@@ -203,13 +206,16 @@
             }
             return;
         }
+        if now >= deadline {
+            return self.refuse(now, id, Kind::DeadlinePassed);
+        }
         if feed && self.feeds_full() {
             return self.refuse(now, id, Kind::Overloaded);
         }
         let wait = self.wait(now, weight);
         let full = self.queue.len() + self.claiming >= self.settings.queue;
         let start = now.checked_add(wait + self.margin(id));
-        let late = now >= deadline || start.is_none_or(|at| at > deadline);
+        let late = start.is_none_or(|at| at > deadline);
         let pressed = full || late;
         if self.divert(now, id, (!pressed).then_some(wait)) {
             return;
--- a/crates/core/src/agent/clock.rs
+++ b/crates/core/src/agent/clock.rs
@@ -30,7 +30,6 @@
         let Some(flight) = self.flights.get(&id) else {
             return;
         };
-        let answered = flight.answered;
         match flight.stage {
             Stage::New | Stage::Claiming | Stage::Queued => {
                 self.refuse(now, id, Kind::DeadlinePassed);
@@ -44,10 +43,7 @@
                 self.answer(id, timeout());
                 self.actions.push_back(Action::Abort { id });
             }
-            Stage::Relaying(_) | Stage::Attached(_) if !answered => {
-                self.conclude(id, timeout());
-            }
-            Stage::Relaying(_) | Stage::Attached(_) => self.remove(id),
+            Stage::Relaying(_) | Stage::Attached(_) => self.conclude(id, timeout()),
         }
     }
 
--- a/crates/core/src/agent/ending.rs
+++ b/crates/core/src/agent/ending.rs
@@ -91,6 +91,7 @@
         match flight.stage {
             Stage::Queued => self.queue.remove(id, flight.weight),
             Stage::Claiming => self.claiming -= 1,
+            Stage::Relaying(_) => self.relaying -= 1,
             Stage::Attached(run) => self.detach(id, run),
             _ => {}
         }
--- a/crates/core/src/agent/relaying.rs
+++ b/crates/core/src/agent/relaying.rs
@@ -32,6 +32,7 @@
         let Stage::Relaying(peer) = flight.stage else {
             return;
         };
+        self.relaying -= 1;
         self.stage(id, Stage::New);
         match result {
             Relay::Whole => self.conclude(id, Reply::Own),
@@ -104,6 +105,7 @@
             Class::Idempotent => true,
             Class::NonIdempotent => flight.key().is_none() && !flight.may_have_run,
         };
+        let allowed = allowed && !self.relays_full();
         if !allowed || flight.answered || flight.relayed || now >= flight.request.deadline {
             return false;
         }
@@ -159,6 +161,11 @@
         (start <= flight.request.deadline).then_some(peer)
     }
 
+    /// Whether as many requests are relayed as may wait here.
+    pub(super) fn relays_full(&self) -> bool {
+        self.relaying >= self.settings.queue
+    }
+
     pub(super) fn relay_to(&mut self, id: RequestId, to: AgentId) {
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
@@ -167,6 +174,7 @@
         let deadline = flight.request.deadline;
         self.stage(id, Stage::Relaying(to));
         self.due(id, deadline);
+        self.relaying += 1;
         self.peers.sent(to);
         self.actions.push_back(Action::Relay { id, to });
     }
