feat(balancer): route by connection id, place new flows, watch the agents

The routing core reads only the version-independent part of QUIC headers and decides by the sealed id; no flow table. Frames of agents give load and liveness; probes keep within a byte budget. A paused or cut-off balancer holds forwarding until others confirm its config version. Announcements of upstreams that are not admitted are kept on the blackboard. The daemon side binds service addresses as the configuration says, batches receives and keeps the order of each sender's packets.

--- /dev/null
+++ b/crates/core/src/balancer.rs
@@ -0,0 +1,31 @@
+//! Decisions of a balancer: where a caller's datagram goes, and which agents are alive.
+//!
+//! A datagram is routed by its connection id alone, so any balancer can route any datagram of any
+//! flow and none keeps a table of flows. Only the version-independent part of QUIC headers
+//! (RFC 8999) and the type of an Initial are read here.
+//!
+//! Lock order, outermost first: the blackboard's locks, the router's table, one member, the gate,
+//! the hot list, the budgets, the random generator. Each lock is held for a few statements and
+//! never across a call to the outside.
+
+mod action;
+mod bucket;
+mod counters;
+mod form;
+mod gate;
+mod header;
+mod member;
+mod peers;
+mod placement;
+mod policy;
+mod reason;
+mod reset;
+mod route;
+mod router;
+mod settings;
+mod table;
+
+pub use self::{
+    action::Action, bucket::Bucket, counters::Counters, form::Form, header::Header, policy::Policy,
+    reason::Reason, reset::Reset, route::Route, router::Router, settings::Settings,
+};
--- /dev/null
+++ b/crates/core/src/balancer/placement.rs
@@ -0,0 +1,125 @@
+//! Choice of the agent for a new flow.
+
+use std::time::Instant;
+
+use rand::{Rng, seq::IndexedRandom};
+use sassafrasmast_wire::{AgentId, ServiceId, State};
+
+use super::{
+    Policy, Settings,
+    table::{Entry, Table},
+};
+
+/// Candidates looked at for one flow.
+const MAX_SAMPLE: usize = 32;
+
+/// Wait in microseconds that an agent filled up to its limit stands for.
+const OCCUPANCY_US: f64 = 10_000.0;
+
+/// One of this many flows may go to a cold agent while others are ready.
+const TRICKLE_SHARE: u32 = 8;
+
+/// How far an agent is trusted to take a flow; better ones first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    Ready,
+    Cold,
+    Unknown,
+    Refused,
+}
+
+/// One candidate as it stands now.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    agent: AgentId,
+    class: Class,
+    trickle: bool,
+    cost: f64,
+    flows: f64,
+}
+
+/// Chooses agents for new flows.
+#[derive(Debug)]
+pub(super) struct Placement<'a> {
+    /// The router's settings.
+    pub(super) settings: &'a Settings,
+    /// Configuration and members.
+    pub(super) table: &'a Table,
+    /// Number of this placement, for round robin.
+    pub(super) turn: usize,
+}
+
+impl Placement<'_> {
+    /// Chooses an agent other than `refuser`; `None` if none takes new flows.
+    pub(super) fn choose(
+        &self,
+        now: Instant,
+        rng: &mut impl Rng,
+        service: ServiceId,
+        refuser: Option<AgentId>,
+    ) -> Option<AgentId> {
+        let agents = self.table.candidates.get(&service)?;
+        let candidates: Vec<_> = agents
+            .choose_multiple(rng, MAX_SAMPLE.min(agents.len()))
+            .filter(|&&agent| Some(agent) != refuser)
+            .filter_map(|&agent| self.candidate(now, agent))
+            .collect();
+        if rng.random_ratio(1, TRICKLE_SHARE) {
+            let cold: Vec<_> = candidates.iter().copied().filter(|c| c.trickle).collect();
+            if let Some(candidate) = cold.choose(rng) {
+                return Some(candidate.agent);
+            }
+        }
+        let best = candidates.iter().map(|candidate| candidate.class).min()?;
+        let among: Vec<_> = candidates
+            .into_iter()
+            .filter(|candidate| candidate.class == best)
+            .collect();
+        self.pick(rng, among)
+    }
+
+    fn pick(&self, rng: &mut impl Rng, mut among: Vec<Candidate>) -> Option<AgentId> {
+        let chosen = match self.settings.policy {
+            Policy::Random => *among.choose(rng)?,
+            Policy::RoundRobin => {
+                among.sort_by_key(|candidate| candidate.agent);
+                *among.get(self.turn % among.len())?
+            }
+            Policy::LeastConnections => *among.iter().min_by(|a, b| a.flows.total_cmp(&b.flows))?,
+            Policy::PredictedWait => *among
+                .choose_multiple(rng, 2)
+                .min_by(|a, b| a.cost.total_cmp(&b.cost))?,
+        };
+        Some(chosen.agent)
+    }
+
+    fn candidate(&self, now: Instant, agent: AgentId) -> Option<Candidate> {
+        let entry: &Entry = self.table.entries.get(&agent)?;
+        let member = entry.member();
+        if member.is_suspect(now) || !member.load.state.takes_work() {
+            return None;
+        }
+        let class = match (
+            member.refused_lately(now),
+            member.is_known(),
+            member.load.state,
+        ) {
+            (true, _, _) => Class::Refused,
+            (false, false, _) => Class::Unknown,
+            (false, true, State::Ready) => Class::Ready,
+            (false, true, _) => Class::Cold,
+        };
+        let penalty = if entry.local {
+            0.0
+        } else {
+            self.settings.remote_penalty.as_micros() as f64
+        };
+        Some(Candidate {
+            agent,
+            class,
+            trickle: member.takes_trickle(now),
+            cost: f64::from(member.load.wait_us) + OCCUPANCY_US * member.occupancy(now) + penalty,
+            flows: f64::from(member.load.flows) + member.pending(now),
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/balancer/table.rs
@@ -0,0 +1,138 @@
+//! The configuration in the form the router looks things up.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
+};
+
+use sassafrasmast_wire::{Address, AgentId, ServiceId};
+
+use crate::config::{Snapshot, Zone, ZoneName};
+
+use super::member::Member;
+
+/// Immutable view of one configuration; members are shared with the views before and after.
+#[derive(Debug)]
+pub(super) struct Table {
+    /// The configuration this view was made from.
+    pub(super) snapshot: Arc<Snapshot>,
+    /// Admitted agents.
+    pub(super) entries: HashMap<AgentId, Entry>,
+    /// Agents that may get new flows, by service.
+    pub(super) candidates: HashMap<ServiceId, Vec<AgentId>>,
+    /// Agents by address.
+    pub(super) addresses: HashMap<Address, AgentId>,
+    /// All agents in a stable order.
+    pub(super) order: Vec<AgentId>,
+    zones: HashMap<ZoneName, Arc<Area>>,
+}
+
+/// One admitted agent.
+#[derive(Debug)]
+pub(super) struct Entry {
+    /// Service of the upstream.
+    pub(super) service: ServiceId,
+    /// Address of the agent.
+    pub(super) address: Address,
+    /// Whether the upstream is in the balancer's zone.
+    pub(super) local: bool,
+    /// The upstream's zone.
+    pub(super) area: Arc<Area>,
+    member: Arc<Mutex<Member>>,
+}
+
+/// What is known about one zone.
+#[derive(Debug)]
+pub(super) struct Area {
+    /// Since when this process knows that the zone is out.
+    pub(super) out: Option<Instant>,
+    /// When an agent of the zone was last heard, in microseconds since the router's start.
+    heard: AtomicU64,
+}
+
+impl Area {
+    /// Notes that an agent of the zone was heard.
+    pub(super) fn hear(&self, micros: u64) {
+        self.heard.fetch_max(micros, Ordering::Relaxed);
+    }
+
+    /// When an agent of the zone was last heard, in microseconds since the router's start.
+    pub(super) fn heard(&self) -> u64 {
+        self.heard.load(Ordering::Relaxed)
+    }
+
+    fn next(previous: Option<&Arc<Self>>, zone: &Zone, now: Instant) -> Arc<Self> {
+        let out = previous.and_then(|area| area.out);
+        Arc::new(Self {
+            out: zone.out.then(|| out.unwrap_or(now)),
+            heard: AtomicU64::new(previous.map_or(0, |area| area.heard())),
+        })
+    }
+}
+
+impl Entry {
+    /// Locks the agent's member.
+    pub(super) fn member(&self) -> MutexGuard<'_, Member> {
+        self.member.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Table {
+    /// Makes the view that follows `previous`.
+    pub(super) fn new(
+        now: Instant,
+        snapshot: Arc<Snapshot>,
+        previous: Option<&Self>,
+        local: &ZoneName,
+    ) -> Self {
+        let document = &snapshot.document;
+        let mut table = Self {
+            snapshot: Arc::clone(&snapshot),
+            entries: HashMap::new(),
+            candidates: HashMap::new(),
+            addresses: HashMap::new(),
+            order: document.upstreams.keys().copied().collect(),
+            zones: HashMap::new(),
+        };
+        for (name, zone) in &document.zones {
+            let area = previous.and_then(|previous| previous.zones.get(name));
+            let area = Area::next(area, zone, now);
+            table.zones.insert(name.clone(), area);
+        }
+        for (&agent, upstream) in &document.upstreams {
+            let Some(area) = table.zones.get(&upstream.zone) else {
+                continue;
+            };
+            let known = previous.and_then(|previous| previous.entries.get(&agent));
+            let member = match known.filter(|known| known.address == upstream.agent) {
+                Some(known) => Arc::clone(&known.member),
+                None => Arc::new(Mutex::new(Member::new(now))),
+            };
+            let entry = Entry {
+                service: upstream.service,
+                address: upstream.agent,
+                local: upstream.zone == *local,
+                area: Arc::clone(area),
+                member,
+            };
+            if entry.area.out.is_none() && !upstream.draining {
+                let candidates = table.candidates.entry(upstream.service).or_default();
+                candidates.push(agent);
+            }
+            table.addresses.insert(upstream.agent, agent);
+            table.entries.insert(agent, entry);
+        }
+        table
+    }
+
+    /// Whether `agent` was admitted once and is no longer: ids are given out in order and never
+    /// again.
+    pub(super) fn was_removed(&self, agent: AgentId) -> bool {
+        let document = &self.snapshot.document;
+        agent < document.next_agent && !document.upstreams.contains_key(&agent)
+    }
+}
--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -1,13 +1,19 @@
 //! What the controllers of one process share.
 //!
-//! Lock order: `config` before `timeline`. No lock is held across an await point or while
+//! Lock order: `config`, `announcements`, `timeline`. No lock is held across an await point or while
 //! calling into another module that takes a lock.
 
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError, RwLock},
+    time::Instant,
+};
 
-use sassafrasmast_wire::ConfigVersion;
+use sassafrasmast_wire::{Address, ConfigVersion};
 
 use crate::{
+    Announcement,
+    announcement::MAX_ANNOUNCEMENTS,
     config::Snapshot,
     timeline::{Event, Ring},
 };
@@ -16,6 +22,7 @@
 #[derive(Debug)]
 pub struct Blackboard {
     config: RwLock<Option<Arc<Snapshot>>>,
+    announcements: Mutex<BTreeMap<Address, Announcement>>,
     timeline: Mutex<Ring>,
 }
 
@@ -24,6 +31,7 @@
     pub fn new(events: usize) -> Self {
         Self {
             config: RwLock::new(None),
+            announcements: Mutex::new(BTreeMap::new()),
             timeline: Mutex::new(Ring::new(events)),
         }
     }
@@ -56,6 +64,45 @@
         newer
     }
 
+    /// Remembers an announcement, replacing an older one of the same agent's address. Returns
+    /// `false` if it comes from an older incarnation or the table is full of live ones.
+    pub fn announce(&self, now: Instant, announcement: Announcement) -> bool {
+        let mut table = self
+            .announcements
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        match table.get(&announcement.agent) {
+            Some(known) if known.incarnation > announcement.incarnation => return false,
+            Some(_) => {}
+            None if table.len() >= MAX_ANNOUNCEMENTS => table.retain(|_, known| known.is_live(now)),
+            None => {}
+        }
+        if table.len() >= MAX_ANNOUNCEMENTS && !table.contains_key(&announcement.agent) {
+            return false;
+        }
+        table.insert(announcement.agent, announcement);
+        true
+    }
+
+    /// Forgets the announcement of the agent at `address`: it was admitted.
+    pub fn admitted(&self, address: Address) {
+        self.announcements
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&address);
+    }
+
+    /// Upstreams that announced themselves lately and are not admitted yet.
+    pub fn announcements(&self, now: Instant) -> Vec<Announcement> {
+        self.announcements
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .values()
+            .filter(|announcement| announcement.is_live(now))
+            .cloned()
+            .collect()
+    }
+
     /// Appends an event to the time line.
     pub fn record(&self, event: Event) {
         self.timeline
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -1,6 +1,7 @@
 //! Typed events with which the doings of all processes are put in one order.
 
 mod event;
+pub mod flow;
 mod kind;
 mod ring;
 
--- /dev/null
+++ b/crates/core/src/timeline/flow.rs
@@ -0,0 +1,25 @@
+//! Ids of flows on the time line.
+
+use std::net::{IpAddr, SocketAddr};
+
+use super::FlowId;
+
+/// Offset and prime of the 64-bit FNV-1a hash.
+const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Id of the flow of `caller`, the same in all processes.
+///
+/// ```
+/// use sassafrasmast_core::timeline::flow;
+/// let caller = "127.0.0.1:9".parse().unwrap();
+/// assert_eq!(flow::id(caller), flow::id(caller));
+/// ```
+pub fn id(caller: SocketAddr) -> FlowId {
+    let hash = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
+    let hashed = match caller.ip() {
+        IpAddr::V4(ip) => ip.octets().iter().fold(OFFSET, hash),
+        IpAddr::V6(ip) => ip.octets().iter().fold(OFFSET, hash),
+    };
+    caller.port().to_be_bytes().iter().fold(hashed, hash)
+}
--- a/crates/daemon/src/app/balancer.rs
+++ b/crates/daemon/src/app/balancer.rs
@@ -1,12 +1,73 @@
-//! The balancer role.
+//! The balancer role: sockets and tasks around [`sassafrasmast_core::balancer::Router`].
+
+mod edge;
+mod journal;
+mod meter;
+mod pull;
+mod service;
+mod socket;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use anyhow::Context;
+use sassafrasmast_core::{Blackboard, balancer, timeline};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::mpsc,
+};
 
 use crate::options::{Balancer, Settings};
 
+pub use self::{edge::Edge, journal::Journal, pull::Pull};
+
+/// Time for which a balancer that was told to stop goes on forwarding.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Wanted configuration pulls that may wait.
+const MAX_PULLS: usize = 64;
+
 /// Runs a balancer until it is told to stop.
 ///
 /// # Errors
 ///
 /// Names what could not be bound or started.
 pub async fn run(settings: Settings, role: Balancer) -> anyhow::Result<()> {
-    anyhow::bail!("balancer {}: cannot serve {} yet", settings.name, role.api)
+    let mut terminate = signal(SignalKind::terminate()).context("balancer: no signals")?;
+    let blackboard = Arc::new(Blackboard::new(settings.events));
+    let incarnation = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .context("balancer: the clock is before 1970")?
+        .as_millis() as u64;
+    let router = balancer::Router::new(
+        Instant::now(),
+        balancer::Settings {
+            zone: settings.zone.clone(),
+            seed: incarnation,
+            ..balancer::Settings::default()
+        },
+        Arc::clone(&blackboard),
+    );
+    router.trust(role.peers.clone());
+    if let Some(address) = settings.metrics {
+        meter::export(address)?;
+    }
+    let journal = Journal::new(settings.name.clone(), incarnation, Arc::clone(&blackboard));
+    journal.record(timeline::Kind::Started);
+    let (pulls, wanted) = mpsc::channel(MAX_PULLS);
+    let edge = Edge::bind(&settings, &role, router, blackboard, journal, pulls)?;
+    pull::watch(wanted);
+    edge.start();
+    log::info!("balancer: {} serves on {}", settings.name, settings.listen);
+    terminate.recv().await;
+    log::info!("balancer: told to stop, forwards for {LINGER:?} more");
+    edge.journal().record(timeline::Kind::Draining);
+    tokio::select! {
+        () = tokio::time::sleep(LINGER) => {}
+        _ = terminate.recv() => log::info!("balancer: told to stop at once"),
+    }
+    edge.journal().record(timeline::Kind::Stopped);
+    Ok(())
 }
--- /dev/null
+++ b/crates/daemon/src/app/balancer/edge.rs
@@ -0,0 +1,252 @@
+//! Tasks that read sockets and carry out what the router decides.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use sassafrasmast_core::{
+    Blackboard,
+    balancer::{Action, Route, Router},
+    timeline,
+};
+use sassafrasmast_wire::{Body, Frame, ServiceId};
+use tokio::{net::UdpSocket, sync::mpsc, task::JoinHandle, time::MissedTickBehavior};
+
+use crate::options::{Balancer, Settings};
+
+use super::{Journal, Pull, meter, service::Listeners, socket};
+
+/// Bytes of a receive buffer; longer datagrams are cut and then refused as oversize.
+const RECEIVE_BYTES: usize = 4_096;
+
+/// Datagrams read in a row before other tasks get their turn.
+const BATCH: usize = 64;
+
+/// Time between two publications of the counters.
+const PUBLISH_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time between two tries to bind a service address.
+const REBIND_PERIOD: Duration = Duration::from_secs(5);
+
+/// Sockets, router and shared state of one balancer.
+#[derive(Debug)]
+pub struct Edge {
+    router: Router,
+    blackboard: Arc<Blackboard>,
+    journal: Journal,
+    frames: Vec<UdpSocket>,
+    listeners: Listeners,
+    pulls: mpsc::Sender<Pull>,
+}
+
+impl Edge {
+    /// Binds the sockets for frames. Service sockets follow the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Names the address that cannot be bound.
+    pub fn bind(
+        settings: &Settings,
+        role: &Balancer,
+        router: Router,
+        blackboard: Arc<Blackboard>,
+        journal: Journal,
+        pulls: mpsc::Sender<Pull>,
+    ) -> anyhow::Result<Arc<Self>> {
+        Ok(Arc::new(Self {
+            router,
+            blackboard,
+            journal,
+            frames: socket::bind(settings.listen, settings.workers)?,
+            listeners: Listeners::new(role.bind.clone(), settings.workers),
+            pulls,
+        }))
+    }
+
+    /// The router.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// The process's part of the time line.
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
+    /// Starts the tasks. They run until the runtime stops.
+    pub fn start(self: &Arc<Self>) {
+        for at in 0..self.frames.len() {
+            tokio::spawn(Arc::clone(self).read_frames(at));
+        }
+        tokio::spawn(Arc::clone(self).tick());
+    }
+
+    /// Reads frames of agents and other balancers.
+    async fn read_frames(self: Arc<Self>, at: usize) {
+        let socket = &self.frames[at];
+        let mut buffer = vec![0; RECEIVE_BYTES];
+        let mut scratch = Vec::new();
+        loop {
+            if let Err(error) = socket.readable().await {
+                log::error!("balancer: frames: {error}");
+                return;
+            }
+            for _ in 0..BATCH {
+                let Ok((length, from)) = socket.try_recv_from(&mut buffer) else {
+                    break;
+                };
+                let mut actions = Vec::new();
+                let datagram = &buffer[..length];
+                self.router
+                    .receive(Instant::now(), from, datagram, &mut actions);
+                for action in actions {
+                    self.act(action, &mut scratch).await;
+                }
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Reads callers' datagrams of one service.
+    async fn read_callers(self: Arc<Self>, service: ServiceId, socket: Arc<UdpSocket>) {
+        let mut buffer = vec![0; RECEIVE_BYTES];
+        let mut scratch = Vec::new();
+        loop {
+            if let Err(error) = socket.readable().await {
+                log::error!("balancer: service {service}: {error}");
+                return;
+            }
+            for _ in 0..BATCH {
+                let Ok((length, caller)) = socket.try_recv_from(&mut buffer) else {
+                    break;
+                };
+                let datagram = &buffer[..length];
+                self.pass(service, &socket, caller, datagram, &mut scratch)
+                    .await;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Passes one caller's datagram on.
+    async fn pass(
+        &self,
+        service: ServiceId,
+        socket: &UdpSocket,
+        caller: SocketAddr,
+        payload: &[u8],
+        scratch: &mut Vec<u8>,
+    ) {
+        let now = Instant::now();
+        let (agent, address, incarnation) = match self.router.route(now, service, payload) {
+            Route::Forward {
+                agent,
+                address,
+                incarnation,
+            } => (agent, address, Some(incarnation)),
+            Route::Place { agent, address } => {
+                let placed = timeline::Kind::FlowPlaced { service, agent };
+                self.journal.record_flow(now, caller, placed);
+                (agent, address, None)
+            }
+            Route::Reset { agent, reset } => {
+                let reset_flow = timeline::Kind::FlowReset { agent };
+                self.journal.record_flow(now, caller, reset_flow);
+                return send(socket, reset.bytes(), caller).await;
+            }
+            Route::Drop(reason) => {
+                return log::trace!("balancer: dropped from {caller}: {}", reason.name());
+            }
+        };
+        let body = Body::Inbound {
+            service,
+            agent,
+            incarnation,
+            attempt: 0,
+            caller,
+            payload,
+        };
+        self.send_frame(body, address, scratch).await;
+    }
+
+    async fn act(&self, action: Action<'_>, scratch: &mut Vec<u8>) {
+        match action {
+            Action::Deliver {
+                service,
+                caller,
+                payload,
+                ..
+            } => {
+                if let Some(socket) = self.listeners.socket(service) {
+                    send(&socket, payload, caller).await;
+                }
+            }
+            Action::Send { to, body } => self.send_frame(body, to, scratch).await,
+            Action::PullConfig { from, version } => {
+                // A full queue is served by a later frame.
+                let _ = self.pulls.try_send(Pull { from, version });
+            }
+        }
+    }
+
+    async fn send_frame(&self, body: Body<'_>, to: SocketAddr, scratch: &mut Vec<u8>) {
+        let frame = Frame::new(self.blackboard.version(), body);
+        match frame.encode(scratch) {
+            Ok(()) => send(&self.frames[0], scratch, to).await,
+            Err(error) => log::debug!("balancer: frame to {to}: {error}"),
+        }
+    }
+
+    /// Ticks the router, follows the configuration and publishes the counters.
+    async fn tick(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(Router::TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut scratch = Vec::new();
+        let mut followed = 0;
+        let mut published = Instant::now();
+        let mut bound = Instant::now();
+        loop {
+            interval.tick().await;
+            let now = Instant::now();
+            let mut actions = Vec::new();
+            self.router.tick(now, &mut actions);
+            for action in actions {
+                self.act(action, &mut scratch).await;
+            }
+            let version = self.blackboard.version();
+            if version != followed || now.duration_since(bound) >= REBIND_PERIOD {
+                bound = now;
+                if version != followed {
+                    let kind = timeline::Kind::ConfigInForce { version };
+                    self.journal.record(kind);
+                }
+                self.follow();
+                followed = version;
+            }
+            if now.duration_since(published) >= PUBLISH_PERIOD {
+                published = now;
+                meter::publish(self.router.counters());
+            }
+        }
+    }
+
+    /// Binds the service addresses of the configuration in force.
+    fn follow(self: &Arc<Self>) {
+        let Some(config) = self.blackboard.config() else {
+            return;
+        };
+        let read = |service, socket| -> JoinHandle<()> {
+            tokio::spawn(Arc::clone(self).read_callers(service, socket))
+        };
+        self.listeners.follow(&config.document, read);
+    }
+}
+
+/// Sends one datagram. A lost datagram is the callers' transport's to repeat.
+async fn send(socket: &UdpSocket, datagram: &[u8], to: SocketAddr) {
+    if let Err(error) = socket.send_to(datagram, to).await {
+        log::debug!("balancer: to {to}: {error}");
+    }
+}
