feat(config): plan, effects, validation and a sans-I/O confirm

A plan is a pure function of the base document and its changes, so any balancer can check and confirm it. Confirmation is a state machine of read and compare-and-swap steps: a lost reply is settled by reading back the operation, which is remembered with the plan's digest. Key rotation takes two steps, so no process meets an id sealed with a key it does not have yet.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -1,6 +1,6 @@
 //! What the controllers of one process share.
 //!
-//! Lock order: `config` before `timeline`. No lock is held across an await point or while
+//! Lock order: `config` before `balancers` before `timeline`. No lock is held across an await point or while
 //! calling into another module that takes a lock.
 
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
@@ -8,7 +8,7 @@
 use sassafrasmast_wire::ConfigVersion;
 
 use crate::{
-    config::Snapshot,
+    config::{Registration, Snapshot},
     timeline::{Event, Ring},
 };
 
@@ -16,6 +16,7 @@
 #[derive(Debug)]
 pub struct Blackboard {
     config: RwLock<Option<Arc<Snapshot>>>,
+    balancers: RwLock<Arc<Vec<Registration>>>,
     timeline: Mutex<Ring>,
 }
 
@@ -24,6 +25,7 @@
     pub fn new(events: usize) -> Self {
         Self {
             config: RwLock::new(None),
+            balancers: RwLock::new(Arc::default()),
             timeline: Mutex::new(Ring::new(events)),
         }
     }
@@ -56,6 +58,22 @@
         newer
     }
 
+    /// Balancers known to be live, by the address they listen on.
+    pub fn balancers(&self) -> Arc<Vec<Registration>> {
+        self.balancers
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Replaces the list of live balancers.
+    pub fn set_balancers(&self, balancers: Vec<Registration>) {
+        *self
+            .balancers
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = Arc::new(balancers);
+    }
+
     /// Appends an event to the time line.
     pub fn record(&self, event: Event) {
         self.timeline
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,14 +1,35 @@
 //! The fleet's configuration: one versioned document, changed only by confirmed plans.
 
-mod document;
+mod change;
+mod confirmation;
+mod digest;
+pub mod document;
+mod effect;
+mod error;
+mod plan;
+mod record;
+mod registration;
 mod secret;
 mod service;
 mod snapshot;
 mod upstream;
+mod verdict;
 mod zone;
 
 pub use self::{
-    document::Document, secret::Secrets, service::Service, snapshot::Snapshot, upstream::Upstream,
+    change::Change,
+    confirmation::{Confirmation, Reply, Revision, Step},
+    document::Document,
+    effect::Effect,
+    error::Error,
+    plan::Plan,
+    record::Record,
+    registration::Registration,
+    secret::Secrets,
+    service::Service,
+    snapshot::Snapshot,
+    upstream::Upstream,
+    verdict::Verdict,
     zone::Zone,
 };
 
@@ -20,3 +41,6 @@
 
 /// Chosen by whoever confirms; makes a confirm idempotent.
 pub type OperationId = String;
+
+/// SHA-256 in hexadecimal.
+pub type Digest = String;
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -1,17 +1,21 @@
 //! The versioned document kept in the platform's store.
 
+mod apply;
+mod validate;
+mod view;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use sassafrasmast_wire::{AgentId, ConfigVersion, ServiceId};
 use serde::{Deserialize, Serialize};
 
-use super::{OperationId, Secrets, Service, Upstream, Zone, ZoneName};
+use super::{Digest, OperationId, Secrets, Service, Upstream, Zone, ZoneName, digest};
 
 /// Confirmed operations remembered for settling a lost reply or a second confirm.
 pub const REMEMBERED_OPERATIONS: usize = 64;
 
 /// The whole configuration. Kept as JSON in the store, sent as postcard between processes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// Grows by one with each confirmed plan.
@@ -54,6 +58,19 @@
             .is_some_and(|upstream| self.zones.get(&upstream.zone).is_some_and(|zone| !zone.out))
     }
 
+    /// Id of the service called `name`.
+    pub fn service_id(&self, name: &str) -> Option<ServiceId> {
+        self.services
+            .iter()
+            .find(|(_, service)| service.name == name)
+            .map(|(&id, _)| id)
+    }
+
+    /// Digest of the whole document, the same in all processes.
+    pub fn digest(&self) -> Digest {
+        digest::of(self)
+    }
+
     /// Version that a confirmed operation produced, while it is remembered.
     pub fn version_of(&self, operation: &str) -> Option<ConfigVersion> {
         self.operations
--- /dev/null
+++ b/crates/core/src/config/effect.rs
@@ -0,0 +1,270 @@
+//! What a plan will do, for operators' eyes.
+
+use std::{fmt, net::SocketAddr};
+
+use sassafrasmast_wire::{AgentId, KeyPhase};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::{ServiceName, ZoneName};
+
+/// One consequence of a plan. Its `Display` text is a sentence for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(
+    tag = "effect",
+    rename_all = "kebab-case",
+    rename_all_fields = "kebab-case"
+)]
+pub enum Effect {
+    /// A zone is added.
+    ZoneAdded {
+        /// The zone.
+        zone: ZoneName,
+    },
+    /// A zone is taken out.
+    ZoneOut {
+        /// The zone.
+        zone: ZoneName,
+        /// Upstreams in it.
+        upstreams: usize,
+    },
+    /// A zone is brought back.
+    ZoneIn {
+        /// The zone.
+        zone: ZoneName,
+        /// Upstreams in it.
+        upstreams: usize,
+    },
+    /// A zone is removed.
+    ZoneRemoved {
+        /// The zone.
+        zone: ZoneName,
+    },
+    /// A service is created.
+    ServiceCreated {
+        /// The service.
+        service: ServiceName,
+        /// Address to which callers send.
+        address: SocketAddr,
+    },
+    /// The rules of a service are replaced.
+    ServiceSet {
+        /// The service.
+        service: ServiceName,
+    },
+    /// The address of a service changes.
+    ServiceMoved {
+        /// The service.
+        service: ServiceName,
+        /// Address before.
+        from: SocketAddr,
+        /// Address after.
+        to: SocketAddr,
+    },
+    /// A service is removed.
+    ServiceRemoved {
+        /// The service.
+        service: ServiceName,
+    },
+    /// An upstream is admitted.
+    Admitted {
+        /// Id that its agent gets.
+        agent: AgentId,
+        /// Address of the upstream.
+        upstream: SocketAddr,
+        /// Its service.
+        service: ServiceName,
+        /// Its zone.
+        zone: ZoneName,
+    },
+    /// An upstream gets no new work.
+    Draining {
+        /// Id of its agent.
+        agent: AgentId,
+        /// Address of the upstream.
+        upstream: SocketAddr,
+    },
+    /// An upstream gets new work again.
+    Undrained {
+        /// Id of its agent.
+        agent: AgentId,
+        /// Address of the upstream.
+        upstream: SocketAddr,
+    },
+    /// An upstream is removed.
+    Removed {
+        /// Id of its agent.
+        agent: AgentId,
+        /// Address of the upstream.
+        upstream: SocketAddr,
+        /// Whether it was draining before.
+        drained: bool,
+    },
+    /// A key is added that only opens.
+    KeyAdded {
+        /// Its phase.
+        phase: KeyPhase,
+    },
+    /// A key begins to seal.
+    KeySeals {
+        /// Its phase.
+        phase: KeyPhase,
+    },
+    /// A key is removed.
+    KeyRemoved {
+        /// Its phase.
+        phase: KeyPhase,
+    },
+    /// Slots of a service that take new work, before and after.
+    Capacity {
+        /// The service.
+        service: ServiceName,
+        /// Slots before.
+        before: u32,
+        /// Slots after.
+        after: u32,
+        /// Upstreams that take new work after.
+        upstreams: usize,
+    },
+    /// Warning: a service keeps nothing that takes new work.
+    ServiceEmpty {
+        /// The service.
+        service: ServiceName,
+    },
+    /// Warning: a service is left with one zone that takes new work.
+    LastZone {
+        /// The service.
+        service: ServiceName,
+        /// The zone that is left.
+        zone: ZoneName,
+    },
+}
+
+impl Effect {
+    /// Whether operators should think again before they confirm.
+    ///
+    /// ```
+    /// use sassafrasmast_core::config::Effect;
+    /// let effect = Effect::ServiceEmpty { service: "booking".to_owned() };
+    /// assert!(effect.is_warning());
+    /// ```
+    pub fn is_warning(&self) -> bool {
+        match self {
+            Self::ServiceEmpty { .. } | Self::LastZone { .. } | Self::ServiceMoved { .. } => true,
+            Self::Removed { drained, .. } => !drained,
+            _ => false,
+        }
+    }
+}
+
+impl fmt::Display for Effect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ZoneAdded { zone } => write!(f, "zone {zone} is added"),
+            Self::ZoneOut { zone, upstreams } => write!(
+                f,
+                "zone {zone} goes out: its {upstreams} upstreams get no packet within 5 s and \
+                 their open flows end"
+            ),
+            Self::ZoneIn { zone, upstreams } => write!(
+                f,
+                "zone {zone} comes back: its {upstreams} upstreams start cold and take work again"
+            ),
+            Self::ZoneRemoved { zone } => write!(f, "zone {zone} is removed"),
+            Self::ServiceCreated { service, address } => {
+                write!(f, "service {service} is created at {address}")
+            }
+            Self::ServiceSet { service } => write!(f, "service {service} gets new rules"),
+            Self::ServiceMoved { service, from, to } => write!(
+                f,
+                "service {service} moves from {from} to {to}: flows to the old address end"
+            ),
+            Self::ServiceRemoved { service } => write!(f, "service {service} is removed"),
+            Self::Admitted {
+                agent,
+                upstream,
+                service,
+                zone,
+            } => write!(
+                f,
+                "upstream {upstream} is admitted to service {service} in zone {zone} as agent \
+                 {agent}"
+            ),
+            Self::Draining { agent, upstream } => write!(
+                f,
+                "upstream {upstream} (agent {agent}) gets no new work; its open flows go on"
+            ),
+            Self::Undrained { agent, upstream } => {
+                write!(
+                    f,
+                    "upstream {upstream} (agent {agent}) takes new work again"
+                )
+            }
+            _ => self.fmt_rest(f),
+        }
+    }
+}
+
+impl Effect {
+    /// Sentences about removals, keys, capacity and what is left.
+    fn fmt_rest(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Removed {
+                agent,
+                upstream,
+                drained: true,
+            } => {
+                write!(
+                    f,
+                    "upstream {upstream} (agent {agent}) is removed; flows left there end"
+                )
+            }
+            Self::Removed {
+                agent,
+                upstream,
+                drained: false,
+            } => write!(
+                f,
+                "upstream {upstream} (agent {agent}) is removed without a drain: its open flows \
+                 end"
+            ),
+            Self::KeyAdded { phase } => write!(
+                f,
+                "key {phase} is added and opens ids; rotate once more, when this is in force \
+                 everywhere, to seal with it"
+            ),
+            Self::KeySeals { phase } => {
+                write!(f, "key {phase} seals new ids; older keys still open theirs")
+            }
+            Self::KeyRemoved { phase } => {
+                write!(
+                    f,
+                    "key {phase} is removed: flows and tickets sealed with it end"
+                )
+            }
+            Self::Capacity {
+                service,
+                before,
+                after,
+                upstreams,
+            } => write!(
+                f,
+                "service {service} has {after} slots on {upstreams} upstreams that take new \
+                 work, {before} slots before"
+            ),
+            Self::ServiceEmpty { service } => {
+                write!(
+                    f,
+                    "nothing is left of service {service} that takes new work"
+                )
+            }
+            Self::LastZone { service, zone } => {
+                write!(
+                    f,
+                    "zone {zone} is the last one in which service {service} takes new work"
+                )
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/core/src/config/secret.rs
+++ b/crates/core/src/config/secret.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Secrets from which ids, tickets and reset tokens derive.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Secrets {
     /// Phase that seals new ids.
@@ -23,4 +23,15 @@
         let phases = self.phases.iter().map(|(&phase, &secret)| (phase, secret));
         Keys::new(self.sealing, phases, self.reset)
     }
+
+    /// Phase that the next rotation adds or starts to seal with.
+    pub fn next_phase(&self) -> KeyPhase {
+        self.sealing.wrapping_add(1)
+    }
+
+    /// Phase whose key was added by the first step of a rotation and does not seal yet.
+    pub fn prepared(&self) -> Option<KeyPhase> {
+        let next = self.next_phase();
+        self.phases.contains_key(&next).then_some(next)
+    }
 }
--- a/crates/core/src/config/service.rs
+++ b/crates/core/src/config/service.rs
@@ -8,7 +8,7 @@
 use super::ServiceName;
 
 /// A service and the rules by which traffic reaches it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Unique name.
--- a/crates/core/src/config/upstream.rs
+++ b/crates/core/src/config/upstream.rs
@@ -9,7 +9,7 @@
 use super::ZoneName;
 
 /// An upstream that operators admitted, and the agent beside it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Upstream {
     /// Service the upstream belongs to.
