--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`options`]: arguments and the settings file, merged in one place.
 //! - [`app`]: the two roles, balancer and agent.
+//! - [`store`]: the platform's key-value store.
 
 use std::process::ExitCode;
 
@@ -9,6 +10,7 @@
 
 pub mod app;
 pub mod options;
+pub mod store;
 
 use crate::options::{Arguments, Role, Settings};
 
--- /dev/null
+++ b/crates/daemon/src/store/range.rs
@@ -0,0 +1,54 @@
+//! What a read or a watch covers.
+
+use super::{Entry, Revision};
+
+/// One key, or all keys with a prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Range {
+    /// Exactly this key.
+    Key(String),
+    /// All keys that start with this text.
+    Prefix(String),
+}
+
+impl Range {
+    /// First key covered.
+    ///
+    /// ```
+    /// use sassafrasmastd::store::Range;
+    /// assert_eq!(Range::Key("a".into()).start(), "a");
+    /// ```
+    pub fn start(&self) -> &str {
+        match self {
+            Self::Key(key) | Self::Prefix(key) => key,
+        }
+    }
+
+    /// First key beyond those covered, if more than one key is.
+    ///
+    /// ```
+    /// use sassafrasmastd::store::Range;
+    /// assert_eq!(Range::Prefix("a/".into()).end(), Some(b"a0".to_vec()));
+    /// ```
+    pub fn end(&self) -> Option<Vec<u8>> {
+        let Self::Prefix(prefix) = self else {
+            return None;
+        };
+        let mut end = prefix.clone().into_bytes();
+        match end.last_mut() {
+            // UTF-8 text has no byte 0xff, so this never overflows.
+            Some(last) => *last += 1,
+            None => end.push(0),
+        }
+        Some(end)
+    }
+}
+
+/// What a read found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// Revision of the store at the time of the read. Watching from the next one misses nothing.
+    pub revision: Revision,
+    /// Entries, ordered by key.
+    pub entries: Vec<Entry>,
+}
--- /dev/null
+++ b/crates/daemon/src/store/txn.rs
@@ -0,0 +1,45 @@
+//! A conditional write.
+
+use super::{LeaseId, Revision};
+
+/// Writes that are applied at once if all comparisons hold.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Txn {
+    /// All must hold.
+    pub compares: Vec<Compare>,
+    /// Keys to put.
+    pub puts: Vec<Put>,
+    /// Keys to delete. Missing ones are passed over.
+    pub deletes: Vec<String>,
+}
+
+/// A condition on one key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Compare {
+    /// The key does not exist.
+    Absent(String),
+    /// The key was last changed at this revision.
+    ModRevision(String, Revision),
+    /// The key was created at this revision.
+    CreateRevision(String, Revision),
+}
+
+/// A key to put.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Put {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Lease that the key lives under.
+    pub lease: Option<LeaseId>,
+}
+
+/// What a transaction did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Applied {
+    /// Whether the comparisons held and the writes took effect.
+    pub succeeded: bool,
+    /// Revision of the store after the transaction.
+    pub revision: Revision,
+}
