feat(config): spread of the configuration by store watch, peer calls and frames

Balancers follow small records in the store and apply them to the document in force, checked by digest; a gap or a mismatch leads to reading the whole document. Agents and balancers without a store pull from peers.

--- /dev/null
+++ b/crates/daemon/src/config/executor.rs
@@ -0,0 +1,123 @@
+//! Confirms plans through the platform's store.
+
+use std::{sync::Arc, time::Duration};
+
+use sassafrasmast_core::config::{
+    Confirmation, Document, Plan, Record, Reply, Revision, Step, Verdict,
+    document::REMEMBERED_OPERATIONS,
+};
+use tokio::time::sleep;
+
+use super::{Installer, Origin, key};
+use crate::store::{Compare, Put, Range, Store, Txn};
+
+/// Pause before the store is asked again after a call without a reply.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Executes the steps of [`Confirmation`].
+#[derive(Debug, Clone)]
+pub struct Executor {
+    store: Arc<dyn Store>,
+    installer: Installer,
+}
+
+impl Executor {
+    /// An executor on `store`. What it confirms comes in force here at once.
+    pub fn new(store: Arc<dyn Store>, installer: Installer) -> Self {
+        Self { store, installer }
+    }
+
+    /// Confirms `plan` as `operation`. Calling again with the same operation settles an earlier
+    /// confirm whose reply was lost.
+    pub async fn confirm(&self, plan: Plan, operation: &str) -> Verdict {
+        let known = self.installer.board().version();
+        let mut confirmation = Confirmation::new(plan, operation, rand::random(), known);
+        loop {
+            let reply = match confirmation.step() {
+                Step::Done(verdict) => return self.done(verdict.clone()),
+                Step::Read => self.read().await,
+                Step::Swap {
+                    revision,
+                    document,
+                    record,
+                } => self.swap(*revision, document, record).await,
+            };
+            if reply == Reply::Lost {
+                sleep(RETRY_PAUSE).await;
+            }
+            confirmation.on(reply);
+        }
+    }
+
+    /// Puts a confirmed document in force here.
+    fn done(&self, verdict: Verdict) -> Verdict {
+        if let Verdict::Confirmed { document, .. } = &verdict {
+            self.installer
+                .install(document.as_ref().clone(), Origin::Confirm);
+        }
+        verdict
+    }
+
+    async fn read(&self) -> Reply {
+        let listing = match self.store.range(Range::Key(key::CURRENT.to_owned())).await {
+            Ok(listing) => listing,
+            Err(error) => {
+                log::warn!("config: cannot read the configuration: {error}.");
+                return Reply::Lost;
+            }
+        };
+        let Some(entry) = listing.entries.first() else {
+            return Reply::Absent;
+        };
+        match serde_json::from_slice::<Document>(&entry.value) {
+            Ok(document) => Reply::Document(entry.mod_revision, Box::new(document)),
+            Err(error) => {
+                log::warn!("config: the store's document does not parse: {error}.");
+                Reply::Lost
+            }
+        }
+    }
+
+    async fn swap(&self, revision: Revision, document: &Document, record: &Record) -> Reply {
+        let Ok(txn) = transaction(
+            Compare::ModRevision(key::CURRENT.to_owned(), revision),
+            document,
+            record,
+        ) else {
+            return Reply::Lost;
+        };
+        match self.store.txn(txn).await {
+            Ok(applied) if applied.succeeded => Reply::Swapped,
+            Ok(_) => Reply::Mismatch,
+            Err(error) => {
+                log::warn!(
+                    "config: the confirm of version {} got no reply: {error}.",
+                    record.version
+                );
+                Reply::Lost
+            }
+        }
+    }
+}
+
+/// Writes `document` and `record` if `compare` holds, and forgets the record that became too old.
+pub(super) fn transaction(
+    compare: Compare,
+    document: &Document,
+    record: &Record,
+) -> serde_json::Result<Txn> {
+    let put = |key: String, value| Put {
+        key,
+        value,
+        lease: None,
+    };
+    let old = document.version.checked_sub(REMEMBERED_OPERATIONS as u64);
+    Ok(Txn {
+        compares: vec![compare],
+        puts: vec![
+            put(key::CURRENT.to_owned(), serde_json::to_vec(document)?),
+            put(key::change(document.version), serde_json::to_vec(record)?),
+        ],
+        deletes: old.map(key::change).into_iter().collect(),
+    })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,9 @@
 //!
 //! - [`options`]: arguments and the settings file, merged in one place.
 //! - [`app`]: the two roles, balancer and agent.
+//! - [`config`]: how a process gets, keeps and passes on the configuration.
+//! - [`peer`]: calls between processes.
+//! - [`recorder`]: the time line of this process.
 //! - [`store`]: the platform's key-value store.
 
 use std::process::ExitCode;
@@ -9,7 +12,10 @@
 use anyhow::Context;
 
 pub mod app;
+pub mod config;
 pub mod options;
+pub mod peer;
+pub mod recorder;
 pub mod store;
 
 use crate::options::{Arguments, Role, Settings};
--- /dev/null
+++ b/crates/daemon/src/peer.rs
@@ -0,0 +1,21 @@
+//! Calls between processes: one length-delimited postcard message each way over TCP.
+//!
+//! [`call`] sends a [`Call`] to a peer; [`Server`] answers those that arrive, through a
+//! [`Handler`]. [`Common`] answers what both roles answer.
+
+mod call;
+mod client;
+mod codec;
+mod common;
+mod error;
+mod reply;
+mod server;
+
+pub use self::{
+    call::Call,
+    client::call,
+    common::Common,
+    error::Error,
+    reply::Reply,
+    server::{Handler, Server},
+};
--- /dev/null
+++ b/crates/daemon/src/peer/error.rs
@@ -0,0 +1,27 @@
+//! Why a call failed.
+
+use std::io;
+
+use thiserror::Error as ThisError;
+
+/// Failure of a call to a peer.
+#[derive(Debug, ThisError)]
+pub enum Error {
+    /// The connection failed.
+    #[error("peer call failed: {0}")]
+    Io(#[from] io::Error),
+    /// No reply came in time.
+    #[error("peer call timed out")]
+    Timeout,
+    /// The message does not parse.
+    #[error("peer message is malformed")]
+    Malformed,
+    /// The message is larger than allowed.
+    #[error("peer message of {bytes} bytes is too large, at most {limit} are allowed")]
+    TooLarge {
+        /// Its size.
+        bytes: usize,
+        /// Largest size.
+        limit: usize,
+    },
+}
--- /dev/null
+++ b/crates/daemon/src/peer/server.rs
@@ -0,0 +1,98 @@
+//! Answering calls.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::{sleep, timeout},
+};
+
+use super::{
+    Call, Error, Reply,
+    codec::{self, MAX_CALL_BYTES, MAX_REPLY_BYTES},
+};
+
+/// Connections served at once; more wait in the accept queue.
+const MAX_CONNECTIONS: usize = 256;
+
+/// Longest wait for a call on an open connection.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest time for writing a reply.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept, for example when file descriptors are spent.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Answers the calls of other processes.
+#[async_trait]
+pub trait Handler: Send + Sync + 'static {
+    /// Answers `call`, which came from `from`.
+    async fn answer(&self, from: SocketAddr, call: Call) -> Reply;
+}
+
+/// Listens for calls of other processes.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+}
+
+impl Server {
+    /// Binds the address for peer calls.
+    ///
+    /// # Errors
+    ///
+    /// Those of binding.
+    pub async fn bind(listen: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        Ok(Self { listener })
+    }
+
+    /// Answers calls through `handler` until the task is dropped.
+    pub async fn run(self, handler: Arc<dyn Handler>) {
+        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        loop {
+            let Ok(permit) = permits.clone().acquire_owned().await else {
+                return;
+            };
+            match self.listener.accept().await {
+                Ok((stream, from)) => {
+                    let handler = handler.clone();
+                    tokio::spawn(async move {
+                        if let Err(error) = serve(stream, from, handler.as_ref()).await {
+                            log::debug!("peer: {from}: {error}");
+                        }
+                        drop(permit);
+                    });
+                }
+                Err(error) => {
+                    log::warn!("peer: cannot accept: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Serves the calls of one connection until it is closed or silent.
+async fn serve(
+    mut stream: TcpStream,
+    from: SocketAddr,
+    handler: &dyn Handler,
+) -> Result<(), Error> {
+    stream.set_nodelay(true)?;
+    loop {
+        let call = timeout(READ_TIMEOUT, codec::read(&mut stream, MAX_CALL_BYTES))
+            .await
+            .map_err(|_| Error::Timeout)??;
+        let reply = handler.answer(from, call).await;
+        timeout(
+            WRITE_TIMEOUT,
+            codec::write(&mut stream, &reply, MAX_REPLY_BYTES),
+        )
+        .await
+        .map_err(|_| Error::Timeout)??;
+    }
+}
