--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -80,6 +80,8 @@
             .balancers
             .write()
             .unwrap_or_else(PoisonError::into_inner) = Arc::new(balancers);
+    }
+
     /// Remembers an announcement, replacing an older one of the same agent's address. Returns
     /// `false` if it comes from an older incarnation or the table is full of live ones.
     pub fn announce(&self, now: Instant, announcement: Announcement) -> bool {
