--- /dev/null
+++ b/crates/daemon/src/api/collect.rs
@@ -0,0 +1,103 @@
+//! Answers for which other processes are asked.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use sassafrasmast_core::timeline::Event;
+use sassafrasmast_wire::ConfigVersion;
+use tokio::{sync::Semaphore, task::JoinSet};
+
+use super::{Context, Error, Events, Numbered, Process, Progress, status::processes};
+use crate::peer::{self, Call, Reply};
+
+/// Processes asked at once.
+const CONCURRENCY: usize = 64;
+
+/// Most events in one answer.
+const MAX_EVENTS: usize = 4_096;
+
+/// Events after number `after` of the process at `address`, by default this one.
+pub(super) async fn events(
+    context: &Context,
+    address: Option<SocketAddr>,
+    after: u64,
+) -> Result<Events, Error> {
+    match address.filter(|&address| address != context.listen) {
+        Some(address) => remote_events(context, address, after).await,
+        None => {
+            let own = context.board().events(after).into_iter().take(MAX_EVENTS);
+            let events = own.map(|(number, event)| Numbered { number, event });
+            Ok(Events {
+                events: events.collect(),
+            })
+        }
+    }
+}
+
+async fn remote_events(
+    context: &Context,
+    address: SocketAddr,
+    after: u64,
+) -> Result<Events, Error> {
+    if processes(context)
+        .iter()
+        .all(|known| known.address != address)
+    {
+        return Err(Error::UnknownProcess { address });
+    }
+    let unreachable = |reason: String| Error::Unreachable { address, reason };
+    let call = Call::Events { after };
+    let texts = match peer::call(context.listen.ip(), address, &call).await {
+        Ok(Reply::Events(texts)) => texts,
+        Ok(other) => return Err(unreachable(format!("unexpected reply {other:?}"))),
+        Err(error) => return Err(unreachable(error.to_string())),
+    };
+    let parse = |(number, text): (u64, String)| -> Result<Numbered, Error> {
+        let event: Event =
+            serde_json::from_str(&text).map_err(|error| unreachable(error.to_string()))?;
+        Ok(Numbered { number, event })
+    };
+    let events = texts.into_iter().map(parse).collect::<Result<_, _>>()?;
+    Ok(Events { events })
+}
+
+/// Asks all known processes which of them are behind `version`.
+pub(super) async fn progress(context: &Context, version: ConfigVersion) -> Progress {
+    let permits = Arc::new(Semaphore::new(CONCURRENCY));
+    let from = context.listen.ip();
+    let mut tasks = JoinSet::new();
+    for process in processes(context) {
+        if process.address == context.listen {
+            let own = context.board().version();
+            tasks.spawn(async move { (process, Some(own)) });
+            continue;
+        }
+        let permits = permits.clone();
+        tasks.spawn(async move {
+            let _permit = permits.acquire().await;
+            let reply = peer::call(from, process.address, &Call::Version).await;
+            let version = match reply {
+                Ok(Reply::Version(version)) => Some(version),
+                _ => None,
+            };
+            (process, version)
+        });
+    }
+    let mut progress = Progress {
+        asked: tasks.len(),
+        behind: Vec::new(),
+        silent: Vec::new(),
+    };
+    while let Some(Ok((process, found))) = tasks.join_next().await {
+        match found {
+            Some(found) if found < version => progress.behind.push((process, found)),
+            Some(_) => {}
+            None => progress.silent.push(process),
+        }
+    }
+    progress
+}
+
+/// All processes that this balancer knows.
+pub(super) fn known(context: &Context) -> Vec<Process> {
+    processes(context)
+}
--- /dev/null
+++ b/crates/daemon/src/api/endpoint.rs
@@ -0,0 +1,111 @@
+//! The endpoints.
+
+use std::{net::SocketAddr, sync::Arc, time::Instant};
+
+use dropshot::{ApiDescription, HttpResponseOk, Query, RequestContext, TypedBody, endpoint};
+use sassafrasmast_core::config::Plan;
+use sassafrasmast_wire::ConfigVersion;
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use super::{
+    Confirm, Confirmed, Context, Error, Events, Overview, Process, Progress, Status, Wish, collect,
+};
+
+/// Longest operation id.
+const MAX_OPERATION_BYTES: usize = 64;
+
+type Request = RequestContext<Arc<Context>>;
+type Answer<T> = Result<HttpResponseOk<T>, Error>;
+
+/// Which part of which time line is wanted.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct EventsQuery {
+    /// Number of the last event known.
+    #[serde(default)]
+    after: u64,
+    /// Address of the process; the asked balancer if none is given.
+    process: Option<SocketAddr>,
+}
+
+/// Which version is asked about.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct ProgressQuery {
+    /// The version.
+    version: ConfigVersion,
+}
+
+/// Plan changes. Nothing takes effect.
+#[endpoint { method = POST, path = "/plans" }]
+async fn post_plan(request: Request, wish: TypedBody<Wish>) -> Answer<Plan> {
+    let config = request.context().config()?;
+    let plan = Plan::new(&config.document, wish.into_inner().changes)?;
+    log::info!("api: plan {} on version {}.", plan.id, plan.base);
+    Ok(HttpResponseOk(plan))
+}
+
+/// Put a plan in force.
+#[endpoint { method = POST, path = "/confirm" }]
+async fn post_confirm(request: Request, body: TypedBody<Confirm>) -> Answer<Confirmed> {
+    let Confirm { plan, operation } = body.into_inner();
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_".contains(c);
+    let length = 1..=MAX_OPERATION_BYTES;
+    if !length.contains(&operation.len()) || !operation.chars().all(allowed) {
+        return Err(Error::BadOperation);
+    }
+    let confirmed = request.context().confirm(plan, &operation).await?;
+    Ok(HttpResponseOk(confirmed))
+}
+
+/// The fleet as this balancer sees it.
+#[endpoint { method = GET, path = "/status" }]
+async fn get_status(request: Request) -> Answer<Status> {
+    Ok(HttpResponseOk(Status::new(
+        request.context(),
+        Instant::now(),
+    )))
+}
+
+/// The configuration in force, without its secrets.
+#[endpoint { method = GET, path = "/config" }]
+async fn get_config(request: Request) -> Answer<Overview> {
+    let config = request.context().config()?;
+    Ok(HttpResponseOk(Overview::from(&config.document)))
+}
+
+/// All processes of the fleet that this balancer knows.
+#[endpoint { method = GET, path = "/processes" }]
+async fn get_processes(request: Request) -> Answer<Vec<Process>> {
+    Ok(HttpResponseOk(collect::known(request.context())))
+}
+
+/// How far a version has spread: asks all known processes.
+#[endpoint { method = GET, path = "/progress" }]
+async fn get_progress(request: Request, query: Query<ProgressQuery>) -> Answer<Progress> {
+    let version = query.into_inner().version;
+    Ok(HttpResponseOk(
+        collect::progress(request.context(), version).await,
+    ))
+}
+
+/// A part of the time line of this balancer, or of another process.
+#[endpoint { method = GET, path = "/events" }]
+async fn get_events(request: Request, query: Query<EventsQuery>) -> Answer<Events> {
+    let EventsQuery { after, process } = query.into_inner();
+    let events = collect::events(request.context(), process, after).await?;
+    Ok(HttpResponseOk(events))
+}
+
+/// All endpoints.
+pub(super) fn description() -> anyhow::Result<ApiDescription<Arc<Context>>> {
+    let mut api = ApiDescription::new();
+    let failed = |error| anyhow::anyhow!("api: {error}");
+    api.register(post_plan).map_err(failed)?;
+    api.register(post_confirm).map_err(failed)?;
+    api.register(get_status).map_err(failed)?;
+    api.register(get_config).map_err(failed)?;
+    api.register(get_processes).map_err(failed)?;
+    api.register(get_progress).map_err(failed)?;
+    api.register(get_events).map_err(failed)?;
+    Ok(api)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`options`]: arguments and the settings file, merged in one place.
 //! - [`app`]: the two roles, balancer and agent.
+//! - [`api`]: the operators' API.
 //! - [`config`]: how a process gets, keeps and passes on the configuration.
 //! - [`peer`]: calls between processes.
 //! - [`recorder`]: the time line of this process.
@@ -11,6 +12,7 @@
 
 use anyhow::Context;
 
+pub mod api;
 pub mod app;
 pub mod config;
 pub mod options;
