--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -1,7 +1,7 @@
 //! What the controllers of one process share.
 //!
-//! Lock order: `config`, `announcements`, `timeline`. No lock is held across an await point or while
-//! calling into another module that takes a lock.
+//! Lock order: `config`, `balancers`, `announcements`, `timeline`. No lock is held across an await
+//! point or while calling into another module that takes a lock.
 
 use std::{
     collections::BTreeMap,
@@ -14,7 +14,7 @@
 use crate::{
     Announcement,
     announcement::MAX_ANNOUNCEMENTS,
-    config::Snapshot,
+    config::{Registration, Snapshot},
     timeline::{Event, Ring},
 };
 
@@ -22,6 +22,7 @@
 #[derive(Debug)]
 pub struct Blackboard {
     config: RwLock<Option<Arc<Snapshot>>>,
+    balancers: RwLock<Arc<Vec<Registration>>>,
     announcements: Mutex<BTreeMap<Address, Announcement>>,
     timeline: Mutex<Ring>,
 }
@@ -31,6 +32,7 @@
     pub fn new(events: usize) -> Self {
         Self {
             config: RwLock::new(None),
+            balancers: RwLock::new(Arc::default()),
             announcements: Mutex::new(BTreeMap::new()),
             timeline: Mutex::new(Ring::new(events)),
         }
@@ -64,6 +66,22 @@
         newer
     }
 
+    /// Balancers known to be live, by the address they listen on.
+    pub fn balancers(&self) -> Arc<Vec<Registration>> {
+        self.balancers
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Replaces the list of live balancers.
+    pub fn set_balancers(&self, balancers: Vec<Registration>) {
+        *self
+            .balancers
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = Arc::new(balancers);
+    }
+
     /// Remembers an announcement, replacing an older one of the same agent's address. Returns
     /// `false` if it comes from an older incarnation or the table is full of live ones.
     pub fn announce(&self, now: Instant, announcement: Announcement) -> bool {
