--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod announcement;
 pub mod balancer;
+pub mod agent;
 pub mod blackboard;
 pub mod config;
 pub mod error;
