feat(standins): the platform's store in memory, with faults and call counts

The daemon's store client is tested against it: compare-and-swap, a reply lost after its write, a lapsed lease, watches from past revisions, an outage with a second endpoint.

--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,137 @@
+//! What the HTTP stand-ins share: an accept loop and short replies.
+
+mod stream;
+
+use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
+use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error as ThisError;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+
+pub use self::stream::Stream;
+
+/// Largest body that a stand-in reads, in bytes.
+const MAX_BODY: usize = 64 * 1024 * 1024;
+
+/// A reply of a stand-in.
+pub type Reply = Response<BoxBody<Bytes, Cut>>;
+
+/// Breaks the connection without a (whole) reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ThisError)]
+#[error("the connection is cut")]
+pub struct Cut;
+
+/// Accepts connections for ever and answers their requests. Connections over `limit` are closed
+/// at once. A request whose caller disconnects is dropped.
+pub async fn serve<H, F>(listener: TcpListener, limit: usize, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Result<Reply, Cut>> + Send,
+{
+    let permits = Arc::new(Semaphore::new(limit));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            continue;
+        };
+        let handler = handler.clone();
+        tokio::spawn(async move {
+            let _permit = permit;
+            let _ = stream.set_nodelay(true);
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service::service_fn(handler))
+                .await;
+        });
+    }
+}
+
+/// A reply with a JSON body.
+pub fn json(status: StatusCode, body: &impl Serialize) -> Reply {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    let mut reply = Response::new(full(body));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(
+        hyper::header::CONTENT_TYPE,
+        hyper::header::HeaderValue::from_static("application/json"),
+    );
+    reply
+}
+
+/// A body in one piece.
+pub fn full(body: impl Into<Bytes>) -> BoxBody<Bytes, Cut> {
+    Full::new(body.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed()
+}
+
+/// Reads the whole body of a request.
+pub async fn read(request: Request<Incoming>) -> Result<Bytes, Cut> {
+    let body = Limited::new(request.into_body(), MAX_BODY);
+    Ok(body.collect().await.map_err(|_| Cut)?.to_bytes())
+}
+
+/// Reads a JSON body of a request.
+pub async fn parse<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Box<Reply>> {
+    let body = read(request).await.unwrap_or_default();
+    serde_json::from_slice(&body)
+        .map_err(|error| Box::new(json(StatusCode::BAD_REQUEST, &error.to_string())))
+}
+
+/// Makes one request on a connection of its own and reads the whole answer.
+///
+/// # Errors
+///
+/// Names what could not be connected, sent or read.
+pub async fn call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> anyhow::Result<Response<Bytes>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let connection = tokio::spawn(connection);
+    let (parts, body) = sender.send_request(request).await?.into_parts();
+    let body = body.collect().await?.to_bytes();
+    connection.abort();
+    Ok(Response::from_parts(parts, body))
+}
+
+/// Makes a request with an optional JSON body and parses the JSON answer.
+///
+/// # Errors
+///
+/// Names the failed call, or the status and body of an answer other than success.
+pub async fn exchange<T: DeserializeOwned>(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Option<&serde_json::Value>,
+) -> anyhow::Result<T> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(hyper::header::HOST, address.to_string())
+        .header(hyper::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(
+            body.map(ToString::to_string).unwrap_or_default().into(),
+        ))?;
+    let answer = call(address, request).await?;
+    let text = String::from_utf8_lossy(answer.body());
+    anyhow::ensure!(
+        answer.status().is_success(),
+        "{method} {path}: {}: {text}",
+        answer.status()
+    );
+    let text = if text.is_empty() { "null" } else { &text };
+    Ok(serde_json::from_str(text)?)
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,7 @@
 //! Test-only stand-ins for what surrounds the product: store, upstream, fabric, caller.
+//!
+//! - [`store`]: the platform's key-value store, as an etcd v3 HTTP/JSON gateway in memory.
+//! - [`upstream`]: an HTTP/1.1 server with slots, cold starts and collapses.
+
+pub mod http;
+pub mod store;
--- /dev/null
+++ b/crates/standins/src/store/table.rs
@@ -0,0 +1,199 @@
+//! Keys, leases and the history of a store.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+
+/// Changes kept for watches that start in the past.
+const HISTORY: usize = 16_384;
+
+/// A key's base64-decoded bytes.
+pub type Key = Vec<u8>;
+
+/// A key's value and versions. The value stays in base64.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Slot {
+    value: String,
+    created: i64,
+    modified: i64,
+    version: i64,
+    lease: i64,
+}
+
+/// A lease and its end.
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    ttl: Duration,
+    end: Instant,
+}
+
+/// One change of a key.
+#[derive(Debug, Clone)]
+pub struct Change {
+    /// Revision of the change.
+    pub revision: i64,
+    /// Changed key.
+    pub key: Key,
+    /// The event in the gateway's form.
+    pub event: Value,
+}
+
+/// Keys, leases and the history of a store.
+#[derive(Debug)]
+pub struct Table {
+    revision: i64,
+    slots: BTreeMap<Key, Slot>,
+    leases: BTreeMap<i64, Lease>,
+    next_lease: i64,
+    history: VecDeque<Change>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            revision: 1,
+            slots: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next_lease: 1,
+            history: VecDeque::new(),
+        }
+    }
+}
+
+impl Table {
+    /// Revision of the last change.
+    pub fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    /// Keys within `start..end`, or exactly `start` without an end, in the gateway's form.
+    pub fn range(&self, start: &Key, end: Option<&Key>) -> Vec<Value> {
+        let covered = self.slots.iter().filter(|(key, _)| covers(start, end, key));
+        covered.map(|(key, slot)| slot.json(key)).collect()
+    }
+
+    /// Version, creation and modification revision of a key; zeros without one.
+    pub fn versions(&self, key: &Key) -> (i64, i64, i64) {
+        self.slots.get(key).map_or((0, 0, 0), |slot| {
+            (slot.version, slot.created, slot.modified)
+        })
+    }
+
+    /// Starts a new revision for the writes that follow.
+    pub fn advance(&mut self) {
+        self.revision += 1;
+    }
+
+    /// Whether the lease exists.
+    pub fn has_lease(&self, lease: i64) -> bool {
+        self.leases.contains_key(&lease)
+    }
+
+    /// Puts a key at the present revision.
+    pub fn put(&mut self, key: Key, value: String, lease: i64) {
+        let (version, created, _) = self.versions(&key);
+        let slot = Slot {
+            value,
+            created: if version == 0 { self.revision } else { created },
+            modified: self.revision,
+            version: version + 1,
+            lease,
+        };
+        let event = json!({ "kv": slot.json(&key) });
+        self.slots.insert(key.clone(), slot);
+        self.remember(key, event);
+    }
+
+    /// Deletes a key at the present revision.
+    pub fn delete(&mut self, key: &Key) {
+        if self.slots.remove(key).is_some() {
+            let revision = self.revision.to_string();
+            let kv = json!({ "key": super::gateway::encode(key), "mod_revision": revision });
+            self.remember(key.clone(), json!({ "type": "DELETE", "kv": kv }));
+        }
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, ttl: Duration, now: Instant) -> i64 {
+        let id = self.next_lease;
+        self.next_lease += 1;
+        let end = now + ttl;
+        self.leases.insert(id, Lease { ttl, end });
+        id
+    }
+
+    /// Extends a lease; `None` if there is none.
+    pub fn keep_alive(&mut self, id: i64, now: Instant) -> Option<Duration> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.end = now + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    /// Ends a lease and deletes its keys. Returns whether there was one.
+    pub fn revoke(&mut self, id: i64) -> bool {
+        let found = self.leases.remove(&id).is_some();
+        let attached = self.slots.iter().filter(|(_, slot)| slot.lease == id);
+        let keys: Vec<Key> = attached.map(|(key, _)| key.clone()).collect();
+        if found && !keys.is_empty() {
+            self.advance();
+            for key in &keys {
+                self.delete(key);
+            }
+        }
+        found
+    }
+
+    /// Ends the leases that lapsed.
+    pub fn lapse(&mut self, now: Instant) {
+        let lapsed = self.leases.iter().filter(|(_, lease)| lease.end <= now);
+        for id in lapsed.map(|(&id, _)| id).collect::<Vec<_>>() {
+            self.revoke(id);
+        }
+    }
+
+    /// Changes from revision `from` on within a range; `Err` gives the oldest revision kept.
+    pub fn changes(&self, from: i64, start: &Key, end: Option<&Key>) -> Result<Vec<Change>, i64> {
+        let oldest = self.history.front().map_or(0, |change| change.revision);
+        if self.history.len() >= HISTORY && from < oldest {
+            return Err(oldest);
+        }
+        let changes = self
+            .history
+            .iter()
+            .filter(|change| change.revision >= from && covers(start, end, &change.key));
+        Ok(changes.cloned().collect())
+    }
+
+    fn remember(&mut self, key: Key, event: Value) {
+        if self.history.len() >= HISTORY {
+            self.history.pop_front();
+        }
+        let revision = self.revision;
+        self.history.push_back(Change {
+            revision,
+            key,
+            event,
+        });
+    }
+}
+
+impl Slot {
+    fn json(&self, key: &Key) -> Value {
+        json!({
+            "key": super::gateway::encode(key),
+            "value": self.value,
+            "create_revision": self.created.to_string(),
+            "mod_revision": self.modified.to_string(),
+            "version": self.version.to_string(),
+            "lease": self.lease.to_string(),
+        })
+    }
+}
+
+/// Whether a key lies within `start..end`, or is `start` without an end.
+fn covers(start: &Key, end: Option<&Key>, key: &Key) -> bool {
+    end.map_or(key == start, |end| key >= start && key < end)
+}
