--- /dev/null
+++ b/crates/standins/src/fabric/settings.rs
@@ -0,0 +1,42 @@
+//! Settings of the fabric.
+
+use std::net::SocketAddr;
+
+use anyhow::Context;
+
+/// Settings of the fabric.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Address of the stand-in's own HTTP interface.
+    pub api: SocketAddr,
+    /// Service addresses with the local addresses of the balancers behind each.
+    pub services: Vec<(SocketAddr, Vec<SocketAddr>)>,
+    /// Seed of the spray.
+    pub seed: u64,
+}
+
+impl Settings {
+    /// Parses the arguments `--api ADDRESS [--seed N]` and, for each service,
+    /// `--service ADDRESS=BALANCER,BALANCER,…`.
+    ///
+    /// # Errors
+    ///
+    /// Names the missing, malformed or unknown argument.
+    pub fn parse(mut given: pico_args::Arguments) -> anyhow::Result<Self> {
+        let api = given.value_from_str("--api")?;
+        let seed = given.opt_value_from_str("--seed")?.unwrap_or(1);
+        let mut services = Vec::new();
+        while let Some(text) = given.opt_value_from_str::<_, String>("--service")? {
+            let (service, balancers) = text.split_once('=').context("--service: no `=`")?;
+            let balancers = balancers.split(',').map(str::parse);
+            services.push((service.parse()?, balancers.collect::<Result<_, _>>()?));
+        }
+        let rest = given.finish();
+        anyhow::ensure!(rest.is_empty(), "unknown arguments {rest:?}");
+        Ok(Self {
+            api,
+            services,
+            seed,
+        })
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fabric/spray.rs
@@ -0,0 +1,229 @@
+//! Forwarding between callers and balancers.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use hyper::{Method, Request, StatusCode, body::Incoming};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::json;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::JoinHandle,
+};
+
+use super::{Fault, Settings};
+use crate::http::{self, Cut, Reply};
+
+/// Largest datagram in bytes.
+const MAX_DATAGRAM: usize = 65_536;
+
+/// Callers known at once. Datagrams of further ones are lost.
+const MAX_CALLERS: usize = 20_000;
+
+/// Connections of the stand-in's own HTTP interface.
+const MAX_CONNECTIONS: usize = 64;
+
+/// The fabric and its state.
+#[derive(Debug)]
+pub struct Spray {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    fault: Fault,
+    balancers: BTreeMap<SocketAddr, Vec<SocketAddr>>,
+    /// The socket towards the balancers, by service and caller.
+    callers: BTreeMap<(SocketAddr, SocketAddr), Outside>,
+    random: StdRng,
+    inward: u64,
+    outward: u64,
+    /// Datagrams sent to each balancer.
+    sprayed: BTreeMap<SocketAddr, u64>,
+}
+
+/// A caller's socket towards the balancers. Its reader ends with it.
+#[derive(Debug)]
+struct Outside {
+    socket: Arc<UdpSocket>,
+    reader: JoinHandle<()>,
+}
+
+impl Drop for Outside {
+    fn drop(&mut self) {
+        self.reader.abort();
+    }
+}
+
+impl Spray {
+    /// Forwards for ever.
+    ///
+    /// # Errors
+    ///
+    /// If an address cannot be bound.
+    pub async fn run(settings: Settings) -> anyhow::Result<()> {
+        let spray = Arc::new(Self {
+            state: Mutex::new(State {
+                fault: Fault::default(),
+                balancers: settings.services.iter().cloned().collect(),
+                callers: BTreeMap::new(),
+                random: StdRng::seed_from_u64(settings.seed),
+                inward: 0,
+                outward: 0,
+                sprayed: BTreeMap::new(),
+            }),
+        });
+        for (service, _) in settings.services {
+            let inside = Arc::new(UdpSocket::bind(service).await?);
+            tokio::spawn(Arc::clone(&spray).receive(service, inside));
+        }
+        let listener = TcpListener::bind(settings.api).await?;
+        http::serve(listener, MAX_CONNECTIONS, move |request| {
+            Arc::clone(&spray).handle(request)
+        })
+        .await;
+        Ok(())
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Cut> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/standin/counts") => {
+                let state = self.state();
+                Ok(http::json(
+                    StatusCode::OK,
+                    &json!({
+                        "callers": state.callers.len(),
+                        "inward": state.inward,
+                        "outward": state.outward,
+                        "sprayed": state.sprayed,
+                    }),
+                ))
+            }
+            (&Method::POST, "/standin/fault") => match http::parse::<Fault>(request).await {
+                Ok(fault) => {
+                    self.state().obey(fault);
+                    Ok(http::json(StatusCode::OK, &json!({})))
+                }
+                Err(reply) => Ok(*reply),
+            },
+            _ => Ok(http::json(StatusCode::NOT_FOUND, &"no such path")),
+        }
+    }
+
+    /// Sprays what callers send to `service`.
+    async fn receive(self: Arc<Self>, service: SocketAddr, inside: Arc<UdpSocket>) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            // An error here tells of an earlier datagram to a caller that left.
+            let Ok((length, caller)) = inside.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let Some(balancer) = self.state().pick(service) else {
+                continue;
+            };
+            if let Ok(socket) = self.outside(service, caller, &inside) {
+                let _ = socket.send_to(&buffer[..length], balancer).await;
+            }
+        }
+    }
+
+    /// The caller's socket towards the balancers, opened at its first datagram.
+    fn outside(
+        self: &Arc<Self>,
+        service: SocketAddr,
+        caller: SocketAddr,
+        inside: &Arc<UdpSocket>,
+    ) -> io::Result<Arc<UdpSocket>> {
+        let mut state = self.state();
+        if let Some(outside) = state.callers.get(&(service, caller)) {
+            return Ok(Arc::clone(&outside.socket));
+        }
+        if state.callers.len() >= MAX_CALLERS {
+            return Err(io::ErrorKind::QuotaExceeded.into());
+        }
+        let socket = Arc::new(bind(service.ip())?);
+        let returning = Arc::clone(self).give_back(caller, Arc::clone(inside), Arc::clone(&socket));
+        let reader = tokio::spawn(returning);
+        let outside = Outside {
+            socket: Arc::clone(&socket),
+            reader,
+        };
+        state.callers.insert((service, caller), outside);
+        Ok(socket)
+    }
+
+    /// Returns to a caller what the balancers send to its socket.
+    async fn give_back(
+        self: Arc<Self>,
+        caller: SocketAddr,
+        inside: Arc<UdpSocket>,
+        socket: Arc<UdpSocket>,
+    ) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            // An error here tells of an earlier datagram to a balancer that died.
+            let Ok((length, balancer)) = socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            if self.state().passes_outward(balancer) {
+                let _ = inside.send_to(&buffer[..length], caller).await;
+            }
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn obey(&mut self, mut fault: Fault) {
+        let rebind = std::mem::take(&mut fault.rebind);
+        let all = std::mem::take(&mut fault.rebind_all);
+        // A removed caller gets a new socket, and so a new address, at its next datagram.
+        self.callers
+            .retain(|(_, caller), _| !all && !rebind.contains(caller));
+        self.fault = fault;
+    }
+
+    /// The balancer for one datagram; `None` if the datagram is lost.
+    fn pick(&mut self, service: SocketAddr) -> Option<SocketAddr> {
+        let fault = &self.fault;
+        let settings = self.balancers.get(&service);
+        let balancers = fault.balancers.get(&service).or(settings)?;
+        if balancers.is_empty() {
+            return None;
+        }
+        let balancer = balancers[self.random.random_range(0..balancers.len())];
+        let lost = fault.drop_inward
+            || fault.cut.contains(&balancer)
+            || self.random.random_bool(fault.loss.clamp(0.0, 1.0));
+        if lost {
+            return None;
+        }
+        self.inward += 1;
+        *self.sprayed.entry(balancer).or_default() += 1;
+        Some(balancer)
+    }
+
+    /// Whether a datagram from `balancer` gets to its caller.
+    fn passes_outward(&mut self, balancer: SocketAddr) -> bool {
+        let fault = &self.fault;
+        let passes = !fault.drop_outward
+            && !fault.cut.contains(&balancer)
+            && !self.random.random_bool(fault.loss.clamp(0.0, 1.0));
+        self.outward += u64::from(passes);
+        passes
+    }
+}
+
+/// A socket on any port of `ip`.
+fn bind(ip: IpAddr) -> io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(SocketAddr::new(ip, 0))?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,9 @@
 //!
 //! - [`store`]: the platform's key-value store, as an etcd v3 HTTP/JSON gateway in memory.
 //! - [`upstream`]: an HTTP/1.1 server with slots, cold starts and collapses.
+//! - [`fabric`]: sprays each datagram of a caller to a random balancer.
 
+pub mod fabric;
 pub mod http;
 pub mod store;
+pub mod upstream;
--- /dev/null
+++ b/crates/standins/src/upstream/settings.rs
@@ -0,0 +1,100 @@
+//! Settings of an upstream.
+
+use std::{net::SocketAddr, time::Duration};
+
+/// Settings of an upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Address to serve.
+    pub listen: SocketAddr,
+    /// Name given in answers.
+    pub name: String,
+    /// Requests run at once when warm.
+    pub slots: usize,
+    /// Connections held at once.
+    pub connections: usize,
+    /// Mean service time of a booking. Each one takes from half to one and a half of it.
+    pub booking: Duration,
+    /// Mean service time of a manifest.
+    pub manifest: Duration,
+    /// Time between two lines of a feed.
+    pub feed: Duration,
+    /// Requests that a cold upstream bears at once.
+    pub cold_limit: usize,
+    /// Finished requests after which a cold upstream bears one more.
+    pub cold_step: u64,
+    /// Time for which a collapsed upstream fails all requests.
+    pub collapse: Duration,
+    /// Age of what the health and load endpoints tell.
+    pub lag: Duration,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            name: "upstream".to_owned(),
+            slots: 5,
+            connections: 2_000,
+            booking: Duration::from_millis(20),
+            manifest: Duration::from_millis(40),
+            feed: Duration::from_millis(200),
+            cold_limit: 1,
+            cold_step: 5,
+            collapse: Duration::from_millis(500),
+            lag: Duration::from_secs(2),
+            seed: 1,
+        }
+    }
+}
+
+impl Settings {
+    /// Parses the arguments of the process; those not given keep their default.
+    ///
+    /// # Errors
+    ///
+    /// Names the missing, malformed or unknown argument.
+    pub fn parse(mut given: pico_args::Arguments) -> anyhow::Result<Self> {
+        let default = Self::default();
+        let mut millis = |name: &'static str, default: Duration| {
+            let value = given.opt_value_from_str(name)?;
+            anyhow::Ok(value.map_or(default, Duration::from_millis))
+        };
+        let (booking, manifest) = (
+            millis("--booking-ms", default.booking)?,
+            millis("--manifest-ms", default.manifest)?,
+        );
+        let (feed, collapse, lag) = (
+            millis("--feed-ms", default.feed)?,
+            millis("--collapse-ms", default.collapse)?,
+            millis("--lag-ms", default.lag)?,
+        );
+        let settings = Self {
+            listen: given.value_from_str("--listen")?,
+            name: given.opt_value_from_str("--name")?.unwrap_or(default.name),
+            slots: given
+                .opt_value_from_str("--slots")?
+                .unwrap_or(default.slots),
+            connections: given
+                .opt_value_from_str("--connections")?
+                .unwrap_or(default.connections),
+            cold_limit: given
+                .opt_value_from_str("--cold-limit")?
+                .unwrap_or(default.cold_limit),
+            cold_step: given
+                .opt_value_from_str("--cold-step")?
+                .unwrap_or(default.cold_step),
+            seed: given.opt_value_from_str("--seed")?.unwrap_or(default.seed),
+            booking,
+            manifest,
+            feed,
+            collapse,
+            lag,
+        };
+        let rest = given.finish();
+        anyhow::ensure!(rest.is_empty(), "unknown arguments {rest:?}");
+        Ok(settings)
+    }
+}
