--- /dev/null
+++ b/crates/standins/src/caller.rs
@@ -0,0 +1,21 @@
+//! A caller: an HTTP/3 client that follows the ticket protocol and checks what it gets.
+
+mod answer;
+mod client;
+mod connection;
+mod direct;
+mod error;
+mod feed;
+mod submission;
+mod summary;
+
+pub use self::{
+    answer::Answer,
+    client::{Client, Settings},
+    connection::Connection,
+    direct::Direct,
+    error::Error,
+    feed::Feed,
+    submission::{Fate, Submission},
+    summary::{Latencies, Summary},
+};
--- /dev/null
+++ b/crates/standins/src/caller/client.rs
@@ -0,0 +1,299 @@
+//! The caller itself: its socket, its connection and the ticket protocol.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use bytes::Bytes;
+use quinn::crypto::rustls::QuicClientConfig;
+use rustls_pki_types::CertificateDer;
+use sassafrasmast_core::error::Outcome;
+use serde_json::{Value, json};
+use tokio::time::{sleep, timeout};
+
+use super::{Answer, Connection, Error, Fate, Feed, Submission, connection::request};
+use crate::upstream::checksum;
+
+/// Shortest pause before a refused request is sent again.
+const MIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Settings of a caller.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Address of the service.
+    pub server: SocketAddr,
+    /// Name in the service's certificate.
+    pub name: String,
+    /// Certificate to trust.
+    pub certificate: CertificateDer<'static>,
+    /// Longest time for opening a connection.
+    pub connect: Duration,
+    /// Longest time for one attempt of a request.
+    pub attempt: Duration,
+    /// Longest time for a request with all its attempts.
+    pub deadline: Duration,
+    /// Silence after which a connection is given up.
+    pub idle: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            server: SocketAddr::from(([127, 0, 0, 1], 443)),
+            name: "localhost".to_owned(),
+            certificate: CertificateDer::from(Vec::new()),
+            connect: Duration::from_secs(3),
+            attempt: Duration::from_secs(2),
+            deadline: Duration::from_secs(10),
+            idle: Duration::from_secs(5),
+        }
+    }
+}
+
+/// A caller with a socket of its own.
+#[derive(Debug)]
+pub struct Client {
+    settings: Settings,
+    endpoint: quinn::Endpoint,
+    connection: Option<Connection>,
+}
+
+/// Progress of one request through its attempts.
+#[derive(Debug)]
+struct Progress {
+    begun: Instant,
+    submission: Submission,
+    ticket: Option<String>,
+    /// Whether an attempt with the present ticket ended without a final answer.
+    pending: bool,
+}
+
+impl Client {
+    /// Opens the caller's socket.
+    ///
+    /// # Errors
+    ///
+    /// If the socket or the trust in the certificate cannot be set up.
+    pub fn new(settings: Settings) -> anyhow::Result<Self> {
+        let mut roots = rustls::RootCertStore::empty();
+        roots.add(settings.certificate.clone())?;
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        tls.alpn_protocols = vec![b"h3".to_vec()];
+        let mut transport = quinn::TransportConfig::default();
+        transport.max_idle_timeout(Some(settings.idle.try_into().context("idle time")?));
+        transport.keep_alive_interval(Some(settings.idle / 3));
+        let mut config = quinn::ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
+        config.transport_config(Arc::new(transport));
+        let mut endpoint = quinn::Endpoint::client(SocketAddr::new(settings.server.ip(), 0))?;
+        endpoint.set_default_client_config(config);
+        Ok(Self {
+            settings,
+            endpoint,
+            connection: None,
+        })
+    }
+
+    /// Address of the caller's socket.
+    ///
+    /// # Errors
+    ///
+    /// If the socket is gone.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`].
+    pub async fn connect(&self) -> Result<Connection, Error> {
+        let opening = async {
+            let connecting = self
+                .endpoint
+                .connect(self.settings.server, &self.settings.name)
+                .map_err(|error| Error::Connect(error.to_string()))?;
+            let quic = connecting
+                .await
+                .map_err(|error| Error::Connect(error.to_string()))?;
+            Connection::new(quic).await
+        };
+        timeout(self.settings.connect, opening)
+            .await
+            .map_err(|_| Error::Connect("timeout".to_owned()))?
+    }
+
+    /// Opens a feed on a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::feed`] and [`Self::connect`].
+    pub async fn feed(&self, path: &str) -> Result<Feed, Error> {
+        let connection = self.connect().await?;
+        connection.feed(path, self.settings.attempt).await
+    }
+
+    /// Books once, whatever happens on the way, and checks that the answer is that of `id`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Wrong`] when the answer belongs to another booking or tells of another run.
+    pub async fn book(&mut self, id: &str) -> Result<Submission, Error> {
+        let body = json!({ "booking": id }).to_string();
+        let submission = self.submit("/bookings", body.into()).await;
+        if submission.fate == Fate::Ran {
+            let answer = parse(&submission)?;
+            if answer["booking"] != id || answer["executions"] != 1 {
+                return Err(Error::Wrong(answer.to_string()));
+            }
+        }
+        Ok(submission)
+    }
+
+    /// Uploads a manifest and checks that it arrived whole.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Wrong`] when the answer tells another length or checksum.
+    pub async fn upload(&mut self, manifest: Bytes) -> Result<Submission, Error> {
+        let submission = self.submit("/manifests", manifest.clone()).await;
+        if submission.fate == Fate::Ran {
+            let answer = parse(&submission)?;
+            if answer["bytes"] != manifest.len() || answer["checksum"] != checksum(&manifest) {
+                return Err(Error::Wrong(answer.to_string()));
+            }
+        }
+        Ok(submission)
+    }
+
+    /// Posts `body` under a ticket, again under the same ticket while nothing is known, and under
+    /// a fresh one after a refusal, until the deadline.
+    pub async fn submit(&mut self, path: &str, body: Bytes) -> Submission {
+        let mut progress = Progress::new();
+        loop {
+            let left = self
+                .settings
+                .deadline
+                .saturating_sub(progress.begun.elapsed());
+            if left.is_zero() {
+                return progress.finish(None);
+            }
+            match self.attempt(path, &body, left, &mut progress).await {
+                Ok(answer) => {
+                    let pause = answer.retry_after.unwrap_or_default().max(MIN_PAUSE);
+                    if let Some(fate) = progress.settle(answer) {
+                        return progress.finish(Some(fate));
+                    }
+                    sleep(pause.min(left)).await;
+                }
+                Err(error) => {
+                    progress.submission.errors.push(error.to_string());
+                    self.connection = None;
+                    sleep(MIN_PAUSE.min(left)).await;
+                }
+            }
+        }
+    }
+
+    /// Sends the request once.
+    async fn attempt(
+        &mut self,
+        path: &str,
+        body: &Bytes,
+        left: Duration,
+        progress: &mut Progress,
+    ) -> Result<Answer, Error> {
+        let limit = self.settings.attempt.min(left);
+        let mut connection = match self.connection.take() {
+            Some(connection) if connection.quic().close_reason().is_none() => connection,
+            _ => self.connect().await?,
+        };
+        if progress.ticket.is_none() {
+            progress.ticket = Some(match connection.ticket.take() {
+                Some(ticket) => ticket,
+                None => connection.fetch_ticket(limit).await?,
+            });
+        }
+        let mut request = request("POST", path)?;
+        let headers = request.headers_mut();
+        headers.insert(
+            "sassafrasmast-deadline-ms",
+            (left.as_millis() as u64).into(),
+        );
+        headers.insert(hyper::header::CONTENT_LENGTH, body.len().into());
+        if let Some(ticket) = progress.ticket.as_ref().and_then(|text| text.parse().ok()) {
+            headers.insert("idempotency-key", ticket);
+        }
+        progress.submission.attempts += 1;
+        progress.pending = true;
+        let answer = connection.request(request, body.clone(), limit).await?;
+        self.connection = Some(connection);
+        Ok(answer)
+    }
+}
+
+impl Progress {
+    fn new() -> Self {
+        Self {
+            begun: Instant::now(),
+            submission: Submission {
+                fate: Fate::NotRun,
+                answer: None,
+                attempts: 0,
+                elapsed: Duration::ZERO,
+                errors: Vec::new(),
+            },
+            ticket: None,
+            pending: false,
+        }
+    }
+
+    /// Takes an answer in; gives the fate if the answer is final.
+    fn settle(&mut self, answer: Answer) -> Option<Fate> {
+        let (outcome, status) = (answer.outcome, answer.status);
+        if !answer.is_success() {
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            self.submission
+                .errors
+                .push(format!("status {status}: {text}"));
+        }
+        self.submission.answer = Some(answer);
+        match outcome {
+            Some(Outcome::Ran) => Some(Fate::Ran),
+            Some(Outcome::NotRun) => {
+                self.ticket = None;
+                self.pending = false;
+                // The request itself is at fault: it would be refused again.
+                matches!(status, 400 | 413 | 422).then_some(Fate::NotRun)
+            }
+            // The executor is gone: no further attempt can learn more.
+            Some(Outcome::Unknown) if status == 409 => Some(Fate::Unknown),
+            Some(Outcome::Unknown) | None => None,
+        }
+    }
+
+    fn finish(mut self, fate: Option<Fate>) -> Submission {
+        let open = if self.pending {
+            Fate::Unknown
+        } else {
+            Fate::NotRun
+        };
+        self.submission.fate = fate.unwrap_or(open);
+        self.submission.elapsed = self.begun.elapsed();
+        self.submission
+    }
+}
+
+/// The JSON of a submission's answer.
+fn parse(submission: &Submission) -> Result<Value, Error> {
+    let answer = submission.answer.as_ref();
+    let body = answer.map_or(&[][..], |answer| &answer.body);
+    serde_json::from_slice(body).map_err(|error| Error::Wrong(error.to_string()))
+}
--- /dev/null
+++ b/crates/standins/src/caller/submission.rs
@@ -0,0 +1,31 @@
+//! What became of a booking or a manifest.
+
+use std::time::Duration;
+
+use super::Answer;
+
+/// What a caller knows about its request in the end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It ran and this is its whole answer.
+    Ran,
+    /// It did not run and will not.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// What became of a booking or a manifest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Submission {
+    /// What the caller knows in the end.
+    pub fate: Fate,
+    /// The last answer, if there was one.
+    pub answer: Option<Answer>,
+    /// Times the request was sent.
+    pub attempts: u32,
+    /// Time until the end.
+    pub elapsed: Duration,
+    /// What went wrong on the way, oldest first.
+    pub errors: Vec<String>,
+}
--- /dev/null
+++ b/crates/standins/src/caller/summary.rs
@@ -0,0 +1,109 @@
+//! Results of many requests.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::{Error, Fate, Submission};
+
+/// Significant digits of the latencies.
+const DIGITS: u8 = 3;
+
+/// Results of many bookings or manifests.
+#[derive(Debug, Clone)]
+pub struct Summary {
+    /// Requests that ran.
+    pub ran: u64,
+    /// Requests that did not run.
+    pub not_run: u64,
+    /// Requests that may have run.
+    pub unknown: u64,
+    /// Requests with a wrong answer.
+    pub wrong: u64,
+    /// Attempts of all requests.
+    pub attempts: u64,
+    /// How often each trouble was met.
+    pub errors: BTreeMap<String, u64>,
+    histogram: Histogram<u64>,
+}
+
+/// Latencies of the requests that ran, in microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Latencies {
+    /// Median.
+    pub p50_us: u64,
+    /// 90th percentile.
+    pub p90_us: u64,
+    /// 99th percentile.
+    pub p99_us: u64,
+    /// Maximum.
+    pub max_us: u64,
+}
+
+impl Default for Summary {
+    fn default() -> Self {
+        Self {
+            ran: 0,
+            not_run: 0,
+            unknown: 0,
+            wrong: 0,
+            attempts: 0,
+            errors: BTreeMap::new(),
+            histogram: Histogram::new(DIGITS).expect("the number of digits is valid"),
+        }
+    }
+}
+
+impl Summary {
+    /// Adds one request.
+    pub fn add(&mut self, result: &Result<Submission, Error>) {
+        let submission = match result {
+            Ok(submission) => submission,
+            Err(error) => {
+                self.wrong += 1;
+                *self.errors.entry(error.to_string()).or_default() += 1;
+                return;
+            }
+        };
+        self.attempts += u64::from(submission.attempts);
+        for error in &submission.errors {
+            *self.errors.entry(error.clone()).or_default() += 1;
+        }
+        match submission.fate {
+            Fate::Ran => self.record(submission.elapsed),
+            Fate::NotRun => self.not_run += 1,
+            Fate::Unknown => self.unknown += 1,
+        }
+    }
+
+    /// Adds one request that ran.
+    pub fn record(&mut self, elapsed: Duration) {
+        self.ran += 1;
+        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        self.histogram.saturating_record(micros);
+    }
+
+    /// Latencies of the requests that ran.
+    pub fn latencies(&self) -> Latencies {
+        Latencies {
+            p50_us: self.histogram.value_at_quantile(0.5),
+            p90_us: self.histogram.value_at_quantile(0.9),
+            p99_us: self.histogram.value_at_quantile(0.99),
+            max_us: self.histogram.max(),
+        }
+    }
+
+    /// The results as JSON.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::json!({
+            "ran": self.ran,
+            "not_run": self.not_run,
+            "unknown": self.unknown,
+            "wrong": self.wrong,
+            "attempts": self.attempts,
+            "latencies": self.latencies(),
+            "errors": self.errors,
+        })
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,7 +3,11 @@
 //! - [`store`]: the platform's key-value store, as an etcd v3 HTTP/JSON gateway in memory.
 //! - [`upstream`]: an HTTP/1.1 server with slots, cold starts and collapses.
 //! - [`fabric`]: sprays each datagram of a caller to a random balancer.
+//! - [`caller`]: an HTTP/3 client that follows the ticket protocol and checks what it gets.
+//! - [`certificate`]: a development certificate.
 
+pub mod caller;
+pub mod certificate;
 pub mod fabric;
 pub mod http;
 pub mod store;
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -7,5 +7,9 @@
 mod workload;
 
 pub use self::{
-    counts::Counts, fault::Fault, server::Server, settings::Settings, workload::Workload,
+    counts::Counts,
+    fault::Fault,
+    server::{Server, checksum},
+    settings::Settings,
+    workload::Workload,
 };
