--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -6,6 +6,7 @@
 mod direct;
 mod error;
 mod feed;
+mod load;
 mod submission;
 mod summary;
 
@@ -16,6 +17,7 @@
     direct::Direct,
     error::Error,
     feed::Feed,
+    load::Load,
     submission::{Fate, Submission},
     summary::{Latencies, Summary},
 };
--- /dev/null
+++ b/crates/standins/src/caller/load.rs
@@ -0,0 +1,223 @@
+//! Many callers at once.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use serde_json::{Value, json};
+use tokio::{task::JoinSet, time::sleep};
+
+use super::{Client, Direct, Error, Settings, Summary};
+use crate::certificate;
+
+/// Longest silence of a feed, in which its upstream would have sent several lines.
+const FEED_SILENCE: Duration = Duration::from_secs(10);
+
+/// Time between the starts of two feeds.
+const FEED_STAGGER: Duration = Duration::from_millis(2);
+
+/// What kind of request is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Booking,
+    Manifest,
+}
+
+/// A number of feeds, bookings and manifests.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// Settings of each caller.
+    pub settings: Settings,
+    /// An upstream to call straight by HTTP/1.1 instead.
+    pub direct: Option<SocketAddr>,
+    /// Feeds held open at once, each by a caller of its own.
+    pub feeds: usize,
+    /// How long the feeds are held.
+    pub hold: Duration,
+    /// Bookings made.
+    pub bookings: u64,
+    /// Manifests uploaded.
+    pub manifests: u64,
+    /// Bytes of a manifest.
+    pub manifest_bytes: usize,
+    /// Callers that book, and callers that upload, at once.
+    pub concurrency: u64,
+    /// Start of the ids of all bookings.
+    pub prefix: String,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            settings: Settings::default(),
+            direct: None,
+            feeds: 0,
+            hold: Duration::from_secs(10),
+            bookings: 0,
+            manifests: 0,
+            manifest_bytes: 256 * 1024,
+            concurrency: 1,
+            prefix: "booking".to_owned(),
+        }
+    }
+}
+
+impl Load {
+    /// Parses the arguments of the process: `--server ADDRESS --certificate FILE`, or
+    /// `--direct ADDRESS`; then `--feeds`, `--hold-s`, `--bookings`, `--manifests`,
+    /// `--manifest-bytes`, `--concurrency` and `--prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Names the missing, malformed or unknown argument.
+    pub fn parse(mut given: pico_args::Arguments) -> anyhow::Result<Self> {
+        let default = Self::default();
+        let direct = given.opt_value_from_str("--direct")?;
+        let mut settings = Settings::default();
+        if direct.is_none() {
+            settings.server = given.value_from_str("--server")?;
+            let path: PathBuf = given.value_from_str("--certificate")?;
+            settings.certificate = certificate::read(&path)?;
+        }
+        let mut number = |name: &'static str, default: u64| {
+            anyhow::Ok(given.opt_value_from_str(name)?.unwrap_or(default))
+        };
+        let load = Self {
+            settings,
+            direct,
+            feeds: usize::try_from(number("--feeds", 0)?)?,
+            hold: Duration::from_secs(number("--hold-s", default.hold.as_secs())?),
+            bookings: number("--bookings", 0)?,
+            manifests: number("--manifests", 0)?,
+            manifest_bytes: usize::try_from(number(
+                "--manifest-bytes",
+                default.manifest_bytes as u64,
+            )?)?,
+            concurrency: number("--concurrency", default.concurrency)?.max(1),
+            prefix: given
+                .opt_value_from_str("--prefix")?
+                .unwrap_or(default.prefix),
+        };
+        let rest = given.finish();
+        anyhow::ensure!(rest.is_empty(), "unknown arguments {rest:?}");
+        Ok(load)
+    }
+
+    /// Runs all of it and gives the results.
+    ///
+    /// # Errors
+    ///
+    /// If a caller's socket cannot be opened.
+    pub async fn run(&self) -> anyhow::Result<Value> {
+        let begun = Instant::now();
+        let (feeds, bookings, manifests) = tokio::join!(
+            self.hold_feeds(),
+            self.send(Kind::Booking, self.bookings),
+            self.send(Kind::Manifest, self.manifests),
+        );
+        Ok(json!({
+            "feeds": feeds?,
+            "bookings": bookings?,
+            "manifests": manifests?,
+            "seconds": begun.elapsed().as_secs_f64(),
+        }))
+    }
+
+    /// Holds the feeds and tells how many broke, and why.
+    async fn hold_feeds(&self) -> anyhow::Result<Value> {
+        let mut feeds = JoinSet::new();
+        for _ in 0..self.feeds {
+            let client = Client::new(self.settings.clone())?;
+            let hold = self.hold;
+            feeds.spawn(async move { hold_feed(&client, hold).await });
+            sleep(FEED_STAGGER).await;
+        }
+        let (mut whole, mut lines) = (0_u64, 0);
+        let mut errors: BTreeMap<String, u64> = BTreeMap::new();
+        while let Some(ended) = feeds.join_next().await {
+            match ended? {
+                Ok(read) => {
+                    whole += 1;
+                    lines += read;
+                }
+                Err(error) => *errors.entry(error.to_string()).or_default() += 1,
+            }
+        }
+        let broken = self.feeds as u64 - whole;
+        Ok(json!({ "whole": whole, "broken": broken, "lines": lines, "errors": errors }))
+    }
+
+    /// Makes `count` requests and gives their results with the rate.
+    async fn send(&self, kind: Kind, count: u64) -> anyhow::Result<Value> {
+        let begun = Instant::now();
+        let next = Arc::new(AtomicU64::new(0));
+        let mut callers = JoinSet::new();
+        for _ in 0..self.concurrency.min(count) {
+            let caller = self.clone().call(kind, count, Arc::clone(&next));
+            callers.spawn(caller);
+        }
+        let mut summary = Summary::default();
+        while let Some(part) = callers.join_next().await {
+            summary.merge(part??);
+        }
+        let mut value = summary.json();
+        value["per_second"] = json!(count as f64 / begun.elapsed().as_secs_f64());
+        Ok(value)
+    }
+
+    /// One caller: takes the next request until none is left.
+    async fn call(self, kind: Kind, count: u64, next: Arc<AtomicU64>) -> anyhow::Result<Summary> {
+        let mut summary = Summary::default();
+        let manifest = Bytes::from(vec![0x5a; self.manifest_bytes]);
+        if let Some(upstream) = self.direct {
+            let mut direct = Direct::connect(upstream).await?;
+            loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                if number >= count {
+                    return Ok(summary);
+                }
+                let (path, body) = match kind {
+                    Kind::Booking => ("/bookings", self.booking(number).into()),
+                    Kind::Manifest => ("/manifests", manifest.clone()),
+                };
+                let begun = Instant::now();
+                let answer = direct.post(path, body).await?;
+                summary.add_direct(&answer, begun.elapsed());
+            }
+        }
+        let mut client = Client::new(self.settings.clone())?;
+        loop {
+            let number = next.fetch_add(1, Ordering::Relaxed);
+            if number >= count {
+                return Ok(summary);
+            }
+            let result = match kind {
+                Kind::Booking => client.book(&format!("{}-{number}", self.prefix)).await,
+                Kind::Manifest => client.upload(manifest.clone()).await,
+            };
+            summary.add(&result);
+        }
+    }
+
+    fn booking(&self, number: u64) -> String {
+        json!({ "booking": format!("{}-{number}", self.prefix) }).to_string()
+    }
+}
+
+/// Holds one feed and gives the number of its lines.
+async fn hold_feed(client: &Client, hold: Duration) -> Result<u64, Error> {
+    let end = Instant::now() + hold;
+    let mut feed = client.feed("/feed").await?;
+    while Instant::now() < end {
+        feed.line(FEED_SILENCE).await?;
+    }
+    Ok(feed.lines())
+}
--- a/crates/standins/src/caller/submission.rs
+++ b/crates/standins/src/caller/submission.rs
@@ -29,3 +29,10 @@
     /// What went wrong on the way, oldest first.
     pub errors: Vec<String>,
 }
+
+impl Submission {
+    /// Whether the last answer tells of success.
+    pub fn is_success(&self) -> bool {
+        self.answer.as_ref().is_some_and(Answer::is_success)
+    }
+}
--- a/crates/standins/src/caller/summary.rs
+++ b/crates/standins/src/caller/summary.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use super::{Error, Fate, Submission};
+use super::{Answer, Error, Fate, Submission};
 
 /// Significant digits of the latencies.
 const DIGITS: u8 = 3;
@@ -13,8 +13,10 @@
 /// Results of many bookings or manifests.
 #[derive(Debug, Clone)]
 pub struct Summary {
-    /// Requests that ran.
+    /// Requests that ran and succeeded.
     pub ran: u64,
+    /// Requests that ran and failed at the upstream.
+    pub failed: u64,
     /// Requests that did not run.
     pub not_run: u64,
     /// Requests that may have run.
@@ -45,6 +47,7 @@
     fn default() -> Self {
         Self {
             ran: 0,
+            failed: 0,
             not_run: 0,
             unknown: 0,
             wrong: 0,
@@ -71,14 +74,41 @@
             *self.errors.entry(error.clone()).or_default() += 1;
         }
         match submission.fate {
-            Fate::Ran => self.record(submission.elapsed),
+            Fate::Ran if submission.is_success() => self.record(submission.elapsed),
+            Fate::Ran => self.failed += 1,
             Fate::NotRun => self.not_run += 1,
             Fate::Unknown => self.unknown += 1,
         }
     }
 
-    /// Adds one request that ran.
-    pub fn record(&mut self, elapsed: Duration) {
+    /// Adds one request made straight to an upstream.
+    pub fn add_direct(&mut self, answer: &Answer, elapsed: Duration) {
+        self.attempts += 1;
+        if answer.is_success() {
+            self.record(elapsed);
+        } else {
+            self.failed += 1;
+            let error = format!("status {}", answer.status);
+            *self.errors.entry(error).or_default() += 1;
+        }
+    }
+
+    /// Adds the results of another caller.
+    pub fn merge(&mut self, other: Self) {
+        self.ran += other.ran;
+        self.failed += other.failed;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.wrong += other.wrong;
+        self.attempts += other.attempts;
+        for (error, count) in other.errors {
+            *self.errors.entry(error).or_default() += count;
+        }
+        // Both histograms resize themselves, so every value fits.
+        let _ = self.histogram.add(other.histogram);
+    }
+
+    fn record(&mut self, elapsed: Duration) {
         self.ran += 1;
         let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
         self.histogram.saturating_record(micros);
@@ -98,6 +128,7 @@
     pub fn json(&self) -> serde_json::Value {
         serde_json::json!({
             "ran": self.ran,
+            "failed": self.failed,
             "not_run": self.not_run,
             "unknown": self.unknown,
             "wrong": self.wrong,
