--- /dev/null
+++ b/crates/standins/src/deployment.rs
@@ -0,0 +1,15 @@
+//! A whole deployment as child processes on loopback addresses of its own.
+
+mod harness;
+mod network;
+mod operator;
+mod process;
+mod settings;
+
+pub use self::{
+    harness::Deployment,
+    network::Network,
+    operator::Operator,
+    process::Process,
+    settings::{ServiceSettings, Settings},
+};
--- /dev/null
+++ b/crates/standins/src/deployment/network.rs
@@ -0,0 +1,92 @@
+//! The loopback addresses of a deployment.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    process,
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+/// Networks of 256 addresses from which one is taken.
+const NETWORKS: u32 = 150 * 256;
+
+/// Second byte of the first of these networks.
+const FIRST: u32 = 100;
+
+/// Deployments of one process whose networks surely differ.
+const PER_PROCESS: u32 = 8;
+
+/// Last byte of the first balancer's address.
+const BALANCERS: usize = 10;
+
+/// Last byte of the first upstream's address.
+const UPSTREAMS: usize = 100;
+
+/// A network of 256 loopback addresses, one for each machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Network {
+    bytes: [u8; 3],
+}
+
+impl Network {
+    /// A network that no other deployment of this process, and hardly one of another, uses.
+    pub fn unique() -> Self {
+        static COUNTER: AtomicU32 = AtomicU32::new(0);
+        let count = COUNTER.fetch_add(1, Ordering::Relaxed);
+        let number = process::id().wrapping_mul(PER_PROCESS).wrapping_add(count) % NETWORKS;
+        let [_, _, high, low] = (number + (FIRST << 8)).to_be_bytes();
+        Self {
+            bytes: [127, high, low],
+        }
+    }
+
+    /// Address of the platform's store.
+    pub fn store(&self) -> SocketAddr {
+        self.address(1, 2_379)
+    }
+
+    /// Address of the fabric's own interface.
+    pub fn fabric(&self) -> SocketAddr {
+        self.address(2, 8_000)
+    }
+
+    /// Address to which the callers of the `index`-th service send.
+    pub fn service(&self, index: usize) -> SocketAddr {
+        self.address(2, service_port(index))
+    }
+
+    /// Address of a balancer for frames and peer calls.
+    pub fn balancer(&self, index: usize) -> SocketAddr {
+        self.address(BALANCERS + index, 7_000)
+    }
+
+    /// Address of a balancer's operators' API.
+    pub fn api(&self, index: usize) -> SocketAddr {
+        self.address(BALANCERS + index, 8_000)
+    }
+
+    /// Address that a balancer binds for a service.
+    pub fn bound(&self, balancer: usize, service: usize) -> SocketAddr {
+        self.address(BALANCERS + balancer, service_port(service))
+    }
+
+    /// Address of the `index`-th upstream over all services.
+    pub fn upstream(&self, index: usize) -> SocketAddr {
+        self.address(UPSTREAMS + index, 8_080)
+    }
+
+    /// Address of the agent beside the `index`-th upstream.
+    pub fn agent(&self, index: usize) -> SocketAddr {
+        self.address(UPSTREAMS + index, 7_000)
+    }
+
+    fn address(&self, host: usize, port: u16) -> SocketAddr {
+        let [a, b, c] = self.bytes;
+        let host = u8::try_from(host).expect("the deployment has at most 150 upstreams");
+        SocketAddr::new(Ipv4Addr::new(a, b, c, host).into(), port)
+    }
+}
+
+/// Port of the `index`-th service.
+fn service_port(index: usize) -> u16 {
+    4_433 + u16::try_from(index).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standins/src/deployment/process.rs
@@ -0,0 +1,138 @@
+//! One child process.
+
+use std::{
+    env,
+    fs::{self, File},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus},
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use nix::{
+    sys::signal::{self, Signal},
+    unistd::Pid,
+};
+
+/// Time between two looks at a process that shall end.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A child process whose output goes to a file. It is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    binary: &'static str,
+    arguments: Vec<String>,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a binary that lies beside the current executable.
+    ///
+    /// # Errors
+    ///
+    /// If the binary is missing or cannot be started.
+    pub fn start(binary: &'static str, arguments: Vec<String>, log: &Path) -> anyhow::Result<Self> {
+        let child = spawn(binary, &arguments, log)?;
+        Ok(Self {
+            binary,
+            arguments,
+            log: log.to_owned(),
+            child,
+        })
+    }
+
+    /// Starts it again with the same arguments, after killing it if it still runs.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start`].
+    pub fn restart(&mut self) -> anyhow::Result<()> {
+        self.kill();
+        self.child = spawn(self.binary, &self.arguments, &self.log)?;
+        Ok(())
+    }
+
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether it still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Sends a signal, if it still runs.
+    ///
+    /// # Errors
+    ///
+    /// If the system refuses it.
+    pub fn signal(&mut self, signal: Signal) -> anyhow::Result<()> {
+        if self.is_running() {
+            let id = i32::try_from(self.child.id())?;
+            signal::kill(Pid::from_raw(id), signal)?;
+        }
+        Ok(())
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) {
+        // Both fail only for a process that has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for its end; `None` if it still runs after `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let begun = Instant::now();
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            if begun.elapsed() >= limit {
+                return None;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// What it wrote so far, over all its starts.
+    pub fn log(&self) -> String {
+        fs::read(&self.log)
+            .map(|bytes| String::from_utf8_lossy(&bytes).into_owned())
+            .unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Starts a binary whose output is appended to `log`.
+fn spawn(binary: &str, arguments: &[String], log: &Path) -> anyhow::Result<Child> {
+    let path = directory()?.join(binary);
+    anyhow::ensure!(
+        path.exists(),
+        "{}: not built, run `cargo build --workspace --bins`",
+        path.display()
+    );
+    let output = File::options().create(true).append(true).open(log)?;
+    Command::new(&path)
+        .args(arguments)
+        .stdout(output.try_clone()?)
+        .stderr(output)
+        .spawn()
+        .with_context(|| format!("{}", path.display()))
+}
+
+/// The directory of the built binaries.
+fn directory() -> anyhow::Result<PathBuf> {
+    let executable = env::current_exe()?;
+    let directory = executable.parent().context("no directory")?;
+    // Tests lie one directory deeper.
+    let above = directory.parent().filter(|_| directory.ends_with("deps"));
+    Ok(above.unwrap_or(directory).to_owned())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,10 +4,12 @@
 //! - [`upstream`]: an HTTP/1.1 server with slots, cold starts and collapses.
 //! - [`fabric`]: sprays each datagram of a caller to a random balancer.
 //! - [`caller`]: an HTTP/3 client that follows the ticket protocol and checks what it gets.
+//! - [`deployment`]: starts all of it with the daemons, as child processes.
 //! - [`certificate`]: a development certificate.
 
 pub mod caller;
 pub mod certificate;
+pub mod deployment;
 pub mod fabric;
 pub mod http;
 pub mod store;
