--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -18,6 +18,7 @@
 mod ending;
 mod finish;
 mod flight;
+mod input;
 mod kept;
 mod key;
 mod limiter;
@@ -53,6 +54,7 @@
     claim::{Claim, Nonce},
     class::Class,
     finish::Finish,
+    input::Input,
     kept::Kept,
     key::Key,
     limiter::{Limiter, Sign},
--- a/crates/core/src/agent/claim.rs
+++ b/crates/core/src/agent/claim.rs
@@ -18,7 +18,8 @@
 }
 
 /// Result of one create-if-absent of a claim.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Claim {
     /// The store holds our nonce: created now, or read back after a lost reply.
     Ours,
--- a/crates/core/src/agent/key.rs
+++ b/crates/core/src/agent/key.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use sassafrasmast_wire::Ticket;
+use serde::{Deserialize, Serialize};
 
 /// The idempotency key of a request.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Key {
     /// A ticket that names the one agent that may run the request.
     Ticket(Ticket),
--- a/crates/core/src/agent/relay.rs
+++ b/crates/core/src/agent/relay.rs
@@ -1,9 +1,12 @@
 //! How the relay of a request to a peer ended.
 
+use serde::{Deserialize, Serialize};
+
 use crate::error::{Kind, Outcome};
 
 /// Reported once for each relayed request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Relay {
     /// The peer's answer of an upstream arrived whole.
     Whole,
--- a/crates/core/src/agent/request.rs
+++ b/crates/core/src/agent/request.rs
@@ -6,8 +6,11 @@
 
 use super::{Class, Key};
 
+/// Bytes of a digest.
+pub(super) const DIGEST_BYTES: usize = 32;
+
 /// Digest of method, path and body, to tell requests under the same key apart.
-pub type Digest = [u8; 32];
+pub type Digest = [u8; DIGEST_BYTES];
 
 /// A request that arrived from a caller or from a peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -14,6 +14,7 @@
 mod form;
 mod gate;
 mod header;
+mod input;
 mod member;
 mod peers;
 mod placement;
@@ -26,6 +27,6 @@
 mod table;
 
 pub use self::{
-    action::Action, bucket::Bucket, counters::Counters, form::Form, header::Header, policy::Policy,
-    reason::Reason, reset::Reset, route::Route, router::Router, settings::Settings,
+    action::Action, bucket::Bucket, counters::Counters, form::Form, header::Header, input::Input,
+    policy::Policy, reason::Reason, reset::Reset, route::Route, router::Router, settings::Settings,
 };
--- a/crates/core/src/timeline/kind.rs
+++ b/crates/core/src/timeline/kind.rs
@@ -1,15 +1,43 @@
 //! The closed set of things that can happen.
 
+use std::net::SocketAddr;
+
 use sassafrasmast_wire::{AgentId, ConfigVersion, ServiceId};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::{agent, balancer, config::ZoneName};
+
 /// What an event tells.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "what", rename_all = "kebab-case")]
 pub enum Kind {
     /// The process started.
     Started,
+    /// An agent's decisions began. What follows of them can be replayed.
+    AgentSettings {
+        /// Address of the agent for frames.
+        listen: SocketAddr,
+    },
+    /// A balancer's decisions began. What follows of them can be replayed.
+    BalancerSettings {
+        /// Availability zone of the balancer.
+        zone: ZoneName,
+        /// Seed of its random generator.
+        seed: u64,
+    },
+    /// An agent's decisions were told something.
+    AgentInput {
+        /// What they were told.
+        #[schemars(with = "serde_json::Value")]
+        input: agent::Input,
+    },
+    /// A balancer's decisions were told something.
+    BalancerInput {
+        /// What they were told.
+        #[schemars(with = "serde_json::Value")]
+        input: balancer::Input,
+    },
     /// The process was told to stop and finishes its work.
     Draining,
     /// The process stopped.
