--- /dev/null
+++ b/crates/daemon/tests/balancer.rs
@@ -0,0 +1,287 @@
+//! A balancer's sockets: in from callers, out to agents, and back.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use sassafrasmast_core::{
+    Blackboard, balancer,
+    config::{Document, Secrets, Service, Snapshot, Upstream, Zone},
+    timeline,
+};
+use sassafrasmast_wire::{Body, Cid, Frame, Load, State};
+use sassafrasmastd::{
+    app::balancer::{Edge, Journal, Pull},
+    options::{Balancer, Role, Settings},
+};
+use tokio::{net::UdpSocket, sync::mpsc, time::timeout};
+
+/// Time in which a datagram crosses the loopback, with a lot to spare.
+const SOON: Duration = Duration::from_secs(5);
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address no other test process uses.
+fn ip() -> [u8; 4] {
+    let [_, _, a, b] = std::process::id().to_be_bytes();
+    let next = NEXT.fetch_add(1, Ordering::Relaxed) as u8;
+    [127, 64 + (a & 0x3f), b, 1 + next]
+}
+
+struct Bed {
+    edge: Arc<Edge>,
+    blackboard: Arc<Blackboard>,
+    document: Document,
+    agent: UdpSocket,
+    caller: UdpSocket,
+    listen: SocketAddr,
+    service: SocketAddr,
+    pulls: mpsc::Receiver<Pull>,
+}
+
+impl Bed {
+    async fn new() -> Self {
+        let [listen, service, agent, caller] =
+            [7_000, 8_443, 7_000, 0].map(|port| SocketAddr::from((ip(), port)));
+        let agent = UdpSocket::bind(agent).await.expect("a free address");
+        let caller = UdpSocket::bind(caller).await.expect("a free address");
+        let document = document(service, agent.local_addr().expect("bound"));
+        let blackboard = Arc::new(Blackboard::new(64));
+        let snapshot = Snapshot::new(document.clone()).expect("consistent secrets");
+        assert!(blackboard.install(snapshot));
+        let (wanted, pulls) = mpsc::channel(8);
+        let edge = edge(listen, &blackboard, wanted).expect("free addresses");
+        edge.start();
+        Self {
+            edge,
+            blackboard,
+            document,
+            agent,
+            caller,
+            listen,
+            service,
+            pulls,
+        }
+    }
+
+    /// Sends a caller's datagram until the agent gets it: sockets are bound a moment after the
+    /// configuration came in force.
+    async fn call(&self, datagram: &[u8]) -> Vec<u8> {
+        let end = Instant::now() + SOON;
+        loop {
+            assert!(Instant::now() < end, "the agent got nothing");
+            self.send(datagram).await;
+            let wait = Duration::from_millis(100);
+            if let Ok(frame) = timeout(wait, self.inbound()).await {
+                return frame;
+            }
+        }
+    }
+
+    async fn send(&self, datagram: &[u8]) {
+        let sent = self.caller.send_to(datagram, self.service).await;
+        sent.expect("loopback");
+    }
+
+    /// The next frame with a caller's datagram.
+    async fn inbound(&self) -> Vec<u8> {
+        let mut buffer = [0; 4_096];
+        loop {
+            let (length, _) = self.agent.recv_from(&mut buffer).await.expect("loopback");
+            let frame = Frame::decode(&buffer[..length]).expect("a frame");
+            if matches!(frame.body, Body::Inbound { .. }) {
+                return buffer[..length].to_vec();
+            }
+        }
+    }
+
+    async fn say(&self, config: u64, body: Body<'_>) {
+        let mut bytes = Vec::new();
+        let frame = Frame::new(config, body);
+        frame.encode(&mut bytes).expect("a small frame");
+        let sent = self.agent.send_to(&bytes, self.listen).await;
+        sent.expect("loopback");
+    }
+
+    async fn hear(&self) -> (Vec<u8>, SocketAddr) {
+        let mut buffer = [0; 4_096];
+        let heard = timeout(SOON, self.caller.recv_from(&mut buffer)).await;
+        let (length, from) = heard.expect("an answer in time").expect("loopback");
+        (buffer[..length].to_vec(), from)
+    }
+
+    fn short(&self) -> Vec<u8> {
+        let keys = self.document.secrets.keys().expect("consistent secrets");
+        let cid = Cid {
+            agent: 1,
+            incarnation: 9,
+            service: 1,
+            nonce: 3,
+        };
+        let mut datagram = vec![0x41; 60];
+        datagram[1..18].copy_from_slice(&cid.seal(&keys));
+        datagram
+    }
+}
+
+fn edge(
+    listen: SocketAddr,
+    blackboard: &Arc<Blackboard>,
+    wanted: mpsc::Sender<Pull>,
+) -> anyhow::Result<Arc<Edge>> {
+    let role = Balancer {
+        api: listen,
+        store: Vec::new(),
+        peers: Vec::new(),
+        bind: [].into(),
+    };
+    let settings = Settings {
+        name: "balancer-1".to_owned(),
+        zone: "a".to_owned(),
+        listen,
+        metrics: None,
+        log: "info".to_owned(),
+        workers: 2,
+        events: 64,
+        role: Role::Balancer(role.clone()),
+    };
+    let board = || Arc::clone(blackboard);
+    let router = balancer::Router::new(Instant::now(), balancer::Settings::default(), board());
+    let journal = Journal::new(settings.name.clone(), 1, board());
+    Edge::bind(&settings, &role, router, board(), journal, wanted)
+}
+
+fn document(service: SocketAddr, agent: SocketAddr) -> Document {
+    let mut document = Document::first(Secrets {
+        sealing: 0,
+        phases: [(0, [1; 32])].into(),
+        reset: [2; 32],
+    });
+    document.zones.insert("a".to_owned(), Zone::default());
+    let service = Service {
+        name: "dispatch".to_owned(),
+        address: service,
+        feeds: Vec::new(),
+        deadline_ms: 10_000,
+        max_body_bytes: 1 << 20,
+    };
+    document.services.insert(1, service);
+    let upstream = Upstream {
+        service: 1,
+        zone: "a".to_owned(),
+        agent,
+        upstream: agent,
+        slots: 5,
+        connections: 2_000,
+        draining: false,
+    };
+    document.upstreams.insert(1, upstream);
+    document.next_agent = 2;
+    document
+}
+
+fn initial() -> Vec<u8> {
+    let mut datagram = vec![0; 1_200];
+    datagram[..7].copy_from_slice(&[0xc0, 0, 0, 0, 1, 8, 9]);
+    datagram
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn datagrams_cross_both_ways() {
+    let bed = Bed::new().await;
+    let placed = bed.call(&initial()).await;
+    let Body::Inbound {
+        incarnation,
+        caller,
+        payload,
+        ..
+    } = Frame::decode(&placed).expect("a frame").body
+    else {
+        panic!("a caller's datagram arrives as such");
+    };
+    assert_eq!((incarnation, payload), (None, &initial()[..]));
+    let forwarded = bed.call(&bed.short()).await;
+    let forwarded = Frame::decode(&forwarded).expect("a frame").body;
+    assert!(matches!(
+        forwarded,
+        Body::Inbound {
+            incarnation: Some(9),
+            ..
+        }
+    ));
+    let outbound = Body::Outbound {
+        service: 1,
+        agent: 1,
+        incarnation: 9,
+        caller,
+        load: Load {
+            state: State::Ready,
+            ..Load::default()
+        },
+        payload: b"answer",
+    };
+    bed.say(1, outbound).await;
+    assert_eq!(bed.hear().await, (b"answer".to_vec(), bed.service));
+    let events = bed.blackboard.events(0);
+    let placed = timeline::Kind::FlowPlaced {
+        service: 1,
+        agent: 1,
+    };
+    assert!(events.iter().any(|(_, event)| event.kind == placed));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flow_of_a_removed_agent_is_told_at_once() {
+    let mut bed = Bed::new().await;
+    bed.call(&bed.short()).await;
+    bed.document.version = 2;
+    bed.document.upstreams.clear();
+    let snapshot = Snapshot::new(bed.document.clone()).expect("consistent secrets");
+    assert!(bed.blackboard.install(snapshot));
+    bed.send(&bed.short()).await;
+    let keys = bed.document.secrets.keys().expect("consistent secrets");
+    let token = keys.reset_token(1, &bed.short()[1..18]);
+    let (reset, from) = bed.hear().await;
+    assert!(reset.ends_with(&token) && from == bed.service);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_newer_version_is_asked_for_where_it_was_seen() {
+    let mut bed = Bed::new().await;
+    bed.call(&initial()).await;
+    bed.say(5, Body::Hello).await;
+    let pull = timeout(SOON, bed.pulls.recv())
+        .await
+        .expect("a wish in time");
+    let from = bed.agent.local_addr().expect("bound");
+    assert_eq!(pull, Some(Pull { from, version: 5 }));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_that_fits_the_buffers_is_not_lost() {
+    const BURST: usize = 50;
+    let bed = Bed::new().await;
+    bed.call(&initial()).await;
+    for _ in 0..BURST {
+        bed.send(&bed.short()).await;
+    }
+    for got in 0..BURST {
+        let inbound = timeout(SOON, bed.inbound()).await;
+        assert!(inbound.is_ok(), "{got} of {BURST} arrived");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_address_in_use_is_named() {
+    let bed = Bed::new().await;
+    let (wanted, _pulls) = mpsc::channel(1);
+    let error = edge(bed.listen, &bed.blackboard, wanted).expect_err("the address is taken");
+    let text = format!("{error:#}");
+    assert!(text.contains(&bed.listen.to_string()), "{text}");
+    assert!(!bed.edge.router().is_held());
+}
