feat(cli): plan, confirm, status, timeline, config check and certificate

A confirm whose outcome is not known is asked for again with the same operation, which settles it. Exit codes tell refused, conflict, unreachable, unsettled and partly in force apart.

--- /dev/null
+++ b/crates/cli/src/help.rs
@@ -0,0 +1,127 @@
+//! Help texts.
+
+/// Help of the whole tool.
+pub const TOOL: &str = "\
+sassafrasmast: operates a fleet of the sassafrasmast load balancer
+
+USAGE:
+    sassafrasmast COMMAND [OPTIONS]
+
+COMMANDS:
+    plan          works out what an intent would change; changes nothing
+    confirm       puts a plan in force
+    status        shows zones, services, upstreams and balancers
+    timeline      shows the events of all processes in one order
+    replay        runs a recorded time line through the decision core
+    config check  checks a settings file of the daemon
+    certificate   makes a certificate for development
+
+OPTIONS:
+    --api ADDR    address of a balancer's API; may be given several times, tried in turn
+                  (default: the list in SASSAFRASMAST_API, separated by commas)
+    --json        prints JSON
+    --version     prints the version
+    --help        prints help; each command has its own
+
+EXIT CODES:
+    0  done
+    1  failed or refused; the message says why
+    2  bad arguments or a bad file
+    3  conflict: another plan came first; plan anew
+    4  no balancer answers, or the store is down; nothing was changed
+    5  unsettled: the plan may or may not be in force; confirm it again to learn which
+    6  in force, but some processes did not report it in time
+";
+
+/// Help of `plan`.
+pub const PLAN: &str = "\
+sassafrasmast plan: works out what an intent would change; changes nothing
+
+USAGE:
+    sassafrasmast plan INTENT [--out FILE] [--json] [--api ADDR]...
+
+INTENTS:
+    add-zone ZONE            adds an availability zone
+    zone-out ZONE            takes a zone out: no packet goes there, its flows end
+    zone-in ZONE             brings a zone back
+    remove-zone ZONE         removes a zone without upstreams
+    create-service NAME --address ADDR [--feed PATH]... [--deadline-ms N] [--max-body-bytes N]
+                             creates a service; feeds are path prefixes that stay open
+    set-service NAME ...     replaces the rules of a service; options as above
+    remove-service NAME      removes a service without upstreams
+    admit AGENT...           admits announced upstreams by the address of their agent
+    admit --all              admits all announced upstreams
+    drain ID...              gives upstreams no new work; open work is finished
+    undrain ID...            gives them new work again
+    remove ID...             removes upstreams
+    rotate-key               adds a sealing key; a second one, later, seals with it
+    remove-key PHASE         removes a key that no longer seals
+    changes FILE             a JSON list of changes, as the API takes them
+
+OPTIONS:
+    --out FILE    writes the plan to a file for `sassafrasmast confirm`
+    --json        prints the plan as JSON
+";
+
+/// Help of `confirm`.
+pub const CONFIRM: &str = "\
+sassafrasmast confirm: puts a plan in force
+
+USAGE:
+    sassafrasmast confirm FILE [--operation ID] [--wait SECONDS] [--json] [--api ADDR]...
+
+FILE is a plan written by `sassafrasmast plan --out`; `-` reads standard input. Confirming the
+same plan again is harmless and settles whether it is in force.
+
+OPTIONS:
+    --operation ID    names this confirm (default: the plan's id)
+    --wait SECONDS    time to wait until all processes report the version (default: 15; 0: none)
+";
+
+/// Help of `status`.
+pub const STATUS: &str = "\
+sassafrasmast status: shows zones, services, upstreams and balancers
+
+USAGE:
+    sassafrasmast status [--json] [--api ADDR]...
+";
+
+/// Help of `timeline`.
+pub const TIMELINE: &str = "\
+sassafrasmast timeline: shows the events of all processes in one order
+
+USAGE:
+    sassafrasmast timeline [--process ADDR]... [--out FILE] [--json] [--api ADDR]...
+
+OPTIONS:
+    --process ADDR    only this process; may be given several times
+    --out FILE        writes JSON lines to a file, as `sassafrasmast replay` reads them
+    --json            prints JSON lines
+";
+
+/// Help of `replay`.
+pub const REPLAY: &str = "\
+sassafrasmast replay: runs a recorded time line through the decision core
+
+USAGE:
+    sassafrasmast replay FILE [--json]
+";
+
+/// Help of `config`.
+pub const CONFIG: &str = "\
+sassafrasmast config check: checks a settings file of the daemon
+
+USAGE:
+    sassafrasmast config check FILE...
+";
+
+/// Help of `certificate`.
+pub const CERTIFICATE: &str = "\
+sassafrasmast certificate: makes a self-signed certificate for development
+
+USAGE:
+    sassafrasmast certificate --host NAME... --out DIR
+
+Writes DIR/certificate.pem and DIR/key.pem. NAME is a host name or an IP address; several may be
+given.
+";
--- /dev/null
+++ b/crates/cli/src/plan.rs
@@ -0,0 +1,84 @@
+//! Planning an intent.
+
+use std::{fs, net::SocketAddr, path::PathBuf};
+
+use anyhow::{Context, bail, ensure};
+use sassafrasmast_core::config::{Change, Plan};
+use sassafrasmastd::api::{Announced, Status, Wish};
+
+use crate::{client::Client, command::Intent, exit::Exit};
+
+/// Asks for a plan, prints it and writes it to `out`.
+///
+/// # Errors
+///
+/// If no balancer answers, the intent is refused or the file cannot be written.
+pub async fn run(
+    client: &Client,
+    intent: Intent,
+    out: Option<PathBuf>,
+    json: bool,
+) -> anyhow::Result<Exit> {
+    let changes = changes(client, intent).await?;
+    let plan: Plan = client.post("/plans", &Wish { changes }).await?;
+    let text = serde_json::to_string_pretty(&plan)? + "\n";
+    if json {
+        print!("{text}");
+    } else {
+        println!("{plan}");
+    }
+    if let Some(path) = out {
+        fs::write(&path, text).with_context(|| format!("{}", path.display()))?;
+        if !json {
+            println!("confirm with: sassafrasmast confirm {}", path.display());
+        }
+    }
+    Ok(Exit::Done)
+}
+
+async fn changes(client: &Client, intent: Intent) -> anyhow::Result<Vec<Change>> {
+    match intent {
+        Intent::Changes(changes) => Ok(changes),
+        Intent::File(path) => {
+            let text = fs::read(&path).with_context(|| format!("{}", path.display()))?;
+            serde_json::from_slice(&text).with_context(|| format!("{}", path.display()))
+        }
+        Intent::Admit(agents) => {
+            let status: Status = client.get("/status").await?;
+            let announced = |agent: &SocketAddr| {
+                let found = status.announced.iter().find(|a| a.agent == *agent);
+                found.with_context(|| format!("no upstream is announced by an agent at {agent}"))
+            };
+            agents
+                .iter()
+                .map(|agent| Ok(admit(announced(agent)?)))
+                .collect()
+        }
+        Intent::AdmitAll => {
+            let status: Status = client.get("/status").await?;
+            ensure!(!status.announced.is_empty(), "no upstream is announced");
+            let wanted: Vec<_> = status.announced.iter().collect();
+            for announced in &wanted {
+                if !status.zones.contains_key(&announced.zone) {
+                    bail!(
+                        "the agent at {} announces zone {}, which does not exist",
+                        announced.agent,
+                        announced.zone
+                    );
+                }
+            }
+            Ok(wanted.into_iter().map(admit).collect())
+        }
+    }
+}
+
+fn admit(announced: &Announced) -> Change {
+    Change::Admit {
+        service: announced.service.clone(),
+        zone: announced.zone.clone(),
+        agent: announced.agent,
+        upstream: announced.upstream,
+        slots: announced.slots,
+        connections: announced.connections,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,50 @@
+//! Doing what a command says.
+
+use crate::{
+    certificate, check, client::Client, command::Command, confirm, exit::Exit, plan, replay,
+    status, timeline,
+};
+
+/// Runs `command`.
+///
+/// # Errors
+///
+/// [`Exit::of_error`] gives the exit of an error.
+pub fn run(command: Command) -> anyhow::Result<Exit> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(dispatch(command))
+}
+
+async fn dispatch(command: Command) -> anyhow::Result<Exit> {
+    match command {
+        Command::Print(text) => {
+            print!("{text}");
+            Ok(Exit::Done)
+        }
+        Command::Plan {
+            common,
+            intent,
+            out,
+        } => plan::run(&Client::new(common.api), intent, out, common.json).await,
+        Command::Confirm {
+            common,
+            file,
+            operation,
+            wait,
+        } => {
+            let client = Client::new(common.api);
+            confirm::run(&client, &file, operation, wait, common.json).await
+        }
+        Command::Status(common) => status::run(&Client::new(common.api), common.json).await,
+        Command::Timeline {
+            common,
+            processes,
+            out,
+        } => timeline::run(&Client::new(common.api), processes, out, common.json).await,
+        Command::Replay { file, json } => replay::run(&file, json),
+        Command::Check(files) => Ok(check::run(&files)),
+        Command::Certificate { hosts, out } => certificate::run(hosts, &out),
+    }
+}
--- a/crates/daemon/src/api/model.rs
+++ b/crates/daemon/src/api/model.rs
@@ -1,6 +1,6 @@
 //! Messages of the operators' API.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, fmt, net::SocketAddr};
 
 use sassafrasmast_core::{
     config::{Change, Plan, Registration, Service, Upstream, Zone, ZoneName},
@@ -100,6 +100,18 @@
     Out,
 }
 
+impl fmt::Display for Health {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unknown => "unknown",
+            Self::Cold => "cold",
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+            Self::Out => "out",
+        })
+    }
+}
+
 /// One admitted upstream.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct UpstreamStatus {
@@ -152,6 +164,15 @@
     Agent,
 }
 
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Balancer => "balancer",
+            Self::Agent => "agent",
+        })
+    }
+}
+
 /// One process of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Process {
--- a/crates/daemon/src/options/settings.rs
+++ b/crates/daemon/src/options/settings.rs
@@ -1,6 +1,6 @@
 //! The settings file.
 
-use std::{fs, net::SocketAddr};
+use std::{fs, net::SocketAddr, path::Path};
 
 use anyhow::Context;
 use serde::Deserialize;
@@ -58,13 +58,20 @@
     ///
     /// Names the file, the key and the reason.
     pub fn load(arguments: &Arguments) -> anyhow::Result<Self> {
-        let path = &arguments.settings;
-        let text = fs::read_to_string(path).with_context(|| format!("{}", path.display()))?;
-        let mut settings: Self =
-            toml::from_str(&text).with_context(|| format!("{}", path.display()))?;
+        let mut settings = Self::read(&arguments.settings)?;
         if let Some(level) = &arguments.log {
             settings.log.clone_from(level);
         }
         Ok(settings)
     }
+
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the key and the reason.
+    pub fn read(path: &Path) -> anyhow::Result<Self> {
+        let text = fs::read_to_string(path).with_context(|| format!("{}", path.display()))?;
+        toml::from_str(&text).with_context(|| format!("{}", path.display()))
+    }
 }
