--- a/crates/core/src/balancer/member.rs
+++ b/crates/core/src/balancer/member.rs
@@ -89,6 +89,11 @@
         self.heard.is_some()
     }
 
+    /// Time since the agent was last heard, if it ever was.
+    pub(super) fn age(&self, now: Instant) -> Option<Duration> {
+        self.heard.map(|heard| now.saturating_duration_since(heard))
+    }
+
     /// Whether the agent misses probes, so that no new flow should go there.
     pub(super) fn is_suspect(&self, now: Instant) -> bool {
         self.missed >= SUSPECT_PROBES && self.silence(now) >= SUSPECT_SILENCE
--- a/crates/core/src/balancer/router.rs
+++ b/crates/core/src/balancer/router.rs
@@ -126,6 +126,11 @@
             .then_some((member.incarnation, member.load))
     }
 
+    /// Age of the latest report of an agent, once it was heard.
+    pub fn age(&self, now: Instant, agent: AgentId) -> Option<Duration> {
+        self.table(now)?.entries.get(&agent)?.member().age(now)
+    }
+
     /// Decides on a datagram that came to the address of `service`.
     pub fn route(&self, now: Instant, service: ServiceId, datagram: &[u8]) -> Route {
         let route = self.decide(now, service, datagram);
--- a/crates/core/src/config/document/view.rs
+++ b/crates/core/src/config/document/view.rs
@@ -1,6 +1,9 @@
 //! The part of a document that one agent needs.
 
-use std::{collections::VecDeque, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+};
 
 use super::Document;
 
@@ -11,12 +14,29 @@
     pub fn for_agent(&self, address: SocketAddr) -> Option<Self> {
         let own = self.upstreams.values().find(|u| u.agent == address)?;
         let service = own.service;
-        let mut view = Self {
-            operations: VecDeque::new(),
-            ..self.clone()
-        };
-        view.services.retain(|&id, _| id == service);
-        view.upstreams.retain(|_, u| u.service == service);
+        let mut view = self.bare();
+        view.services.extend(
+            self.services
+                .get_key_value(&service)
+                .map(|(&id, s)| (id, s.clone())),
+        );
+        let peers = self.upstreams.iter().filter(|(_, u)| u.service == service);
+        view.upstreams = peers.map(|(&agent, u)| (agent, u.clone())).collect();
         Some(view)
     }
+
+    /// The document without services and upstreams: what an agent needs to know that is no
+    /// longer admitted.
+    pub fn bare(&self) -> Self {
+        Self {
+            version: self.version,
+            operations: VecDeque::new(),
+            zones: self.zones.clone(),
+            services: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            next_service: self.next_service,
+            next_agent: self.next_agent,
+            secrets: self.secrets.clone(),
+        }
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,9 +3,9 @@
 //! Nothing in this crate does I/O or reads a clock: each function that decides takes the present
 //! time as an argument, so the same code runs in the daemon and under replay of a recorded trace.
 
+pub mod agent;
 pub mod announcement;
 pub mod balancer;
-pub mod agent;
 pub mod blackboard;
 pub mod config;
 pub mod error;
--- a/crates/daemon/src/app/balancer.rs
+++ b/crates/daemon/src/app/balancer.rs
@@ -1,5 +1,6 @@
 //! The balancer role: sockets and tasks around [`sassafrasmast_core::balancer::Router`].
 
+mod control;
 mod edge;
 mod journal;
 mod meter;
@@ -19,6 +20,7 @@
     sync::mpsc,
 };
 
+use self::control::Control;
 use crate::options::{Balancer, Settings};
 
 pub use self::{edge::Edge, journal::Journal, pull::Pull};
@@ -57,8 +59,10 @@
     let journal = Journal::new(settings.name.clone(), incarnation, Arc::clone(&blackboard));
     journal.record(timeline::Kind::Started);
     let (pulls, wanted) = mpsc::channel(MAX_PULLS);
+    let board = Arc::clone(&blackboard);
     let edge = Edge::bind(&settings, &role, router, blackboard, journal, pulls)?;
-    pull::watch(wanted);
+    let control = Control::start(&settings, &role, board, incarnation, &edge).await?;
+    pull::watch(wanted, control.config.puller.clone());
     edge.start();
     log::info!("balancer: {} serves on {}", settings.name, settings.listen);
     terminate.recv().await;
--- a/crates/daemon/src/app/balancer/edge.rs
+++ b/crates/daemon/src/app/balancer/edge.rs
@@ -36,7 +36,7 @@
     router: Router,
     blackboard: Arc<Blackboard>,
     journal: Journal,
-    frames: Vec<UdpSocket>,
+    frames: Vec<Arc<UdpSocket>>,
     listeners: Listeners,
     pulls: mpsc::Sender<Pull>,
 }
@@ -55,11 +55,12 @@
         journal: Journal,
         pulls: mpsc::Sender<Pull>,
     ) -> anyhow::Result<Arc<Self>> {
+        let frames = socket::bind(settings.listen, settings.workers)?;
         Ok(Arc::new(Self {
             router,
             blackboard,
             journal,
-            frames: socket::bind(settings.listen, settings.workers)?,
+            frames: frames.into_iter().map(Arc::new).collect(),
             listeners: Listeners::new(role.bind.clone(), settings.workers),
             pulls,
         }))
@@ -75,6 +76,11 @@
         &self.journal
     }
 
+    /// The socket from which frames are sent.
+    pub fn socket(&self) -> Arc<UdpSocket> {
+        Arc::clone(&self.frames[0])
+    }
+
     /// Starts the tasks. They run until the runtime stops.
     pub fn start(self: &Arc<Self>) {
         for at in 0..self.frames.len() {
--- a/crates/daemon/src/app/balancer/pull.rs
+++ b/crates/daemon/src/app/balancer/pull.rs
@@ -5,6 +5,8 @@
 use sassafrasmast_wire::ConfigVersion;
 use tokio::sync::mpsc;
 
+use crate::config::Puller;
+
 /// Whom to ask, and why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pull {
@@ -14,11 +16,12 @@
     pub version: ConfigVersion,
 }
 
-/// Logs what is wanted.
-pub(super) fn watch(mut wanted: mpsc::Receiver<Pull>) {
+/// Hands the wishes to the puller.
+pub(super) fn watch(mut wanted: mpsc::Receiver<Pull>, puller: Puller) {
     tokio::spawn(async move {
         while let Some(pull) = wanted.recv().await {
-            log::info!("balancer: {} has version {}", pull.from, pull.version);
+            log::debug!("balancer: {} has version {}", pull.from, pull.version);
+            puller.request(pull.from);
         }
     });
 }
--- a/crates/daemon/src/peer/common.rs
+++ b/crates/daemon/src/peer/common.rs
@@ -57,16 +57,19 @@
             Some(agent) if agent.ip() != from.ip() => {
                 Reply::Refused("the call comes from another address".to_owned())
             }
-            Some(agent) => self.part(document, agent),
+            Some(agent) => self.part(document, have, agent),
             None if self.extent == Extent::Part => Reply::Elsewhere(self.addresses()),
             None => Reply::Config(Box::new(document.clone())),
         }
     }
 
-    fn part(&self, document: &Document, agent: Address) -> Reply {
+    /// The part of `agent`. One that has a configuration and is no longer admitted learns that
+    /// it is not; one that has none gets no secrets.
+    fn part(&self, document: &Document, have: ConfigVersion, agent: Address) -> Reply {
         match document.for_agent(agent) {
             Some(part) => Reply::Config(Box::new(part)),
             None if self.extent == Extent::Part => Reply::Elsewhere(self.addresses()),
+            None if have > 0 => Reply::Config(Box::new(document.bare())),
             None => Reply::NotAdmitted(document.version),
         }
     }
