--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod app;
 pub mod options;
+pub mod quic;
 
 use crate::options::{Arguments, Role, Settings};
 
--- /dev/null
+++ b/crates/daemon/src/quic/identity.rs
@@ -0,0 +1,24 @@
+//! Who an agent is once operators admitted its upstream.
+
+use sassafrasmast_core::config::Document;
+use sassafrasmast_wire::{Address, AgentId, ServiceId};
+
+/// What the configuration says about the agent at one address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Identity {
+    /// Service of the upstream.
+    pub service: ServiceId,
+    /// Id of the agent.
+    pub agent: AgentId,
+}
+
+impl Identity {
+    /// Looks up the agent that listens at `listen`.
+    pub fn find(document: &Document, listen: Address) -> Option<Self> {
+        let found = document.upstreams.iter().find(|(_, u)| u.agent == listen);
+        found.map(|(&agent, upstream)| Self {
+            service: upstream.service,
+            agent,
+        })
+    }
+}
