--- /dev/null
+++ b/crates/daemon/src/app/agent/flow.rs
@@ -0,0 +1,116 @@
+//! Flows: connections of callers.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use h3::server::RequestResolver;
+use quinn::{Incoming, VarInt};
+use sassafrasmast_core::timeline::{FlowId, Kind};
+use tokio::{task::JoinSet, time::sleep};
+
+use super::{Phase, Recorder, Server, exchange};
+use crate::http3::{Cancels, Connection};
+
+/// Requests still accepted, and answered with a refusal, after a flow was told to go away.
+const GRACE_REQUESTS: usize = 64;
+
+/// A flow without requests is closed this long after it was told to go away.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// Application close code: no error (RFC 9114, section 8.1).
+const NO_ERROR: VarInt = VarInt::from_u32(0x100);
+
+/// Accepts flows until the endpoint is closed.
+pub async fn accept(server: Arc<Server>, endpoint: quinn::Endpoint) {
+    while let Some(incoming) = endpoint.accept().await {
+        if !incoming.remote_address_validated() {
+            // The source id of a Retry names this agent: from here on the placement lies in the
+            // caller's packets. An Incoming that cannot be retried is dropped.
+            let _ = incoming.retry();
+        } else if *server.phase.borrow() != Phase::Serving
+            || server.flows() >= server.role.connections
+        {
+            incoming.refuse();
+        } else {
+            tokio::spawn(flow(Arc::clone(&server), incoming));
+        }
+    }
+}
+
+/// Serves one flow to its end.
+async fn flow(server: Arc<Server>, incoming: Incoming) {
+    let caller = incoming.remote_address();
+    let id = Recorder::flow(caller);
+    let Ok(connecting) = incoming.accept() else {
+        return;
+    };
+    let Ok(connection) = connecting.await else {
+        return;
+    };
+    let _entry = server.enter();
+    metrics::counter!("agent_flows_total").increment(1);
+    server.recorder.record(Some(id), None, Kind::FlowOpened);
+    requests(&server, &connection, id).await;
+    let reason = match connection.close_reason() {
+        Some(reason) => reason.to_string(),
+        None => "closed".to_owned(),
+    };
+    log::debug!("agent: flow of {caller} ended: {reason}");
+    let closed = Kind::FlowClosed { reason };
+    server.recorder.record(Some(id), None, closed);
+}
+
+/// Accepts the requests of one flow until the caller or the agent leaves.
+async fn requests(server: &Arc<Server>, connection: &quinn::Connection, flow: FlowId) {
+    let transport = Connection::new(connection.clone());
+    let cancels = transport.cancels();
+    let built = h3::server::builder()
+        .send_grease(false)
+        .build::<_, Bytes>(transport)
+        .await;
+    let Ok(mut http) = built else {
+        return;
+    };
+    let mut running = JoinSet::new();
+    let mut told = false;
+    loop {
+        tokio::select! {
+            accepted = http.accept() => match accepted {
+                Ok(Some(resolver)) => {
+                    let cancels = cancels.clone();
+                    running.spawn(request(Arc::clone(server), flow, resolver, cancels));
+                }
+                Ok(None) | Err(_) => break,
+            },
+            () = server.wait_for(|phase| phase != Phase::Serving), if !told => {
+                told = true;
+                if http.shutdown(GRACE_REQUESTS).await.is_err() {
+                    break;
+                }
+            }
+            () = sleep(GRACE), if told && running.is_empty() => {
+                connection.close(NO_ERROR, b"draining");
+                break;
+            }
+            Some(_) = running.join_next() => {}
+        }
+    }
+    // The caller is gone; requests with a key may still have to finish.
+    running.detach_all();
+}
+
+/// Serves one request.
+async fn request(
+    server: Arc<Server>,
+    flow: FlowId,
+    resolver: RequestResolver<Connection, Bytes>,
+    cancels: Cancels,
+) {
+    match resolver.resolve_request().await {
+        Ok((request, stream)) => {
+            let cancel = cancels.take(stream.id().into_inner());
+            exchange::serve(server, flow, request, stream, cancel).await;
+        }
+        Err(error) => log::debug!("agent: request not readable: {error}"),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 use anyhow::Context;
 
 pub mod app;
+pub mod http3;
 pub mod options;
 pub mod quic;
 
--- a/crates/daemon/src/quic/endpoint.rs
+++ b/crates/daemon/src/quic/endpoint.rs
@@ -1,11 +1,6 @@
 //! The QUIC endpoint of an agent.
 
-use std::{
-    fs,
-    path::Path,
-    sync::Arc,
-    time::Duration,
-};
+use std::{fs, path::Path, sync::Arc, time::Duration};
 
 use anyhow::Context;
 use quinn::{
@@ -72,7 +67,8 @@
             certificate.display()
         );
         let text = fs::read(key).with_context(|| key.display().to_string())?;
-        let key = PrivateKeyDer::from_pem_slice(&text).with_context(|| key.display().to_string())?;
+        let key =
+            PrivateKeyDer::from_pem_slice(&text).with_context(|| key.display().to_string())?;
         Ok(Self { chain, key })
     }
 
@@ -106,7 +102,9 @@
 ) -> anyhow::Result<quinn::Endpoint> {
     let blackboard = Arc::clone(socket.blackboard());
     let incarnation = socket.incarnation();
-    let snapshot = blackboard.config().context("no configuration is in force")?;
+    let snapshot = blackboard
+        .config()
+        .context("no configuration is in force")?;
     let mut config = EndpointConfig::new(Arc::new(snapshot.keys.reset_key(identity.agent)));
     config.max_udp_payload_size(MAX_DATAGRAM)?;
     config.min_reset_interval(RESET_INTERVAL);
--- a/crates/daemon/src/quic/socket.rs
+++ b/crates/daemon/src/quic/socket.rs
@@ -15,7 +15,7 @@
 };
 use sassafrasmast_core::Blackboard;
 use sassafrasmast_wire::{
-    AgentId, Body, ConfigVersion, Frame, Incarnation, Load, ServiceId, cid,
+    AgentId, Body, ConfigVersion, Frame, Incarnation, Load, ServiceId, State, cid,
 };
 use socket2::{Domain, Protocol, Type};
 use tokio::{io::Interest, net::UdpSocket, sync::watch};
@@ -128,6 +128,11 @@
         lock(&self.status).identity = identity;
     }
 
+    /// Who the agent is, once it is admitted.
+    pub fn identity(&self) -> Option<Identity> {
+        lock(&self.status).identity
+    }
+
     /// Sets the load that rides on every frame.
     pub fn set_load(&self, load: Load) {
         lock(&self.status).load = load;
@@ -163,13 +168,9 @@
         loop {
             self.io.readable().await?;
             let mut metas = [RecvMeta::default(); BATCH];
-            let mut slots: Vec<_> = memory
-                .chunks_mut(SLOT_BYTES)
-                .map(IoSliceMut::new)
-                .collect();
+            let mut slots: Vec<_> = memory.chunks_mut(SLOT_BYTES).map(IoSliceMut::new).collect();
             let received = self.io.try_io(Interest::READABLE, || {
-                self.state
-                    .recv((&self.io).into(), &mut slots, &mut metas)
+                self.state.recv((&self.io).into(), &mut slots, &mut metas)
             });
             let count = match received {
                 Ok(count) => count,
@@ -255,6 +256,9 @@
     /// Checks a caller's datagram and hands it to quinn, hands it back or drops it.
     fn inbound(&self, from: SocketAddr, inbound: Inbound<'_>, now: Instant) {
         let status = *lock(&self.status);
+        if status.load.state == State::Out {
+            return;
+        }
         let Some(identity) = status.identity else {
             if inbound.incarnation.is_none() {
                 self.hand_back(from, inbound, status.load);
@@ -265,7 +269,10 @@
             metrics::counter!("agent_frames_foreign_total").increment(1);
             return;
         }
-        let long = inbound.payload.first().is_some_and(|b| b & LONG_HEADER != 0);
+        let long = inbound
+            .payload
+            .first()
+            .is_some_and(|b| b & LONG_HEADER != 0);
         match inbound.incarnation {
             None if !long => return,
             None if !status.takes_flows() => return self.hand_back(from, inbound, status.load),
--- /dev/null
+++ b/crates/daemon/tests/agent/flows.rs
@@ -0,0 +1,181 @@
+//! Flows survive what they must survive and end when they must end.
+
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use bytes::Buf;
+use sassafrasmast_wire::{Body, Frame};
+use tokio::{net::UdpSocket, time::timeout};
+
+use super::{
+    caller::{Caller, Stream, get},
+    site::Site,
+};
+
+/// Every promise that says "a few seconds".
+const FEW_SECONDS: Duration = Duration::from_secs(5);
+
+async fn feed(caller: &mut Caller) -> Stream {
+    let mut stream = caller.open(get("/feed")).await.unwrap();
+    stream.finish().await.unwrap();
+    stream.recv_response().await.unwrap();
+    line(&mut stream).await;
+    stream
+}
+
+async fn line(stream: &mut Stream) {
+    let next = timeout(FEW_SECONDS, stream.recv_data()).await.unwrap();
+    assert!(next.unwrap().unwrap().remaining() > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_is_not_admitted_announces_itself_and_hands_back() {
+    let site = Site::unadmitted().await;
+    site.wait_until(|site| site.balancer.announced.load(Ordering::Relaxed) >= 2)
+        .await;
+    let balancer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let body = Body::Inbound {
+        service: 1,
+        agent: 1,
+        incarnation: None,
+        attempt: 2,
+        caller: "127.0.0.1:9".parse().unwrap(),
+        payload: &[0xc0; 1_200],
+    };
+    let mut frame = Vec::new();
+    Frame::new(0, body).encode(&mut frame).unwrap();
+    balancer.send_to(&frame, site.listen).await.unwrap();
+    let mut bytes = [0; 2_048];
+    let received = timeout(FEW_SECONDS, balancer.recv(&mut bytes)).await;
+    let length = received.unwrap().unwrap();
+    let Body::Handback {
+        attempt, payload, ..
+    } = Frame::decode(&bytes[..length]).unwrap().body
+    else {
+        panic!("a handback was expected");
+    };
+    assert_eq!((attempt, payload), (3, &[0xc0; 1_200][..]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frames_of_another_service_or_agent_are_not_delivered() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    caller.get("/echo").await.unwrap();
+    let balancer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let mut frame = Vec::new();
+    let mut bytes = [0; 2_048];
+    for (service, agent, incarnation, first) in [
+        (2, 1, None, 0xc0),
+        (1, 2, None, 0xc0),
+        (2, 1, Some(site.server().incarnation), 0x40),
+        (1, 1, Some(site.server().incarnation - 1), 0xc0),
+    ] {
+        let body = Body::Inbound {
+            service,
+            agent,
+            incarnation,
+            attempt: 0,
+            caller: "127.0.0.1:9".parse().unwrap(),
+            payload: &[first; 1_200],
+        };
+        Frame::new(1, body).encode(&mut frame).unwrap();
+        balancer.send_to(&frame, site.listen).await.unwrap();
+        let received = timeout(Duration::from_millis(200), balancer.recv(&mut bytes)).await;
+        assert!(
+            received.is_err(),
+            "an answer to {service} {agent} {first:x}"
+        );
+    }
+    assert_eq!(caller.get("/echo").await.unwrap().status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_incarnation_resets_the_old_flows_at_once() {
+    let mut site = Site::start().await;
+    let mut caller = site.caller().await;
+    let mut stream = feed(&mut caller).await;
+    let started = Instant::now();
+    site.restart().await;
+    let ended = async { while stream.recv_data().await.is_ok_and(|data| data.is_some()) {} };
+    timeout(FEW_SECONDS, ended).await.unwrap();
+    assert!(started.elapsed() < FEW_SECONDS);
+    let reason = caller.connection.closed().await;
+    assert!(matches!(reason, quinn::ConnectionError::Reset), "{reason}");
+    assert_eq!(site.caller().await.get("/echo").await.unwrap().status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_rotation_breaks_no_flow() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let mut stream = feed(&mut caller).await;
+    site.change(|document| {
+        document.secrets.phases.insert(1, [8; 32]);
+        document.secrets.sealing = 1;
+    });
+    for _ in 0..10 {
+        line(&mut stream).await;
+    }
+    assert_eq!(site.caller().await.get("/echo").await.unwrap().status, 200);
+    assert_eq!(caller.get("/echo").await.unwrap().status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_refuses_new_work_and_finishes_the_old() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let mut stream = feed(&mut caller).await;
+    let mut other = caller.clone();
+    let running = tokio::spawn(async move { other.get("/slow/800").await });
+    site.wait_until(|site| site.counts.started.load(Ordering::Relaxed) == 2)
+        .await;
+    (site.drain)();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let refused = caller.open(get("/echo")).await;
+    assert!(refused.is_err(), "a flow told to go away takes no request");
+    let answer = running.await.unwrap().unwrap();
+    assert_eq!((answer.status, answer.outcome()), (200, "ran"));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    line(&mut stream).await;
+    assert!(!site.task.is_finished(), "an open feed keeps the agent up");
+    let connect = Caller::connect(&site.certificate, site.balancer.front);
+    assert!(timeout(Duration::from_secs(1), connect).await.is_err());
+    assert!(site.balancer.handed_back.load(Ordering::Relaxed) > 0);
+    drop(stream);
+    site.wait_until(|site| site.task.is_finished()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_taken_out_closes_its_flows_and_falls_silent() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let mut stream = feed(&mut caller).await;
+    let started = Instant::now();
+    site.change(|document| {
+        if let Some(zone) = document.zones.get_mut("a") {
+            zone.out = true;
+        }
+    });
+    while stream.recv_data().await.is_ok_and(|data| data.is_some()) {}
+    assert!(started.elapsed() < FEW_SECONDS);
+    match caller.connection.closed().await {
+        quinn::ConnectionError::ApplicationClosed(close) => {
+            assert_eq!(close.reason, "availability zone out");
+        }
+        other => panic!("a clear close was expected: {other}"),
+    }
+    tokio::time::sleep_until((started + FEW_SECONDS).into()).await;
+    let sent = site.balancer.outbound.load(Ordering::Relaxed);
+    let connect = Caller::connect(&site.certificate, site.balancer.front);
+    assert!(timeout(Duration::from_secs(2), connect).await.is_err());
+    assert_eq!(site.balancer.outbound.load(Ordering::Relaxed), sent);
+    site.change(|document| {
+        if let Some(zone) = document.zones.get_mut("a") {
+            zone.out = false;
+        }
+    });
+    assert_eq!(site.caller().await.get("/echo").await.unwrap().status, 200);
+}
