--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`app`]: the two roles, balancer and agent.
 //! - [`api`]: the operators' API.
 //! - [`config`]: how a process gets, keeps and passes on the configuration.
+//! - [`http3`] and [`quic`]: the callers' protocols at an agent.
 //! - [`peer`]: calls between processes.
 //! - [`recorder`]: the time line of this process.
 //! - [`store`]: the platform's key-value store.
@@ -15,8 +16,10 @@
 pub mod api;
 pub mod app;
 pub mod config;
+pub mod http3;
 pub mod options;
 pub mod peer;
+pub mod quic;
 pub mod recorder;
 pub mod store;
 
