--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -7,7 +7,7 @@
 mod settings;
 
 pub use self::{
-    harness::Deployment,
+    harness::{Deployment, until},
     network::Network,
     operator::Operator,
     process::Process,
--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -11,7 +11,10 @@
 
 use anyhow::Context;
 use nix::sys::signal::Signal;
-use serde_json::{Value, json};
+use sassafrasmast_core::config::{Change, Service};
+use sassafrasmast_wire::ConfigVersion;
+use sassafrasmastd::api::Announced;
+use serde_json::Value;
 
 use super::{Network, Operator, Process, Settings};
 use crate::{
@@ -26,6 +29,12 @@
 /// Time between two tries while something is waited for.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Longest time that a request may take when its caller gives no deadline, in milliseconds.
+const DEADLINE_MS: u64 = 10_000;
+
+/// Largest request body in bytes.
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+
 /// A whole deployment as child processes, which end with it.
 #[derive(Debug)]
 pub struct Deployment {
@@ -204,71 +213,67 @@
         self.daemon(&name, &text)
     }
 
-    /// Creates zones and services and admits all upstreams.
+    /// Creates zones and services, and admits all upstreams once they announced themselves.
     ///
     /// # Errors
     ///
-    /// If no balancer gets ready or the plan is refused.
+    /// If no balancer gets ready, an upstream does not announce itself or a plan is refused.
     pub async fn admit(&self) -> anyhow::Result<()> {
+        self.create().await?;
         let operator = self.operator(0);
-        self.until("a balancer's API", || async {
-            anyhow::ensure!(operator.version().await? > 0, "no configuration yet");
+        let wanted = self.upstreams().len();
+        until("all announcements", START_LIMIT, || async {
+            let announced = operator.status().await?.announced.len();
+            anyhow::ensure!(announced == wanted, "{announced} of {wanted}");
             Ok(())
         })
         .await?;
-        operator.change(&self.changes()).await?;
+        let announced = operator.status().await?.announced;
+        operator
+            .change(announced.into_iter().map(admission).collect())
+            .await?;
         Ok(())
     }
 
-    /// The changes that make an empty configuration that of this deployment.
-    pub fn changes(&self) -> Vec<Value> {
-        let zones = self.settings.zones.iter();
-        let zones = zones.map(|zone| json!({ "change": "add-zone", "zone": zone }));
+    /// Creates zones and services.
+    ///
+    /// # Errors
+    ///
+    /// If no balancer gets ready or the plan is refused.
+    pub async fn create(&self) -> anyhow::Result<()> {
+        let operator = self.operator(0);
+        until("a configuration", START_LIMIT, || async {
+            anyhow::ensure!(operator.status().await?.version > 0, "none yet");
+            Ok(())
+        })
+        .await?;
+        let zones = self.settings.zones.iter().cloned();
+        let zones = zones.map(|zone| Change::AddZone { zone });
         let services = self.settings.services.iter().enumerate();
-        let services = services.map(|(index, service)| {
-            json!({ "change": "create-service", "service": {
-                "name": service.name,
-                "address": self.network.service(index),
-                "feeds": ["/feed"],
-                "deadline_ms": 10_000,
-                "max_body_bytes": 16 * 1024 * 1024,
-            } })
+        let services = services.map(|(index, service)| Change::CreateService {
+            service: Service {
+                name: service.name.clone(),
+                address: self.network.service(index),
+                feeds: vec!["/feed".to_owned()],
+                deadline_ms: DEADLINE_MS,
+                max_body_bytes: MAX_BODY_BYTES,
+            },
         });
-        let upstreams = self
-            .upstreams()
-            .into_iter()
-            .map(|(index, service, number)| {
-                json!({
-                    "change": "admit",
-                    "service": service,
-                    "zone": self.settings.zone(number),
-                    "agent": self.network.agent(index),
-                    "upstream": self.network.upstream(index),
-                    "slots": 5,
-                    "connections": 2_000,
-                })
-            });
-        zones.chain(services).chain(upstreams).collect()
-    }
-
-    /// Waits until all balancers have one configuration and each service answers a caller.
+        operator.change(zones.chain(services).collect()).await?;
+        Ok(())
+    }
+
+    /// Waits until all processes have one configuration and each service answers a caller.
     ///
     /// # Errors
     ///
     /// Names what is not ready in time.
     pub async fn ready(&self) -> anyhow::Result<()> {
-        let version = self.operator(0).version().await?;
-        for index in 0..self.settings.balancers {
-            let operator = self.operator(index);
-            self.until(&format!("balancer-{index}"), || async {
-                anyhow::ensure!(operator.version().await? >= version, "old configuration");
-                Ok(())
-            })
-            .await?;
-        }
-        for service in 0..self.settings.services.len() {
+        let version = self.operator(0).status().await?.version;
+        self.in_force(version, START_LIMIT).await?;
+        for (service, settings) in self.settings.services.iter().enumerate() {
             let client = self.client(service)?;
-            self.until(&self.settings.services[service].name, || async {
+            until(&settings.name, START_LIMIT, || async {
                 let mut connection = client.connect().await?;
                 connection.fetch_ticket(Duration::from_secs(1)).await?;
                 Ok(())
@@ -278,6 +283,26 @@
         Ok(())
     }
 
+    /// Waits until a version is in force in all balancers and agents.
+    ///
+    /// # Errors
+    ///
+    /// Names the processes that are behind or silent after `limit`.
+    pub async fn in_force(&self, version: ConfigVersion, limit: Duration) -> anyhow::Result<()> {
+        let operator = self.operator(0);
+        let wanted = self.settings.balancers + self.upstreams().len();
+        until("the configuration", limit, || async {
+            let progress = operator.progress(version).await?;
+            let all = progress.asked >= wanted;
+            anyhow::ensure!(
+                all && progress.behind.is_empty() && progress.silent.is_empty(),
+                "version {version} of {wanted} processes: {progress:?}"
+            );
+            Ok(())
+        })
+        .await
+    }
+
     /// An operator at the API of a balancer.
     pub fn operator(&self, balancer: usize) -> Operator {
         Operator::new(self.network.api(balancer))
@@ -412,28 +437,6 @@
         &self.directory
     }
 
-    /// Tries `check` until it succeeds.
-    ///
-    /// # Errors
-    ///
-    /// The last failure after the time limit.
-    pub async fn until<F>(&self, what: &str, mut check: impl FnMut() -> F) -> anyhow::Result<()>
-    where
-        F: Future<Output = anyhow::Result<()>>,
-    {
-        let begun = Instant::now();
-        loop {
-            match check().await {
-                Ok(()) => return Ok(()),
-                Err(error) if begun.elapsed() >= START_LIMIT => {
-                    let logs = self.directory.display();
-                    return Err(error.context(format!("{what} is not ready, logs in {logs}")));
-                }
-                Err(_) => tokio::time::sleep(POLL_INTERVAL).await,
-            }
-        }
-    }
-
     /// Addresses that balancers bind for a service.
     fn bound(&self, service: usize, balancers: impl IntoIterator<Item = usize>) -> Vec<SocketAddr> {
         let bound = balancers.into_iter();
@@ -476,3 +479,40 @@
     let quoted: Vec<_> = addresses.iter().map(|a| format!("\"{a}\"")).collect();
     format!("[{}]", quoted.join(", "))
 }
+
+/// The change that admits an announced upstream.
+fn admission(announced: Announced) -> Change {
+    Change::Admit {
+        service: announced.service,
+        zone: announced.zone,
+        agent: announced.agent,
+        upstream: announced.upstream,
+        slots: announced.slots,
+        connections: announced.connections,
+    }
+}
+
+/// Tries `check` until it succeeds.
+///
+/// # Errors
+///
+/// The last failure after the time limit.
+pub async fn until<F>(
+    what: &str,
+    limit: Duration,
+    mut check: impl FnMut() -> F,
+) -> anyhow::Result<()>
+where
+    F: Future<Output = anyhow::Result<()>>,
+{
+    let begun = Instant::now();
+    loop {
+        match check().await {
+            Ok(()) => return Ok(()),
+            Err(error) if begun.elapsed() >= limit => {
+                return Err(error.context(format!("{what}: not within {limit:?}")));
+            }
+            Err(_) => tokio::time::sleep(POLL_INTERVAL).await,
+        }
+    }
+}
--- a/crates/standins/src/deployment/operator.rs
+++ b/crates/standins/src/deployment/operator.rs
@@ -1,11 +1,22 @@
 //! An operator at the API of one balancer.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
 
-use serde_json::{Value, json};
+use rand::Rng;
+use sassafrasmast_core::config::{Change, Plan};
+use sassafrasmast_wire::ConfigVersion;
+use sassafrasmastd::api::{Confirm, Confirmed, Progress, Status, Wish};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::timeout;
 
 use crate::http;
 
+/// Longest time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// An operator at the API of one balancer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Operator {
@@ -23,48 +34,48 @@
     /// # Errors
     ///
     /// If the balancer does not answer or refuses.
-    pub async fn status(&self) -> anyhow::Result<Value> {
-        http::exchange(self.api, "GET", "/status", None).await
+    pub async fn status(&self) -> anyhow::Result<Status> {
+        self.get("/status").await
     }
 
-    /// Version of the configuration in force in this balancer; 0 without one.
+    /// How far a version has spread.
     ///
     /// # Errors
     ///
-    /// As [`Self::status`].
-    pub async fn version(&self) -> anyhow::Result<u64> {
-        Ok(self.status().await?["version"].as_u64().unwrap_or(0))
+    /// If the balancer does not answer or refuses.
+    pub async fn progress(&self, version: ConfigVersion) -> anyhow::Result<Progress> {
+        self.get(&format!("/progress?version={version}")).await
     }
 
-    /// Plans changes and gives the plan.
+    /// Plans changes.
     ///
     /// # Errors
     ///
     /// If the balancer does not answer or refuses.
-    pub async fn plan(&self, changes: &[Value]) -> anyhow::Result<Value> {
-        let body = json!({ "changes": changes });
-        http::exchange(self.api, "POST", "/plans", Some(&body)).await
+    pub async fn plan(&self, changes: Vec<Change>) -> anyhow::Result<Plan> {
+        self.post("/plans", &Wish { changes }).await
     }
 
-    /// Confirms a plan.
+    /// Confirms a plan under an operation id.
     ///
     /// # Errors
     ///
     /// If the balancer does not answer or refuses.
-    pub async fn confirm(&self, plan: &Value) -> anyhow::Result<Value> {
-        let id = plan["id"].as_str().unwrap_or_default();
-        let path = format!("/plans/{id}/confirm");
-        http::exchange(self.api, "POST", &path, Some(plan)).await
+    pub async fn confirm(&self, plan: Plan, operation: &str) -> anyhow::Result<Confirmed> {
+        let operation = operation.to_owned();
+        self.post("/confirm", &Confirm { plan, operation }).await
     }
 
-    /// Plans and confirms changes.
+    /// Plans and confirms changes and gives the version that they produced.
     ///
     /// # Errors
     ///
     /// If the balancer does not answer or refuses.
-    pub async fn change(&self, changes: &[Value]) -> anyhow::Result<Value> {
+    pub async fn change(&self, changes: Vec<Change>) -> anyhow::Result<ConfigVersion> {
         let plan = self.plan(changes).await?;
-        self.confirm(&plan).await
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
+        let operation = format!("{}-{}", now.as_nanos(), rand::rng().random::<u32>());
+        Ok(self.confirm(plan, &operation).await?.version)
     }
 
     /// Takes a zone out.
@@ -72,9 +83,9 @@
     /// # Errors
     ///
     /// If the balancer does not answer or refuses.
-    pub async fn zone_out(&self, zone: &str) -> anyhow::Result<Value> {
-        self.change(&[json!({ "change": "zone-out", "zone": zone })])
-            .await
+    pub async fn zone_out(&self, zone: &str) -> anyhow::Result<ConfigVersion> {
+        let zone = zone.to_owned();
+        self.change(vec![Change::ZoneOut { zone }]).await
     }
 
     /// Brings a zone back.
@@ -82,8 +93,22 @@
     /// # Errors
     ///
     /// If the balancer does not answer or refuses.
-    pub async fn zone_in(&self, zone: &str) -> anyhow::Result<Value> {
-        self.change(&[json!({ "change": "zone-in", "zone": zone })])
-            .await
+    pub async fn zone_in(&self, zone: &str) -> anyhow::Result<ConfigVersion> {
+        let zone = zone.to_owned();
+        self.change(vec![Change::ZoneIn { zone }]).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> anyhow::Result<T> {
+        timeout(CALL_TIMEOUT, http::exchange(self.api, "GET", path, None)).await?
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> anyhow::Result<T> {
+        let body = serde_json::to_value(body)?;
+        let call = http::exchange(self.api, "POST", path, Some(&body));
+        timeout(CALL_TIMEOUT, call).await?
     }
 }
