--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -16,11 +16,13 @@
 use sassafrasmastd::api::Announced;
 use serde_json::Value;
 
-use super::{Network, Operator, Process, Settings};
+use super::{Network, Operator, Settings};
 use crate::{
     caller::{self, Client},
     certificate::{self, Certificate},
-    http, upstream,
+    http,
+    process::Process,
+    upstream,
 };
 
 /// Longest time until all processes serve.
@@ -46,12 +48,14 @@
     /// `upstream-dispatch-0` and so on.
     pub processes: BTreeMap<String, Process>,
     directory: PathBuf,
+    /// Whether settings and logs outlive it.
+    keep: bool,
 }
 
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.processes.clear();
-        if std::thread::panicking() {
+        if self.keep || std::thread::panicking() {
             eprintln!("logs are kept in {}", self.directory.display());
         } else {
             // Nothing depends on it; the system clears its directory for temporary files.
@@ -87,9 +91,11 @@
     /// Names what could not be started, or what did not get ready in time with its log.
     pub async fn start(settings: Settings) -> anyhow::Result<Self> {
         let mut deployment = Self::prepare(settings)?;
+        deployment.keep = true;
         deployment.launch()?;
         deployment.admit().await?;
         deployment.ready().await?;
+        deployment.keep = false;
         Ok(deployment)
     }
 
@@ -109,6 +115,7 @@
             network,
             processes: BTreeMap::new(),
             directory,
+            keep: false,
         })
     }
 
@@ -432,6 +439,17 @@
             .collect()
     }
 
+    /// Availability zone of an upstream, by the name that its answers give.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such upstream.
+    pub fn zone_of(&self, upstream: &str) -> anyhow::Result<&str> {
+        let number = upstream.rsplit_once('-').map(|(_, number)| number.parse());
+        let number: usize = number.with_context(|| format!("no upstream {upstream}"))??;
+        Ok(self.settings.zone(number))
+    }
+
     /// Directory with settings, logs and the certificate.
     pub fn directory(&self) -> &Path {
         &self.directory
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,11 +6,15 @@
 //! - [`caller`]: an HTTP/3 client that follows the ticket protocol and checks what it gets.
 //! - [`deployment`]: starts all of it with the daemons, as child processes.
 //! - [`certificate`]: a development certificate.
+//! - [`process`]: child processes.
+//! - [`quickstart`]: a tour of the product.
 
 pub mod caller;
 pub mod certificate;
 pub mod deployment;
 pub mod fabric;
 pub mod http;
+pub mod process;
+pub mod quickstart;
 pub mod store;
 pub mod upstream;
--- a/crates/standins/src/deployment/process.rs
+++ b/crates/standins/src/process.rs
@@ -1,4 +1,4 @@
-//! One child process.
+//! Child processes from binaries beside the current executable.
 
 use std::{
     env,
@@ -129,7 +129,11 @@
 }
 
 /// The directory of the built binaries.
-fn directory() -> anyhow::Result<PathBuf> {
+///
+/// # Errors
+///
+/// If the current executable is not known.
+pub fn directory() -> anyhow::Result<PathBuf> {
     let executable = env::current_exe()?;
     let directory = executable.parent().context("no directory")?;
     // Tests lie one directory deeper.
--- /dev/null
+++ b/crates/standins/src/quickstart.rs
@@ -0,0 +1,248 @@
+//! A tour of the product: the whole path across a balancer's kill and a zone taken out.
+
+use std::{
+    future::Future,
+    process::Command,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nix::sys::signal::Signal;
+use sassafrasmast_core::config::Change;
+
+use crate::{
+    caller::{Error, Fate, Feed},
+    deployment::{Deployment, Settings},
+    process,
+};
+
+/// Balancer that is killed.
+const KILLED: usize = 1;
+
+/// Time in which the fabric learns of a dead balancer.
+const FABRIC_LAG: Duration = Duration::from_millis(300);
+
+/// Bound of everything that takes "a few seconds".
+const FEW_SECONDS: Duration = Duration::from_secs(5);
+
+/// Longest silence of a feed that counts as alive.
+const FEED_SILENCE: Duration = Duration::from_secs(5);
+
+/// Feeds opened at most until two lie in different zones.
+const MAX_FEEDS: usize = 32;
+
+/// Bytes of the uploaded manifest.
+const MANIFEST_BYTES: usize = 512 * 1024;
+
+/// Results of the steps.
+#[derive(Debug, Default)]
+pub struct Tour {
+    passed: u32,
+    failed: u32,
+}
+
+/// Two feeds in different zones.
+#[derive(Debug)]
+struct Feeds {
+    /// Lives in the zone that is taken out.
+    inside: Feed,
+    /// Lives elsewhere.
+    outside: Feed,
+    /// The zone that is taken out.
+    zone: String,
+}
+
+impl Tour {
+    /// Runs all steps and prints them; gives whether all passed.
+    pub async fn run() -> bool {
+        let mut tour = Self::default();
+        if let Err(error) = tour.steps().await {
+            println!("stopped: {error:#}");
+        }
+        println!("quickstart: {} passed, {} failed", tour.passed, tour.failed);
+        tour.failed == 0 && tour.passed > 0
+    }
+
+    async fn steps(&mut self) -> anyhow::Result<()> {
+        let mut deployment = self
+            .step(
+                "3 balancers, 5 upstreams in 3 zones, store and fabric start",
+                Deployment::start(Settings::default()),
+            )
+            .await?;
+        let mut feeds = self
+            .step("feeds open in two zones", open_feeds(&deployment))
+            .await?;
+        deployment.signal(&format!("balancer-{KILLED}"), Signal::SIGKILL)?;
+        println!("        balancer-{KILLED} is killed; the fabric learns of it a little later");
+        let fabric = async {
+            tokio::time::sleep(FABRIC_LAG).await;
+            let left: Vec<_> = (0..deployment.settings.balancers)
+                .filter(|&index| index != KILLED)
+                .collect();
+            deployment.spray_to(&left).await
+        };
+        let requests = async {
+            // A failed step is counted; the tour goes on.
+            let _ = self
+                .step("a booking runs exactly once", book(&deployment, "tour-1"))
+                .await;
+            let _ = self
+                .step("a manifest arrives whole", upload(&deployment))
+                .await;
+        };
+        let (sprayed, ()) = tokio::join!(fabric, requests);
+        sprayed?;
+        let _ = self
+            .step("both feeds go on without a gap", both_go_on(&mut feeds))
+            .await;
+        self.zone_out(&deployment, feeds).await?;
+        print_timeline(&deployment)
+    }
+
+    /// Takes a zone out by a confirmed plan.
+    async fn zone_out(&mut self, deployment: &Deployment, feeds: Feeds) -> anyhow::Result<()> {
+        let Feeds {
+            mut inside,
+            mut outside,
+            zone,
+        } = feeds;
+        let operator = deployment.operator(0);
+        let change = Change::ZoneOut { zone: zone.clone() };
+        let planned = operator.plan(vec![change]);
+        let plan = self.step("zone-out is planned", planned).await?;
+        for line in plan.to_string().lines() {
+            println!("        {line}");
+        }
+        let confirmed = operator.confirm(plan, "quickstart-zone-out");
+        self.step("the plan is confirmed", confirmed).await?;
+        let name = format!("the feed in {zone} is closed with a reason within 5 s");
+        let _ = self.step(&name, closed(&mut inside)).await;
+        let name = "the feed elsewhere goes on without a gap";
+        let _ = self.step(name, goes_on(&mut outside)).await;
+        let name = "a booking runs exactly once in the zones left";
+        let _ = self.step(name, book(deployment, "tour-2")).await;
+        Ok(())
+    }
+
+    /// Runs a step, prints and counts its result.
+    async fn step<T>(
+        &mut self,
+        name: &str,
+        step: impl Future<Output = anyhow::Result<T>>,
+    ) -> anyhow::Result<T> {
+        let begun = Instant::now();
+        let result = step.await;
+        let elapsed = begun.elapsed().as_secs_f64();
+        match &result {
+            Ok(_) => {
+                self.passed += 1;
+                println!("passed  {name} ({elapsed:.2} s)");
+            }
+            Err(error) => {
+                self.failed += 1;
+                println!("failed  {name} ({elapsed:.2} s): {error:#}");
+            }
+        }
+        result
+    }
+}
+
+/// Opens feeds until two lie in different zones.
+async fn open_feeds(deployment: &Deployment) -> anyhow::Result<Feeds> {
+    let mut first: Option<(Feed, String)> = None;
+    for _ in 0..MAX_FEEDS {
+        let mut feed = deployment.client(0)?.feed("/feed").await?;
+        feed.line(FEED_SILENCE).await?;
+        let zone = deployment.zone_of(&feed.upstream)?.to_owned();
+        match first.take() {
+            Some((inside, inside_zone)) if inside_zone != zone => {
+                return Ok(Feeds {
+                    inside,
+                    outside: feed,
+                    zone: inside_zone,
+                });
+            }
+            Some(kept) => first = Some(kept),
+            None => first = Some((feed, zone)),
+        }
+    }
+    anyhow::bail!("{MAX_FEEDS} feeds lie in one zone")
+}
+
+/// Books once and asks all upstreams how often it ran.
+async fn book(deployment: &Deployment, id: &str) -> anyhow::Result<()> {
+    let submission = deployment.client(0)?.book(id).await?;
+    let errors = submission.errors.join(", ");
+    anyhow::ensure!(
+        submission.fate == Fate::Ran && submission.is_success(),
+        "{:?}: {errors}",
+        submission.fate
+    );
+    let executions = deployment.executions().await;
+    let count = executions.get(id).copied().unwrap_or(0);
+    anyhow::ensure!(count == 1, "it ran {count} times");
+    Ok(())
+}
+
+/// Uploads a manifest; the client checks its length and checksum.
+async fn upload(deployment: &Deployment) -> anyhow::Result<()> {
+    let manifest: Vec<u8> = (0..MANIFEST_BYTES).map(|byte| byte as u8).collect();
+    let service = deployment.settings.services.len() - 1;
+    let mut client = deployment.client(service)?;
+    let submission = client.upload(Bytes::from(manifest)).await?;
+    anyhow::ensure!(
+        submission.fate == Fate::Ran && submission.is_success(),
+        "{:?}: {}",
+        submission.fate,
+        submission.errors.join(", ")
+    );
+    Ok(())
+}
+
+/// Reads both feeds for a while.
+async fn both_go_on(feeds: &mut Feeds) -> anyhow::Result<()> {
+    let (inside, outside) = tokio::join!(goes_on(&mut feeds.inside), goes_on(&mut feeds.outside));
+    inside.and(outside)
+}
+
+/// Reads a feed for longer than anything in the system takes to notice a fault.
+async fn goes_on(feed: &mut Feed) -> anyhow::Result<()> {
+    let begun = Instant::now();
+    while begun.elapsed() < FEW_SECONDS {
+        feed.line(FEED_SILENCE).await?;
+    }
+    Ok(())
+}
+
+/// Reads a feed until it is closed with words.
+async fn closed(feed: &mut Feed) -> anyhow::Result<()> {
+    let begun = Instant::now();
+    loop {
+        let left = FEW_SECONDS.saturating_sub(begun.elapsed());
+        match feed.line(left).await {
+            Ok(_) => {}
+            Err(Error::Closed { code, reason }) if !reason.is_empty() => {
+                println!("        closed with code {code}: {reason}");
+                return Ok(());
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
+
+/// Prints the time line of all processes.
+fn print_timeline(deployment: &Deployment) -> anyhow::Result<()> {
+    let output = Command::new(process::directory()?.join("sassafrasmast"))
+        .arg("timeline")
+        .arg("--api")
+        .arg(deployment.network.api(0).to_string())
+        .output()?;
+    print!("{}", String::from_utf8_lossy(&output.stdout));
+    anyhow::ensure!(
+        output.status.success(),
+        "timeline: {}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    Ok(())
+}
