fix(standins): latencies of the caller were clamped

Cause: saturating_record clamps to the initial range of a histogram that resizes itself; the median of a 2 ms service was told as 2 us. record() resizes.

--- a/crates/standins/src/caller/summary.rs
+++ b/crates/standins/src/caller/summary.rs
@@ -111,7 +111,8 @@
     fn record(&mut self, elapsed: Duration) {
         self.ran += 1;
         let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
-        self.histogram.saturating_record(micros);
+        // A histogram that resizes itself takes any value.
+        let _ = self.histogram.record(micros);
     }
 
     /// Latencies of the requests that ran.
