--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,9 +4,12 @@
 //! time as an argument, so the same code runs in the daemon and under replay of a recorded trace.
 
 pub mod agent;
+pub mod announcement;
+pub mod balancer;
 pub mod blackboard;
 pub mod config;
 pub mod error;
+pub mod replay;
 pub mod timeline;
 
-pub use self::blackboard::Blackboard;
+pub use self::{announcement::Announcement, blackboard::Blackboard};
--- /dev/null
+++ b/crates/standins/src/deployment.rs
@@ -0,0 +1,13 @@
+//! A whole deployment as child processes on loopback addresses of its own.
+
+mod harness;
+mod network;
+mod operator;
+mod settings;
+
+pub use self::{
+    harness::{Deployment, until},
+    network::Network,
+    operator::Operator,
+    settings::{ServiceSettings, Settings},
+};
