feat(agent): run every request through the decisions

Requests arrive at the decision core; the edge starts, relays, claims, aborts and answers as it says. A request goes to a peer over the peer connections, with its body streamed. The agent pulls its configuration and answers peer calls. A cold upstream runs one request at a time, so the test of interleaved answers first warms it up.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -206,6 +206,11 @@
         self.flights.len()
     }
 
+    /// Whether more decisions about a request may follow.
+    pub fn is_open(&self, id: RequestId) -> bool {
+        self.flights.contains_key(&id)
+    }
+
     /// Keys that are remembered.
     pub fn keys(&self) -> usize {
         self.registry.len()
--- a/crates/daemon/src/app/agent/answer.rs
+++ b/crates/daemon/src/app/agent/answer.rs
@@ -1,15 +1,18 @@
 //! The answer of a request on its way to the caller.
 
-use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
-use sassafrasmast_core::error::{self, Kind, Outcome};
+use std::sync::Arc;
 
-use super::Outflow;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
+use sassafrasmast_core::{
+    agent::Kept,
+    error::{self, Kind, Outcome},
+};
 
 /// Header that carries a fresh ticket.
-pub const TICKET: &str = "sassafrasmast-ticket";
+pub const TICKET: HeaderName = HeaderName::from_static("sassafrasmast-ticket");
 
-/// Status, headers, outcome and body.
+/// Status, headers, outcome and body. A body that is still arriving is kept elsewhere.
 #[derive(Debug)]
 pub struct Answer {
     /// HTTP status.
@@ -18,28 +21,33 @@
     pub headers: HeaderMap,
     /// Whether the request ran.
     pub outcome: Outcome,
+    /// Why there is no answer of the upstream.
+    pub kind: Option<Kind>,
     /// Seconds after which to come back.
     pub retry_after: Option<u64>,
-    /// The body.
-    pub content: Content,
-}
-
-/// The body of an answer.
-#[derive(Debug)]
-pub enum Content {
-    /// It is here.
-    Whole(Bytes),
-    /// It is still arriving.
-    Stream(Box<Outflow>),
+    /// The body, as far as it is here.
+    pub body: Bytes,
 }
 
 impl Answer {
+    /// An answer of the upstream.
+    pub fn ran(status: StatusCode, headers: HeaderMap, body: Bytes) -> Self {
+        Self {
+            status,
+            headers,
+            outcome: Outcome::Ran,
+            kind: None,
+            retry_after: None,
+            body,
+        }
+    }
+
     /// The answer that the table gives for `kind`.
     pub fn refusal(kind: Kind) -> Self {
         Self::error(kind, kind.answer().outcome)
     }
 
-    /// The answer for `kind` with an outcome that differs from the table's.
+    /// The answer for `kind` with an outcome that may differ from the table's.
     pub fn error(kind: Kind, outcome: Outcome) -> Self {
         let error::Answer {
             status,
@@ -50,11 +58,37 @@
             status: StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
             headers: HeaderMap::new(),
             outcome,
+            kind: Some(kind),
             retry_after,
-            content: Content::Whole(Bytes::from(format!("{kind}\n"))),
+            body: Bytes::from(format!("{kind}\n")),
         }
     }
 
+    /// The answer of an earlier run.
+    pub fn kept(kept: &Kept) -> Self {
+        let mut headers = HeaderMap::new();
+        for (name, value) in &kept.headers {
+            let name = HeaderName::from_bytes(name.as_bytes());
+            if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
+                headers.append(name, value);
+            }
+        }
+        let status = StatusCode::from_u16(kept.status);
+        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        Self::ran(status, headers, Bytes::copy_from_slice(&kept.body))
+    }
+
+    /// Keeps a whole answer for repeats of its key.
+    pub fn keep(&self) -> Arc<Kept> {
+        let pairs = self.headers.iter();
+        let owned = pairs.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
+        Arc::new(Kept {
+            status: self.status.as_u16(),
+            headers: owned.collect(),
+            body: self.body.to_vec(),
+        })
+    }
+
     /// The head as sent to the caller.
     pub fn head(&self, ticket: Option<&str>) -> Response<()> {
         let mut response = Response::new(());
--- a/crates/daemon/src/app/agent/exchange.rs
+++ b/crates/daemon/src/app/agent/exchange.rs
@@ -1,113 +1,359 @@
-//! One request of a caller and its answer.
+//! One request and its answer: carries out what is decided about it.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    pin::Pin,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 
-use bytes::Bytes;
-use h3::{error::Code, server::RequestStream};
-use http::Request;
+use http::{Request, StatusCode};
 use sassafrasmast_core::{
-    config::Service,
+    agent::{self, Action, Class, Finish, Key, Relay, Reply},
     error::{Kind, Outcome},
-    timeline::{self, FlowId},
+    timeline::{self, FlowId, RequestId},
+};
+use tokio::time::timeout_at;
+
+use super::{
+    Actions, Answer, Server, Sink, Source,
+    attempt::{self, Attempt, Step},
+    intake,
+    source::Origin,
 };
+use crate::http3::{Cancel, Stop};
+
+/// Path that gives a ticket.
+const TICKET_PATH: &str = "/.well-known/sassafrasmast/ticket";
 
-use super::{Answer, Content, Server, Source, attempt, source::Origin};
-use crate::http3::{Bidi, Cancel, Receiver, Sender, Stop};
+/// Work on a request that is under way.
+type Work = Pin<Box<dyn Future<Output = Step> + Send>>;
 
-/// Header with the whole time in milliseconds that a caller waits.
-pub const DEADLINE: &str = "sassafrasmast-deadline-ms";
+/// A request as it arrived.
+pub struct Arrival {
+    /// Flow on which it came; `None` if a peer relayed it.
+    pub flow: Option<FlowId>,
+    /// Its head.
+    pub request: Request<()>,
+    /// Its body.
+    pub origin: Origin,
+    /// Where its answer goes.
+    pub sink: Sink,
+    /// Completes when nobody waits for the answer any more.
+    pub cancel: Cancel,
+    /// Time that the relaying peer leaves; `None` if no peer relayed it.
+    pub left: Option<Duration>,
+}
+
+/// What was found out about a request before anything is decided.
+struct Facts {
+    class: Class,
+    key: Option<Key>,
+    source: Source,
+    deadline: Instant,
+}
+
+/// A request on its way to its final answer.
+struct Exchange {
+    attempt: Attempt,
+    flow: Option<FlowId>,
+    sink: Option<Sink>,
+    /// The whole answer of the own run or relay.
+    held: Option<Answer>,
+    /// Whether the present work is a relay.
+    relaying: bool,
+    /// What was wrong with the request's own body.
+    fault: Option<Kind>,
+    /// The head of a streamed answer is gone out.
+    streamed: bool,
+    answered: bool,
+}
 
 /// Serves one request to its final answer.
-pub async fn serve(
-    server: Arc<Server>,
-    flow: FlowId,
-    request: Request<()>,
-    stream: RequestStream<Bidi<Bytes>, Bytes>,
-    cancel: Option<Cancel>,
-) {
+pub async fn serve(server: Arc<Server>, arrival: Arrival) {
     let id = server.next_request();
-    let record = |kind| server.recorder.record(Some(flow), Some(id), kind);
-    record(timeline::Kind::RequestArrived);
-    let (mut sender, receiver) = stream.split();
-    let answer = tokio::select! {
-        answer = answer(&server, request, receiver) => answer,
-        () = cancelled(cancel) => {
-            record(timeline::Kind::RequestAnswered {
-                status: Kind::Cancelled.answer().status,
-                outcome: Outcome::Unknown.to_string(),
-            });
-            return;
-        }
-    };
-    record(timeline::Kind::RequestAnswered {
-        status: answer.status.as_u16(),
-        outcome: answer.outcome.to_string(),
-    });
-    if send(&mut sender, answer).await.is_err() {
-        sender.stop_stream(Code::H3_INTERNAL_ERROR);
+    let Arrival {
+        flow,
+        request,
+        origin,
+        sink,
+        mut cancel,
+        left,
+    } = arrival;
+    let recorder = &server.recorder;
+    recorder.record_about(flow, Some(id), timeline::Kind::RequestArrived);
+    if left.is_none() && request.uri().path() == TICKET_PATH {
+        return deliver(&server, flow, id, sink, ticket_answer(&server)).await;
     }
+    let facts = tokio::select! {
+        facts = examine(&server, &request, origin, left) => facts,
+        _ = &mut cancel => return,
+    };
+    let facts = match facts {
+        Ok(facts) => facts,
+        Err(Kind::Cancelled) => return,
+        Err(kind) => return deliver(&server, flow, id, sink, Answer::refusal(kind)).await,
+    };
+    let class = facts.class;
+    let arrived = agent::Request {
+        id,
+        class,
+        digest: intake::digest(&request, &facts.source),
+        body_bytes: facts.source.length(),
+        deadline: facts.deadline,
+        relayed: left.is_some(),
+        key: facts.key.clone(),
+    };
+    let exchange = Exchange {
+        attempt: Attempt {
+            server: Arc::clone(&server),
+            id,
+            request,
+            source: Arc::new(Mutex::new(facts.source)),
+            class,
+            keyed: class == Class::NonIdempotent && facts.key.is_some(),
+            deadline: facts.deadline,
+        },
+        flow,
+        sink: Some(sink),
+        held: None,
+        relaying: false,
+        fault: None,
+        streamed: false,
+        answered: false,
+    };
+    let actions = server.desk.arrive(arrived);
+    exchange.run(actions, cancel).await;
 }
 
-/// Completes when the caller cancelled the request or its flow is lost.
-async fn cancelled(cancel: Option<Cancel>) {
-    match cancel {
-        Some(cancel) => match cancel.await {
-            Stop::Cancelled | Stop::Lost => {}
-            Stop::Delivered => std::future::pending().await,
-        },
-        None => std::future::pending().await,
+/// The answer of the path that gives tickets.
+fn ticket_answer(server: &Server) -> Answer {
+    match server.desk.look(|agent, now| agent.load(now).state) {
+        state if state.takes_work() => Answer::ran(
+            StatusCode::NO_CONTENT,
+            Default::default(),
+            Default::default(),
+        ),
+        _ => Answer::refusal(Kind::Draining),
     }
 }
 
-/// Finds the answer of a request.
-async fn answer(
+/// Looks at a request and reads the beginning of its body.
+async fn examine(
     server: &Server,
-    request: Request<()>,
-    receiver: RequestStream<Receiver, Bytes>,
-) -> Answer {
-    let Some(service) = server.service() else {
-        return Answer::refusal(Kind::NotReady);
+    request: &Request<()>,
+    origin: Origin,
+    left: Option<Duration>,
+) -> Result<Facts, Kind> {
+    let arrived = Instant::now();
+    let (service, snapshot) = server.service().ok_or(Kind::NotReady)?;
+    let headers = request.headers();
+    let limit = match left {
+        Some(left) => left.min(Duration::from_millis(service.deadline_ms)),
+        None => intake::time_limit(&service, headers)?,
     };
-    let Some(limit) = Server::time_limit(&service, request.headers()) else {
-        return Answer::refusal(Kind::BadRequest);
+    let deadline = arrived + limit;
+    let key = intake::key(&snapshot.keys, headers)?;
+    let reading = Source::read(origin, headers, service.max_body_bytes);
+    let source = timeout_at(deadline.into(), reading).await;
+    Ok(Facts {
+        class: intake::class(&service, request),
+        key,
+        source: source.map_err(|_| Kind::DeadlinePassed)??,
+        deadline,
+    })
+}
+
+/// Gives the caller a final answer whose body is all here.
+async fn deliver(
+    server: &Server,
+    flow: Option<FlowId>,
+    id: RequestId,
+    mut sink: Sink,
+    answer: Answer,
+) {
+    note(server, flow, id, answer.status.as_u16(), answer.outcome);
+    let ticket = server.ticket();
+    // Whoever is gone needs no answer.
+    if sink.head(&answer, ticket.as_deref()).await.is_ok() && sink.data(answer.body).await.is_ok() {
+        let _ = sink.finish().await;
+    }
+}
+
+/// Records a final answer.
+fn note(server: &Server, flow: Option<FlowId>, id: RequestId, status: u16, outcome: Outcome) {
+    metrics::counter!("sassafrasmast_agent_answers_total", "outcome" => outcome.as_str())
+        .increment(1);
+    let kind = timeline::Kind::RequestAnswered {
+        status,
+        outcome: outcome.to_string(),
     };
-    let deadline = Instant::now() + limit;
-    let feed = is_feed(&service, request.uri().path());
-    let origin = Origin::Caller(receiver);
-    let source = Source::read(origin, request.headers(), service.max_body_bytes).await;
-    match source {
-        Ok(mut source) => attempt::run(server, &request, &mut source, deadline, feed)
-            .await
-            .unwrap_or_else(|kind| match kind {
-                // The beginning of the body was sent already.
-                Kind::BodyTooLarge => Answer::error(kind, Outcome::Unknown),
-                _ => Answer::refusal(kind),
-            }),
-        Err(kind) => Answer::refusal(kind),
+    server.recorder.record_about(flow, Some(id), kind);
+}
+
+/// Waits for the present work; for ever without any.
+async fn step(work: &mut Option<Work>) -> Step {
+    match work {
+        Some(work) => work.await,
+        None => std::future::pending().await,
     }
 }
 
-/// Sends an answer to the caller.
-async fn send(
-    sender: &mut RequestStream<Sender<Bytes>, Bytes>,
-    mut answer: Answer,
-) -> Result<(), Kind> {
-    let gone = |_| Kind::Cancelled;
-    let head = answer.head(None);
-    sender.send_response(head).await.map_err(gone)?;
-    match &mut answer.content {
-        Content::Whole(bytes) if bytes.is_empty() => {}
-        Content::Whole(bytes) => sender.send_data(bytes.clone()).await.map_err(gone)?,
-        Content::Stream(body) => {
-            while let Some(piece) = body.next().await? {
-                sender.send_data(piece).await.map_err(gone)?;
+impl Exchange {
+    /// Carries out decisions until none can follow.
+    async fn run(mut self, mut actions: Actions, mut cancel: Cancel) {
+        let mut work: Option<Work> = None;
+        let mut there = true;
+        loop {
+            tokio::select! {
+                action = actions.recv() => match action {
+                    Some(action) => self.act(action, &mut work).await,
+                    None => return,
+                },
+                step = step(&mut work) => {
+                    work = None;
+                    self.stepped(step, &mut work);
+                }
+                stop = &mut cancel, if there => {
+                    there = false;
+                    if stop != Stop::Delivered {
+                        self.decide(agent::Agent::cancelled);
+                    }
+                }
             }
         }
     }
-    sender.finish().await.map_err(gone)
-}
 
-/// Whether a path is one of the service's feeds.
-fn is_feed(service: &Service, path: &str) -> bool {
-    service.feeds.iter().any(|feed| path.starts_with(feed))
+    fn decide(&self, event: impl FnOnce(&mut agent::Agent, Instant, RequestId)) {
+        let id = self.attempt.id;
+        let desk = &self.attempt.server.desk;
+        desk.decide(|agent, now| event(agent, now, id));
+    }
+
+    /// Carries out one decision.
+    async fn act(&mut self, action: Action, work: &mut Option<Work>) {
+        let attempt = self.attempt.clone();
+        match action {
+            Action::Start { .. } => {
+                self.relaying = false;
+                *work = Some(Box::pin(attempt.run()));
+            }
+            Action::Relay { id, to } => {
+                self.relaying = true;
+                let recorder = &attempt.server.recorder;
+                let relayed = timeline::Kind::RequestRelayed { agent: to };
+                recorder.record_about(self.flow, Some(id), relayed);
+                *work = Some(Box::pin(attempt.relay(to)));
+            }
+            Action::Abort { .. } => {
+                *work = None;
+                self.decide(|agent, now, id| agent.finished(now, id, Finish::Cut));
+            }
+            Action::Claim { id, key, nonce } => {
+                tokio::spawn(async move {
+                    let result = attempt.server.claim(&key, nonce).await;
+                    let desk = &attempt.server.desk;
+                    desk.decide(|agent, now| agent.claimed(now, id, result));
+                });
+            }
+            Action::Answer { reply, .. } => {
+                self.answer(reply).await;
+                self.answered = true;
+                attempt.server.desk.answered(attempt.id);
+            }
+            Action::LimitChanged { .. } | Action::Collapsed => {}
+        }
+    }
+
+    /// Reports how far the work came.
+    fn stepped(&mut self, step: Step, work: &mut Option<Work>) {
+        match step {
+            Step::Finished(finish, answer) => {
+                self.held = answer;
+                self.decide(|agent, now, id| agent.finished(now, id, finish));
+            }
+            Step::Relayed(relay, answer) => {
+                self.held = answer;
+                self.decide(|agent, now, id| agent.relayed(now, id, relay));
+            }
+            Step::Streaming {
+                answer,
+                rest,
+                latency,
+            } => {
+                if self.attempt.class == Class::Feed {
+                    self.decide(|agent, now, id| agent.opened(now, id, latency));
+                }
+                self.streamed = true;
+                let (status, outcome) = (answer.status, answer.outcome);
+                self.held = Some(Answer::ran(status, Default::default(), Default::default()));
+                if let Some(held) = &mut self.held {
+                    held.outcome = outcome;
+                }
+                let ticket = self.attempt.server.ticket();
+                let stream = attempt::stream(self.sink.take(), answer, rest, ticket);
+                *work = Some(Box::pin(stream));
+            }
+            Step::Streamed { sink, whole } => {
+                self.sink = sink;
+                self.streamed_to_end(whole);
+            }
+            Step::Withdrawn => {}
+            Step::Faulty(kind) => {
+                self.fault = Some(kind);
+                self.decide(agent::Agent::cancelled);
+                self.decide(|agent, now, id| agent.finished(now, id, Finish::Cut));
+            }
+        }
+    }
+
+    /// Reports the end of a streamed answer.
+    fn streamed_to_end(&self, whole: bool) {
+        let status = self.held.as_ref().map(|held| held.status);
+        match (self.relaying, whole) {
+            (true, true) => self.decide(|agent, now, id| agent.relayed(now, id, Relay::Whole)),
+            (true, false) => self.decide(|agent, now, id| agent.relayed(now, id, Relay::Lost)),
+            (false, false) => self.decide(|agent, now, id| agent.finished(now, id, Finish::Cut)),
+            (false, true) => {
+                let finish = Finish::Whole {
+                    answer: None,
+                    latency: Duration::ZERO,
+                    failed: status.is_some_and(|status| status.is_server_error()),
+                };
+                self.decide(|agent, now, id| agent.finished(now, id, finish));
+            }
+        }
+    }
+
+    /// Gives the caller the final answer, or ends the one that is being streamed.
+    async fn answer(&mut self, reply: Reply) {
+        let (server, id) = (Arc::clone(&self.attempt.server), self.attempt.id);
+        if self.streamed {
+            return self.end_stream(&server, reply).await;
+        }
+        let answer = match reply {
+            Reply::Own => match self.held.take() {
+                Some(answer) => answer,
+                None => Answer::error(Kind::AnswerDropped, Outcome::Ran),
+            },
+            Reply::Kept(kept) => Answer::kept(&kept),
+            Reply::Error { kind, outcome } => Answer::error(self.fault.unwrap_or(kind), outcome),
+        };
+        if let Some(sink) = self.sink.take() {
+            deliver(&server, self.flow, id, sink, answer).await;
+        }
+    }
+
+    /// Ends a streamed answer. Anything but the own whole answer leaves it incomplete.
+    async fn end_stream(&mut self, server: &Server, reply: Reply) {
+        let (status, outcome) = match (&reply, &self.held) {
+            (Reply::Error { kind, outcome }, _) => (kind.answer().status, *outcome),
+            (_, Some(held)) => (held.status.as_u16(), held.outcome),
+            (_, None) => (StatusCode::OK.as_u16(), Outcome::Ran),
+        };
+        note(server, self.flow, self.attempt.id, status, outcome);
+        if let (Reply::Own, Some(sink)) = (reply, self.sink.take()) {
+            // Whoever is gone needs no end.
+            let _ = sink.finish().await;
+        }
+    }
 }
--- a/crates/daemon/src/app/agent/flow.rs
+++ b/crates/daemon/src/app/agent/flow.rs
@@ -5,10 +5,14 @@
 use bytes::Bytes;
 use h3::server::RequestResolver;
 use quinn::{Incoming, VarInt};
-use sassafrasmast_core::timeline::{FlowId, Kind};
+use sassafrasmast_core::timeline::{self, FlowId, Kind};
 use tokio::{task::JoinSet, time::sleep};
 
-use super::{Phase, Recorder, Server, exchange};
+use super::{
+    Phase, Server, Sink,
+    exchange::{self, Arrival},
+    source::Origin,
+};
 use crate::http3::{Cancels, Connection};
 
 /// Requests still accepted, and answered with a refusal, after a flow was told to go away.
@@ -40,7 +44,7 @@
 /// Serves one flow to its end.
 async fn flow(server: Arc<Server>, incoming: Incoming) {
     let caller = incoming.remote_address();
-    let id = Recorder::flow(caller);
+    let id = timeline::flow::id(caller);
     let Ok(connecting) = incoming.accept() else {
         return;
     };
@@ -48,8 +52,10 @@
         return;
     };
     let _entry = server.enter();
-    metrics::counter!("agent_flows_total").increment(1);
-    server.recorder.record(Some(id), None, Kind::FlowOpened);
+    metrics::counter!("sassafrasmast_agent_flows_total").increment(1);
+    server
+        .recorder
+        .record_about(Some(id), None, Kind::FlowOpened);
     requests(&server, &connection, id).await;
     let reason = match connection.close_reason() {
         Some(reason) => reason.to_string(),
@@ -57,7 +63,7 @@
     };
     log::debug!("agent: flow of {caller} ended: {reason}");
     let closed = Kind::FlowClosed { reason };
-    server.recorder.record(Some(id), None, closed);
+    server.recorder.record_about(Some(id), None, closed);
 }
 
 /// Accepts the requests of one flow until the caller or the agent leaves.
@@ -109,7 +115,16 @@
     match resolver.resolve_request().await {
         Ok((request, stream)) => {
             let cancel = cancels.take(stream.id().into_inner());
-            exchange::serve(server, flow, request, stream, cancel).await;
+            let (sender, receiver) = stream.split();
+            let arrival = Arrival {
+                flow: Some(flow),
+                request,
+                origin: Origin::Caller(receiver),
+                sink: Sink::Caller(Box::new(sender)),
+                cancel: cancel.unwrap_or_else(|| Box::pin(std::future::pending())),
+                left: None,
+            };
+            exchange::serve(server, arrival).await;
         }
         Err(error) => log::debug!("agent: request not readable: {error}"),
     }
--- a/crates/daemon/src/app/agent/lifecycle.rs
+++ b/crates/daemon/src/app/agent/lifecycle.rs
@@ -9,15 +9,15 @@
 };
 
 use quinn::{VarInt, crypto::rustls::QuicServerConfig};
-use sassafrasmast_core::{Blackboard, config::Document, timeline::Kind};
-use sassafrasmast_wire::{Body, Incarnation, Load, State};
+use sassafrasmast_core::{Blackboard, agent, config::Document, timeline::Kind};
+use sassafrasmast_wire::{Body, ConfigVersion, Incarnation, Load};
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::Notify,
     time::{MissedTickBehavior, interval, timeout},
 };
 
-use super::{Phase, Server, flow};
+use super::{Host, Phase, Server, flow, neighbours};
 use crate::{
     options::{Agent, Settings},
     quic::{Certificate, Identity, Socket, endpoint},
@@ -52,6 +52,19 @@
     stop: Arc<Notify>,
 }
 
+/// What [`Lifecycle`] remembers between two looks.
+#[derive(Default)]
+struct Progress {
+    open: Option<Open>,
+    /// Version of the configuration that the decisions know.
+    version: ConfigVersion,
+    announced: Option<Instant>,
+    swept: Option<Instant>,
+    probed: Option<Instant>,
+    /// When the drain that ends in a stop began.
+    left: Option<Instant>,
+}
+
 /// The endpoint of an admitted agent.
 struct Open {
     identity: Identity,
@@ -90,7 +103,7 @@
         })?);
         let server = Server::new(settings, role, blackboard, incarnation, socket);
         log::info!("agent: started at {}", server.settings.listen);
-        server.recorder.record(None, None, Kind::Started);
+        server.recorder.record(Kind::Started);
         Ok(Self {
             server: Arc::new(server),
             crypto,
@@ -137,6 +150,11 @@
         Ok(())
     }
 
+    /// Answers the calls of peers.
+    pub fn host(&self) -> Arc<Host> {
+        Arc::new(Host::new(Arc::clone(&self.server)))
+    }
+
     /// Runs until a drain is finished or a stop is asked for.
     ///
     /// # Errors
@@ -145,9 +163,11 @@
     pub async fn run(self) -> anyhow::Result<()> {
         let result = tokio::select! {
             received = self.server.socket.run() => received.map_err(anyhow::Error::from),
+            () = self.server.desk.run() => Ok(()),
+            () = neighbours::listen(&self.server) => Ok(()),
             phases = self.phases() => phases,
         };
-        self.server.recorder.record(None, None, Kind::Stopped);
+        self.server.recorder.record(Kind::Stopped);
         log::info!("agent: stopped");
         result
     }
@@ -156,37 +176,72 @@
     async fn phases(&self) -> anyhow::Result<()> {
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
-        let mut open: Option<Open> = None;
-        let mut announced: Option<Instant> = None;
-        let mut swept = Instant::now();
+        let mut progress = Progress::default();
         loop {
             tokio::select! {
                 _ = tick.tick() => {}
                 () = self.stop.notified() => break,
             }
             let now = Instant::now();
+            self.configure(&mut progress);
             let phase = self.phase();
             self.enter(phase);
-            self.follow(phase, &mut open).await?;
+            self.follow(phase, &mut progress.open).await?;
             self.publish(phase);
-            if announced.is_none_or(|at| now - at >= self.announce_interval()) {
-                announced = Some(now);
-                self.announce();
-            }
-            if now - swept >= SWEEP {
-                swept = now;
-                self.server.socket.expire(now);
-            }
-            if self.leaving.load(Ordering::Relaxed) && self.server.flows() == 0 {
+            self.tell(now, &mut progress);
+            if self.is_done(now, &mut progress) {
                 break;
             }
         }
-        if let Some(open) = open {
+        if let Some(open) = progress.open {
             open.close(STOPPED, b"stopped").await;
         }
         Ok(())
     }
 
+    /// Tells the decisions about a new configuration.
+    fn configure(&self, progress: &mut Progress) {
+        let Some(snapshot) = self.server.blackboard.config() else {
+            return;
+        };
+        if snapshot.document.version > progress.version {
+            progress.version = snapshot.document.version;
+            let desk = &self.server.desk;
+            desk.decide(|agent, now| agent.config(now, &snapshot));
+        }
+    }
+
+    /// Sends what is due to balancers and peers, and forgets old ways back.
+    fn tell(&self, now: Instant, progress: &mut Progress) {
+        let due = |last: Option<Instant>, after| last.is_none_or(|at| now - at >= after);
+        if due(progress.announced, self.announce_interval()) {
+            progress.announced = Some(now);
+            self.announce();
+        }
+        if due(progress.probed, neighbours::INTERVAL) && neighbours::probe(&self.server) {
+            progress.probed = Some(now);
+        }
+        if due(progress.swept, SWEEP) {
+            progress.swept = Some(now);
+            self.server.socket.expire(now);
+        }
+    }
+
+    /// Whether a drain that ends in a stop is finished.
+    fn is_done(&self, now: Instant, progress: &mut Progress) -> bool {
+        if !self.leaving.load(Ordering::Relaxed) {
+            return false;
+        }
+        let desk = &self.server.desk;
+        let since = *progress.left.get_or_insert_with(|| {
+            desk.decide(agent::Agent::drain);
+            now
+        });
+        let limit = self.server.role.drain_deadline_ms;
+        let late = limit.is_some_and(|limit| now - since >= Duration::from_millis(limit));
+        late || (self.server.flows() == 0 && desk.look(|agent, _| agent.open()) == 0)
+    }
+
     /// The phase that configuration and signals ask for.
     fn phase(&self) -> Phase {
         let Some(snapshot) = self.server.blackboard.config() else {
@@ -223,7 +278,7 @@
         if changed {
             log::info!("agent: now {phase:?}");
             if phase == Phase::Draining {
-                self.server.recorder.record(None, None, Kind::Draining);
+                self.server.recorder.record(Kind::Draining);
             }
         }
     }
@@ -257,10 +312,16 @@
 
     /// Puts the load on the frames.
     fn publish(&self, phase: Phase) {
+        let load = self.server.desk.look(agent::Agent::load);
+        let flows = self.server.flows();
+        metrics::gauge!("sassafrasmast_agent_flows").set(flows);
+        metrics::gauge!("sassafrasmast_agent_running").set(load.running);
+        metrics::gauge!("sassafrasmast_agent_queued").set(load.queued);
+        metrics::gauge!("sassafrasmast_agent_limit").set(load.limit);
         self.server.socket.set_load(Load {
-            state: phase.state(State::Ready),
-            flows: self.server.flows(),
-            ..Load::default()
+            state: phase.state(load.state),
+            flows,
+            ..load
         });
     }
 
--- a/crates/daemon/src/app/agent/outflow.rs
+++ b/crates/daemon/src/app/agent/outflow.rs
@@ -3,47 +3,49 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use sassafrasmast_core::error::Kind;
+use thiserror::Error as ThisError;
 
 use super::Driver;
+use crate::relay::{self, Chunk};
 
-/// Reads a body piece by piece. Dropped before its end, it closes the connection to the upstream.
+/// The body broke off before its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ThisError)]
+#[error("the answer's body was cut")]
+pub struct Broken;
+
+/// Reads a body piece by piece. Dropped before its end, it closes the connection it comes from.
 #[derive(Debug)]
-pub struct Outflow {
-    buffered: std::vec::IntoIter<Bytes>,
-    body: Incoming,
-    _driver: Driver,
+pub enum Outflow {
+    /// From the upstream; with the connection and what feeds the request's body.
+    Upstream(Incoming, Driver, Option<Driver>),
+    /// From a peer; with what sends it the request's body.
+    Peer(relay::Receiver, Driver),
 }
 
 impl Outflow {
-    /// The pieces already `buffered`, then the rest of `body`.
-    pub fn new(buffered: Vec<Bytes>, body: Incoming, driver: Driver) -> Self {
-        Self {
-            buffered: buffered.into_iter(),
-            body,
-            _driver: driver,
-        }
-    }
-
     /// The next piece; `None` after the last one.
     ///
     /// # Errors
     ///
-    /// [`Kind::UpstreamCut`] if the body broke off.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, Kind> {
-        if let Some(piece) = self.buffered.next() {
-            return Ok(Some(piece));
+    /// [`Broken`].
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
+        match self {
+            Self::Upstream(body, _, _) => piece(body).await,
+            Self::Peer(receiver, _) => match receiver.chunk().await {
+                Ok(Chunk::Data(bytes)) => Ok(Some(bytes)),
+                Ok(Chunk::End) => Ok(None),
+                Ok(Chunk::TooLarge) | Err(_) => Err(Broken),
+            },
         }
-        piece(&mut self.body).await
     }
 }
 
 /// Reads the next piece of a body, passing over trailers.
-pub(super) async fn piece(body: &mut Incoming) -> Result<Option<Bytes>, Kind> {
+async fn piece(body: &mut Incoming) -> Result<Option<Bytes>, Broken> {
     loop {
         match body.frame().await {
             None => return Ok(None),
-            Some(Err(_)) => return Err(Kind::UpstreamCut),
+            Some(Err(_)) => return Err(Broken),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     return Ok(Some(data));
--- a/crates/daemon/src/app/agent/phase.rs
+++ b/crates/daemon/src/app/agent/phase.rs
@@ -16,7 +16,7 @@
 }
 
 impl Phase {
-    /// The state told to balancers; `serving` is the one while work is taken.
+    /// The state told to balancers; `serving` is the decisions' own while work is taken.
     pub fn state(self, serving: State) -> State {
         match self {
             Self::Serving => serving,
--- a/crates/daemon/src/app/agent/server.rs
+++ b/crates/daemon/src/app/agent/server.rs
@@ -5,17 +5,23 @@
         Arc,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::Instant,
 };
 
-use sassafrasmast_core::{Blackboard, config::Service};
+use sassafrasmast_core::{
+    Blackboard,
+    agent::{self, Claim, Key, Nonce},
+    config::{Service, Snapshot},
+};
 use sassafrasmast_wire::Incarnation;
 use tokio::sync::watch;
 
-use super::{Phase, Recorder, Upstream};
+use super::{Claims, Desk, Phase, Upstream};
 use crate::{
     options::{Agent, Settings},
     quic::Socket,
+    recorder::Recorder,
+    store::Etcd,
 };
 
 /// The running agent.
@@ -33,10 +39,13 @@
     pub socket: Arc<Socket>,
     /// The one upstream.
     pub upstream: Upstream,
+    /// Decides about requests.
+    pub desk: Desk,
     /// Writes the time line.
     pub recorder: Recorder,
     /// Where the agent is in its life.
     pub phase: watch::Sender<Phase>,
+    claims: Option<Claims>,
     flows: AtomicU32,
     requests: AtomicU64,
 }
@@ -51,8 +60,20 @@
         socket: Arc<Socket>,
     ) -> Self {
         let recorder = Recorder::new(Arc::clone(&blackboard), settings.name.clone(), incarnation);
+        let decisions = agent::Settings {
+            listen: settings.listen,
+            incarnation,
+            ..agent::Settings::default()
+        };
+        let core = agent::Agent::new(decisions, Instant::now());
+        let claims = match &role.store[..] {
+            [] => None,
+            store => Some(Claims::new(Arc::new(Etcd::new(store.to_vec())))),
+        };
         Self {
             upstream: Upstream::new(role.upstream),
+            desk: Desk::new(core, recorder.clone()),
+            claims,
             settings,
             role,
             blackboard,
@@ -65,11 +86,12 @@
         }
     }
 
-    /// The service in force, once the agent is admitted.
-    pub fn service(&self) -> Option<Service> {
+    /// The service and the configuration in force, once the agent is admitted.
+    pub fn service(&self) -> Option<(Service, Arc<Snapshot>)> {
         let snapshot = self.blackboard.config()?;
         let identity = self.socket.identity()?;
-        snapshot.document.services.get(&identity.service).cloned()
+        let service = snapshot.document.services.get(&identity.service)?.clone();
+        Some((service, snapshot))
     }
 
     /// A request id that was never used by this incarnation.
@@ -97,14 +119,21 @@
         let _ = phase.wait_for(|phase| wanted(*phase)).await;
     }
 
-    /// Longest time a request may take, from its caller's header or the service.
-    pub fn time_limit(service: &Service, headers: &http::HeaderMap) -> Option<Duration> {
-        match headers.get(super::exchange::DEADLINE) {
-            None => Some(Duration::from_millis(service.deadline_ms)),
-            Some(value) => {
-                let millis = value.to_str().ok()?.parse().ok()?;
-                Some(Duration::from_millis(millis))
-            }
+    /// A fresh sealed ticket, unless the agent takes no new work.
+    pub fn ticket(&self) -> Option<String> {
+        let ticket = self.desk.decide(agent::Agent::ticket)?;
+        let snapshot = self.blackboard.config()?;
+        Some(ticket.seal(&snapshot.keys, rand::random()))
+    }
+
+    /// Claims a caller's key in the platform's store.
+    pub async fn claim(&self, key: &Key, nonce: Nonce) -> Claim {
+        let (Some(claims), Some(identity)) = (&self.claims, self.socket.identity()) else {
+            return Claim::Unsettled;
+        };
+        match key {
+            Key::Minted(key) => claims.claim(identity.service, key, nonce).await,
+            Key::Ticket(_) => Claim::Unsettled,
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`http3`] and [`quic`]: the callers' protocols at an agent.
 //! - [`peer`]: calls between processes.
 //! - [`recorder`]: the time line of this process.
+//! - [`relay`]: requests sent from agent to agent.
 //! - [`store`]: the platform's key-value store.
 
 use std::process::ExitCode;
@@ -21,6 +22,7 @@
 pub mod peer;
 pub mod quic;
 pub mod recorder;
+pub mod relay;
 pub mod store;
 
 use crate::options::{Arguments, Role, Settings};
--- a/crates/daemon/src/options/agent.rs
+++ b/crates/daemon/src/options/agent.rs
@@ -18,6 +18,13 @@
     pub connections: u32,
     /// Addresses of balancers to announce the upstream to.
     pub entries: Vec<SocketAddr>,
+    /// Addresses of the platform's store, for claims of callers' keys.
+    #[serde(default)]
+    pub store: Vec<SocketAddr>,
+    /// Time in milliseconds after which a drain stops whatever still runs; without it a drain
+    /// waits for all callers to leave.
+    #[serde(default)]
+    pub drain_deadline_ms: Option<u64>,
     /// File with the certificate chain (PEM).
     pub certificate: PathBuf,
     /// File with the private key (PEM).
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -5,7 +5,7 @@
 
 mod call;
 mod client;
-mod codec;
+pub(crate) mod codec;
 mod common;
 mod error;
 mod reply;
--- a/crates/daemon/src/peer/call.rs
+++ b/crates/daemon/src/peer/call.rs
@@ -3,6 +3,8 @@
 use sassafrasmast_wire::{Address, ConfigVersion};
 use serde::{Deserialize, Serialize};
 
+use crate::relay::Head;
+
 /// A question to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Call {
@@ -22,4 +24,6 @@
         /// Number of the last event known.
         after: u64,
     },
+    /// Run this request for me. The connection then carries its body and its answer.
+    Relay(Box<Head>),
 }
--- a/crates/daemon/src/peer/codec.rs
+++ b/crates/daemon/src/peer/codec.rs
@@ -6,7 +6,7 @@
 use super::Error;
 
 /// Largest call in bytes.
-pub(super) const MAX_CALL_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_CALL_BYTES: usize = 64 * 1024;
 
 /// Largest reply in bytes; the whole document of a large fleet fits.
 pub(super) const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
@@ -15,7 +15,7 @@
 const CHUNK_BYTES: u64 = 64 * 1024;
 
 /// Writes one message of at most `limit` bytes.
-pub(super) async fn write<T: Serialize>(
+pub(crate) async fn write<T: Serialize>(
     stream: &mut (impl AsyncWrite + Unpin),
     message: &T,
     limit: usize,
@@ -34,7 +34,7 @@
 }
 
 /// Reads one message of at most `limit` bytes.
-pub(super) async fn read<T: DeserializeOwned>(
+pub(crate) async fn read<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
     limit: usize,
 ) -> Result<T, Error> {
--- a/crates/daemon/src/peer/common.rs
+++ b/crates/daemon/src/peer/common.rs
@@ -102,6 +102,7 @@
             Call::Balancers => Reply::Balancers(self.balancers()),
             Call::Version => Reply::Version(self.board.version()),
             Call::Events { after } => self.events(after),
+            Call::Relay(_) => Reply::Refused("requests are not run here".to_owned()),
         }
     }
 }
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -13,6 +13,7 @@
     Call, Error, Reply,
     codec::{self, MAX_CALL_BYTES, MAX_REPLY_BYTES},
 };
+use crate::relay::Head;
 
 /// Connections served at once; more wait in the accept queue.
 const MAX_CONNECTIONS: usize = 256;
@@ -31,6 +32,12 @@
 pub trait Handler: Send + Sync + 'static {
     /// Answers `call`, which came from `from`.
     async fn answer(&self, from: SocketAddr, call: Call) -> Reply;
+
+    /// Takes over the connection on which a relayed request came. By default it is closed, and
+    /// the peer has to tell its caller that the outcome is unknown.
+    async fn relay(&self, from: SocketAddr, _head: Head, _stream: TcpStream) {
+        log::debug!("peer: {from}: requests are not run here.");
+    }
 }
 
 /// Listens for calls of other processes.
@@ -87,6 +94,10 @@
         let call = timeout(READ_TIMEOUT, codec::read(&mut stream, MAX_CALL_BYTES))
             .await
             .map_err(|_| Error::Timeout)??;
+        if let Call::Relay(head) = call {
+            handler.relay(from, *head, stream).await;
+            return Ok(());
+        }
         let reply = handler.answer(from, call).await;
         timeout(
             WRITE_TIMEOUT,
--- a/crates/daemon/src/quic/socket.rs
+++ b/crates/daemon/src/quic/socket.rs
@@ -18,7 +18,11 @@
     AgentId, Body, ConfigVersion, Frame, Incarnation, Load, ServiceId, State, cid,
 };
 use socket2::{Domain, Protocol, Type};
-use tokio::{io::Interest, net::UdpSocket, sync::watch};
+use tokio::{
+    io::Interest,
+    net::UdpSocket,
+    sync::{mpsc, watch},
+};
 
 use super::{Identity, Link, Queue, poller::Poller};
 
@@ -37,6 +41,9 @@
 /// Least number of callers for which the way back is remembered.
 const MIN_CALLERS: usize = 1_024;
 
+/// Reports of peers that may wait; more are dropped.
+const MAX_REPORTS: usize = 64;
+
 /// Bit of a QUIC datagram's first byte that tells a long header.
 const LONG_HEADER: u8 = 0x80;
 
@@ -56,8 +63,13 @@
     link: Mutex<Link>,
     queue: Queue,
     newer: watch::Sender<Option<(SocketAddr, ConfigVersion)>>,
+    report: mpsc::Sender<Report>,
+    reports: Mutex<Option<mpsc::Receiver<Report>>>,
 }
 
+/// Load that an agent at an address reports.
+pub type Report = (SocketAddr, AgentId, Load);
+
 /// What the socket says about its agent.
 #[derive(Debug, Clone, Copy, Default)]
 struct Status {
@@ -97,6 +109,7 @@
         socket.set_nonblocking(true)?;
         socket.bind(&listen.into())?;
         let socket = std::net::UdpSocket::from(socket);
+        let (report, reports) = mpsc::channel(MAX_REPORTS);
         let callers = (max_flows as usize).saturating_mul(CALLERS_PER_CONNECTION);
         Ok(Self {
             state: UdpSocketState::new((&socket).into())?,
@@ -110,6 +123,8 @@
             link: Mutex::new(Link::new(callers.max(MIN_CALLERS))),
             queue: Queue::default(),
             newer: watch::Sender::new(None),
+            report,
+            reports: Mutex::new(Some(reports)),
         })
     }
 
@@ -148,6 +163,11 @@
         self.newer.subscribe()
     }
 
+    /// The loads that peers report. Can be taken once.
+    pub fn reports(&self) -> Option<mpsc::Receiver<Report>> {
+        lock(&self.reports).take()
+    }
+
     /// Forgets callers and balancers that were not heard for long.
     pub fn expire(&self, now: Instant) {
         lock(&self.link).expire(now);
@@ -193,7 +213,7 @@
         let mut buffer = Vec::new();
         let frame = Frame::new(self.blackboard.version(), body);
         if frame.encode(&mut buffer).is_ok() && self.io.try_send_to(&buffer, to).is_err() {
-            metrics::counter!("agent_frames_unsent_total").increment(1);
+            metrics::counter!("sassafrasmast_agent_frames_unsent_total").increment(1);
         }
     }
 
@@ -202,7 +222,7 @@
         let frame = match Frame::decode(datagram) {
             Ok(frame) => frame,
             Err(_) => {
-                metrics::counter!("agent_frames_malformed_total").increment(1);
+                metrics::counter!("sassafrasmast_agent_frames_malformed_total").increment(1);
                 return;
             }
         };
@@ -229,9 +249,17 @@
                 self.inbound(from, inbound, now);
             }
             Body::Probe { nonce, .. } => self.report(from, nonce, now),
-            Body::Outbound { .. }
+            Body::Report {
+                agent: Some(agent),
+                load,
+                ..
+            } => {
+                // A report that finds no room is soon followed by another.
+                let _ = self.report.try_send((from, agent, load));
+            }
+            Body::Report { agent: None, .. }
+            | Body::Outbound { .. }
             | Body::Handback { .. }
-            | Body::Report { .. }
             | Body::Announce { .. }
             | Body::Hello => {}
         }
@@ -266,7 +294,7 @@
             return;
         };
         if inbound.service != identity.service || inbound.agent != identity.agent {
-            metrics::counter!("agent_frames_foreign_total").increment(1);
+            metrics::counter!("sassafrasmast_agent_frames_foreign_total").increment(1);
             return;
         }
         let long = inbound
@@ -278,7 +306,7 @@
             None if !status.takes_flows() => return self.hand_back(from, inbound, status.load),
             // Only a datagram of an established flow makes quinn send a stateless reset.
             Some(other) if !self.is_mine(other) && long => {
-                metrics::counter!("agent_frames_stale_total").increment(1);
+                metrics::counter!("sassafrasmast_agent_frames_stale_total").increment(1);
                 return;
             }
             _ => {}
@@ -286,7 +314,7 @@
         if !lock(&self.link).arrived(inbound.caller, from, now)
             || !self.queue.push(inbound.caller, inbound.payload)
         {
-            metrics::counter!("agent_frames_overflow_total").increment(1);
+            metrics::counter!("sassafrasmast_agent_frames_overflow_total").increment(1);
         }
     }
 
@@ -296,7 +324,7 @@
 
     /// Returns a first datagram to its balancer, which places it elsewhere.
     fn hand_back(&self, to: SocketAddr, inbound: Inbound<'_>, load: Load) {
-        metrics::counter!("agent_handbacks_total").increment(1);
+        metrics::counter!("sassafrasmast_agent_handbacks_total").increment(1);
         self.send(
             to,
             Body::Handback {
@@ -330,7 +358,7 @@
         };
         let balancer = lock(&self.link).route(transmit.destination, Instant::now());
         let Some(balancer) = balancer else {
-            metrics::counter!("agent_frames_pathless_total").increment(1);
+            metrics::counter!("sassafrasmast_agent_frames_pathless_total").increment(1);
             return Ok(());
         };
         let body = Body::Outbound {
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -7,7 +7,7 @@
 
 use sassafrasmast_core::{
     Blackboard,
-    timeline::{Event, Kind},
+    timeline::{Event, FlowId, Kind, RequestId},
 };
 use sassafrasmast_wire::Incarnation;
 
@@ -46,6 +46,11 @@
 
     /// Records `kind` about the process as a whole.
     pub fn record(&self, kind: Kind) {
+        self.record_about(None, None, kind);
+    }
+
+    /// Records `kind` about a flow or a request.
+    pub fn record_about(&self, flow: Option<FlowId>, request: Option<RequestId>, kind: Kind) {
         let since_epoch = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
@@ -53,8 +58,8 @@
             at_ns: u64::try_from(since_epoch.as_nanos()).unwrap_or(u64::MAX),
             process: self.process.clone(),
             incarnation: self.incarnation,
-            flow: None,
-            request: None,
+            flow,
+            request,
             kind,
         });
     }
--- /dev/null
+++ b/crates/daemon/src/relay/line.rs
@@ -0,0 +1,88 @@
+//! The connection of the agent that relays a request.
+
+use std::{net::IpAddr, time::Duration};
+
+use sassafrasmast_wire::Address;
+use tokio::{
+    net::{
+        TcpSocket,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    time::timeout,
+};
+
+use super::{Head, Receiver, Sender};
+use crate::peer::{
+    Call, Error,
+    codec::{self, MAX_CALL_BYTES},
+};
+
+/// A peer that does not accept a connection for this long cannot be reached.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a relay failed.
+#[derive(Debug)]
+pub enum Failure {
+    /// Nothing was sent.
+    Unreachable,
+    /// The connection broke after something was sent.
+    Lost,
+}
+
+/// A connection that carries one relayed request.
+#[derive(Debug)]
+pub struct Line {
+    read: OwnedReadHalf,
+    write: OwnedWriteHalf,
+}
+
+impl Line {
+    /// Connects to the peer at `to` from the local address `from`.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Unreachable`].
+    pub async fn connect(from: IpAddr, to: Address) -> Result<Self, Failure> {
+        match timeout(CONNECT_TIMEOUT, connect(from, to)).await {
+            Ok(Ok(stream)) => {
+                let (read, write) = stream.into_split();
+                Ok(Self { read, write })
+            }
+            _ => Err(Failure::Unreachable),
+        }
+    }
+
+    /// Sends the head.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Unreachable`] if the head is too large to be sent, [`Failure::Lost`] if the
+    /// connection broke.
+    pub async fn send(&mut self, head: Head) -> Result<(), Failure> {
+        let call = Call::Relay(Box::new(head));
+        match codec::write(&mut self.write, &call, MAX_CALL_BYTES).await {
+            Ok(()) => Ok(()),
+            Err(Error::TooLarge { .. } | Error::Malformed) => Err(Failure::Unreachable),
+            Err(_) => Err(Failure::Lost),
+        }
+    }
+
+    /// The two directions: the body goes one way, the answer comes the other.
+    pub fn split(self) -> (Sender, Receiver) {
+        (Sender::new(self.write), Receiver::new(self.read))
+    }
+}
+
+async fn connect(from: IpAddr, to: Address) -> std::io::Result<tokio::net::TcpStream> {
+    let socket = if to.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    if from.is_ipv4() == to.is_ipv4() {
+        socket.bind((from, 0).into())?;
+    }
+    let stream = socket.connect(to).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/daemon/src/relay/receiver.rs
@@ -0,0 +1,37 @@
+//! The reading half of a connection between agents.
+
+use tokio::net::tcp::OwnedReadHalf;
+
+use super::{Answer, Chunk, MAX_MESSAGE};
+use crate::peer::{Error, codec};
+
+/// Receives chunks, and the head of an answer, from a peer.
+#[derive(Debug)]
+pub struct Receiver {
+    read: OwnedReadHalf,
+}
+
+impl Receiver {
+    /// Reads from the connection of `read`.
+    pub fn new(read: OwnedReadHalf) -> Self {
+        Self { read }
+    }
+
+    /// Waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// If the connection broke or the message is malformed.
+    pub async fn answer(&mut self) -> Result<Answer, Error> {
+        codec::read(&mut self.read, MAX_MESSAGE).await
+    }
+
+    /// Waits for the next chunk.
+    ///
+    /// # Errors
+    ///
+    /// If the connection broke or the message is malformed.
+    pub async fn chunk(&mut self) -> Result<Chunk, Error> {
+        codec::read(&mut self.read, MAX_MESSAGE).await
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/sender.rs
@@ -0,0 +1,51 @@
+//! The writing half of a connection between agents.
+
+use bytes::Bytes;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use super::{Answer, Chunk, MAX_DATA, MAX_MESSAGE};
+use crate::peer::{Error, codec};
+
+/// Sends chunks, and the head of an answer, to a peer.
+#[derive(Debug)]
+pub struct Sender {
+    write: OwnedWriteHalf,
+}
+
+impl Sender {
+    /// Writes to the connection of `write`.
+    pub fn new(write: OwnedWriteHalf) -> Self {
+        Self { write }
+    }
+
+    /// Sends the head of an answer.
+    ///
+    /// # Errors
+    ///
+    /// If the connection broke or the head is too large.
+    pub async fn answer(&mut self, answer: &Answer) -> Result<(), Error> {
+        codec::write(&mut self.write, answer, MAX_MESSAGE).await
+    }
+
+    /// Sends bytes of a body.
+    ///
+    /// # Errors
+    ///
+    /// If the connection broke.
+    pub async fn data(&mut self, mut bytes: Bytes) -> Result<(), Error> {
+        while !bytes.is_empty() {
+            let piece = bytes.split_to(MAX_DATA.min(bytes.len()));
+            self.chunk(&Chunk::Data(piece)).await?;
+        }
+        Ok(())
+    }
+
+    /// Sends one chunk.
+    ///
+    /// # Errors
+    ///
+    /// If the connection broke.
+    pub async fn chunk(&mut self, chunk: &Chunk) -> Result<(), Error> {
+        codec::write(&mut self.write, chunk, MAX_MESSAGE).await
+    }
+}
--- a/crates/daemon/tests/agent/site.rs
+++ b/crates/daemon/tests/agent/site.rs
@@ -118,6 +118,8 @@
             slots: 5,
             connections: 2_000,
             entries: vec![balancer.back],
+            store: Vec::new(),
+            drain_deadline_ms: None,
             certificate: chain,
             key,
         };
@@ -206,6 +208,21 @@
         connect.await.unwrap()
     }
 
+    /// Runs quick requests until the cold upstream is trusted with two at once.
+    pub async fn warm(&self) -> Caller {
+        let caller = self.caller().await;
+        for _ in 0..500 {
+            if self.server().desk.look(|agent, now| agent.load(now).limit) >= 2 {
+                return caller;
+            }
+            let (mut one, mut two) = (caller.clone(), caller.clone());
+            let both = tokio::join!(one.get("/slow/5"), two.get("/slow/5"));
+            both.0.unwrap();
+            both.1.unwrap();
+        }
+        panic!("the limit did not grow");
+    }
+
     /// Waits up to 5 s for a condition.
     pub async fn wait_until(&self, condition: impl Fn(&Self) -> bool) {
         for _ in 0..250 {
