test(core): traces with stated outcomes, and replay in the operators' tool

A first draft of the player ticked a paused process; spans of a pause are now taken from the event recorded afterwards, and nothing of the process happens in them.

--- a/crates/cli/src/replay.rs
+++ b/crates/cli/src/replay.rs
@@ -1,14 +1,76 @@
 //! Running a recorded time line through the decision core.
 
-use std::path::Path;
+use std::{fs, path::Path, time::Instant};
+
+use anyhow::Context;
+use sassafrasmast_core::replay::{Player, Report, Trace};
+use serde::Serialize;
 
 use crate::exit::Exit;
 
-/// Replays the recording in `file`.
+/// A report as JSON.
+#[derive(Debug, Serialize)]
+struct Summary {
+    passed: bool,
+    decisions: Vec<String>,
+    violations: Vec<String>,
+    missed: Vec<String>,
+    stated: usize,
+}
+
+impl Summary {
+    fn new(report: &Report) -> anyhow::Result<Self> {
+        let missed: Result<_, _> = report.missed.iter().map(serde_json::to_string).collect();
+        Ok(Self {
+            passed: report.passed(),
+            decisions: report.decisions.iter().map(ToString::to_string).collect(),
+            violations: report.violations.clone(),
+            missed: missed.context("stated outcomes")?,
+            stated: report.stated,
+        })
+    }
+
+    fn print(&self) {
+        for decision in &self.decisions {
+            println!("{decision}");
+        }
+        for violation in &self.violations {
+            println!("violation: {violation}");
+        }
+        for missed in &self.missed {
+            println!("missed: {missed}");
+        }
+        println!(
+            "replay: {} decisions, {} violations, {} of {} stated outcomes missed",
+            self.decisions.len(),
+            self.violations.len(),
+            self.missed.len(),
+            self.stated
+        );
+    }
+}
+
+/// Replays the recording in `file` and prints the decisions and what is wrong with them.
 ///
 /// # Errors
 ///
-/// If the file cannot be read or an outcome differs from the stated one.
-pub fn run(file: &Path, _json: bool) -> anyhow::Result<Exit> {
-    anyhow::bail!("{}: replay is not part of this build", file.display())
+/// If the file cannot be read or is not a trace.
+pub fn run(file: &Path, json: bool) -> anyhow::Result<Exit> {
+    let name = file.display();
+    let text = fs::read_to_string(file).with_context(|| format!("{name}"))?;
+    let trace = Trace::parse(&text).with_context(|| format!("{name}"))?;
+    let report = Player::new(Instant::now())
+        .play(&trace)
+        .with_context(|| format!("{name}"))?;
+    let summary = Summary::new(&report)?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&summary)?);
+    } else {
+        summary.print();
+    }
+    Ok(if summary.passed {
+        Exit::Done
+    } else {
+        Exit::Failed
+    })
 }
--- a/crates/core/src/agent/input.rs
+++ b/crates/core/src/agent/input.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    config::{Document, Snapshot},
+    config::{Document, Snapshot, document},
     timeline::RequestId,
 };
 
@@ -22,6 +22,7 @@
     /// A configuration came in force. Secrets are not part of a recording.
     Config {
         /// The document.
+        #[serde(deserialize_with = "document::recorded")]
         document: Box<Document>,
     },
     /// A request arrived.
@@ -88,6 +89,8 @@
         /// Its load.
         load: Load,
     },
+    /// A ticket was made for a caller.
+    Ticket,
     /// The process was told to stop.
     Drain,
     /// Nothing but time passed.
@@ -107,6 +110,9 @@
             }
             (Input::Peer { agent, load }, _) => self.peer(now, *agent, *load),
             (Input::Drain, _) => self.drain(now),
+            (Input::Ticket, _) => {
+                self.ticket(now);
+            }
             (Input::Tick, _) => self.tick(now),
             (_, Some(id)) => self.handle_request(now, id, input),
             (_, None) => return false,
--- a/crates/core/src/balancer/input.rs
+++ b/crates/core/src/balancer/input.rs
@@ -5,7 +5,7 @@
 use sassafrasmast_wire::{AgentId, Incarnation, Load, ServiceId};
 use serde::{Deserialize, Serialize};
 
-use crate::config::Document;
+use crate::config::{Document, document};
 
 /// One input of a router. Datagrams of open flows are routed by their id alone and are not
 /// recorded.
@@ -15,6 +15,7 @@
     /// A configuration came in force. Secrets are not part of a recording.
     Config {
         /// The document.
+        #[serde(deserialize_with = "document::recorded")]
         document: Box<Document>,
     },
     /// An agent reported its load.
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -4,6 +4,8 @@
 mod validate;
 mod view;
 
+pub(crate) use self::view::recorded;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use sassafrasmast_wire::{AgentId, ConfigVersion, ServiceId};
--- a/crates/core/src/config/document/view.rs
+++ b/crates/core/src/config/document/view.rs
@@ -5,7 +5,10 @@
     net::SocketAddr,
 };
 
-use super::Document;
+use sassafrasmast_wire::keys::SECRET_BYTES;
+use serde::{Deserialize, Deserializer, de::Error};
+
+use super::{Document, Secrets};
 
 impl Document {
     /// What the agent at `address` needs: its service with all upstreams of it, the zones and the
@@ -39,4 +42,32 @@
             secrets: self.secrets.clone(),
         }
     }
+
+    /// A copy that may be shown and recorded: its secrets are zero.
+    pub fn without_secrets(&self) -> Self {
+        let phases = self
+            .secrets
+            .phases
+            .keys()
+            .map(|&phase| (phase, [0; SECRET_BYTES]));
+        let secrets = Secrets {
+            sealing: self.secrets.sealing,
+            phases: phases.collect(),
+            reset: [0; SECRET_BYTES],
+        };
+        Self {
+            operations: VecDeque::new(),
+            secrets,
+            ..self.clone()
+        }
+    }
+}
+
+/// Reads a document that is part of a tagged enum. Serde buffers such fields and then no longer
+/// takes the text of a JSON object's key for a number.
+pub(crate) fn recorded<'de, D: Deserializer<'de>>(from: D) -> Result<Box<Document>, D::Error> {
+    let value = serde_json::Value::deserialize(from)?;
+    serde_json::from_value(value)
+        .map(Box::new)
+        .map_err(D::Error::custom)
 }
--- a/crates/core/src/replay/player.rs
+++ b/crates/core/src/replay/player.rs
@@ -20,6 +20,8 @@
     start_ns: u64,
     agents: BTreeMap<String, Agent>,
     balancers: BTreeMap<String, Balancer>,
+    /// Spans in which a process stood still.
+    pauses: BTreeMap<String, Vec<(Instant, Instant)>>,
     checker: Checker,
     decisions: Vec<Decision>,
 }
@@ -32,6 +34,7 @@
             start_ns: 0,
             agents: BTreeMap::new(),
             balancers: BTreeMap::new(),
+            pauses: BTreeMap::new(),
             checker: Checker::default(),
             decisions: Vec::new(),
         }
@@ -51,9 +54,10 @@
     /// ```
     pub fn play(mut self, trace: &Trace) -> Result<Report, Error> {
         self.start_ns = trace.events.first().map_or(0, |event| event.at_ns);
+        self.find_pauses(trace);
         let mut inputs = 0;
         for event in &trace.events {
-            let now = self.base + Duration::from_nanos(event.at_ns - self.start_ns);
+            let now = self.time(event);
             self.advance(now);
             inputs += usize::from(self.feed(now, event)?);
         }
@@ -69,13 +73,44 @@
         })
     }
 
+    /// Time of an event on the virtual clock.
+    fn time(&self, event: &Event) -> Instant {
+        self.base + Duration::from_nanos(event.at_ns - self.start_ns)
+    }
+
+    /// Pauses are known only afterwards, so they are collected before the replay.
+    fn find_pauses(&mut self, trace: &Trace) {
+        for event in &trace.events {
+            if let Kind::Resumed { after } = event.kind {
+                let end = self.time(event);
+                let pause = (end.checked_sub(after).unwrap_or(self.base), end);
+                self.pauses
+                    .entry(event.process.clone())
+                    .or_default()
+                    .push(pause);
+            }
+        }
+    }
+
+    /// When a process does what is due at `at`: after its pause, if it stands still then, and
+    /// after what it does in the first instant of going on.
+    fn awake(&self, process: &str, at: Instant) -> Instant {
+        let pauses = self.pauses.get(process).into_iter().flatten();
+        let pause = pauses
+            .copied()
+            .find(|(from, to)| (*from..=*to).contains(&at));
+        pause.map_or(at, |(_, end)| end + Duration::from_nanos(1))
+    }
+
     /// Lets all processes do what is due before `now`, in the order of time.
     fn advance(&mut self, now: Instant) {
         for balancer in self.balancers.values_mut() {
             balancer.advance(now);
         }
         loop {
-            let due = |(process, agent): (&String, &Agent)| Some((agent.wake()?, process.clone()));
+            let due = |(process, agent): (&String, &Agent)| {
+                Some((self.awake(process, agent.wake()?), process.clone()))
+            };
             let next = self
                 .agents
                 .iter()
--- a/crates/core/src/replay/trace.rs
+++ b/crates/core/src/replay/trace.rs
@@ -1,7 +1,5 @@
 //! A recorded run and the outcomes it has to have.
 
-use serde::Deserialize;
-
 use crate::timeline::Event;
 
 use super::{Error, Outcome};
@@ -15,14 +13,6 @@
     pub outcomes: Vec<Outcome>,
 }
 
-/// One line of a trace.
-#[derive(Debug, Deserialize)]
-#[serde(untagged)]
-enum Line {
-    Event(Box<Event>),
-    Outcome(Outcome),
-}
-
 impl Trace {
     /// Parses a trace. Empty lines and lines that start with `#` are skipped.
     ///
@@ -48,26 +38,21 @@
             if line.is_empty() || line.starts_with('#') {
                 continue;
             }
-            let parsed = serde_json::from_str(line).map_err(|_| Error::Line {
+            let fault = |error: serde_json::Error| Error::Line {
                 line: index + 1,
-                reason: Self::reason(line),
-            })?;
-            match parsed {
-                Line::Event(event) => trace.events.push(*event),
-                Line::Outcome(outcome) => trace.outcomes.push(outcome),
+                reason: error.to_string(),
+            };
+            if line.contains("\"expect\"") {
+                trace
+                    .outcomes
+                    .push(serde_json::from_str(line).map_err(fault)?);
+            } else {
+                trace
+                    .events
+                    .push(serde_json::from_str(line).map_err(fault)?);
             }
         }
         trace.events.sort_by_key(|event| event.at_ns);
         Ok(trace)
     }
-
-    /// The reason of the kind of line that was most likely meant.
-    fn reason(line: &str) -> String {
-        let outcome = line.contains("\"expect\"");
-        let error = match outcome {
-            true => serde_json::from_str::<Outcome>(line).err(),
-            false => serde_json::from_str::<Event>(line).err(),
-        };
-        error.map_or_else(String::new, |error| error.to_string())
-    }
 }
--- a/crates/core/src/timeline/kind.rs
+++ b/crates/core/src/timeline/kind.rs
@@ -1,6 +1,6 @@
 //! The closed set of things that can happen.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use sassafrasmast_wire::{AgentId, ConfigVersion, ServiceId};
 use schemars::JsonSchema;
@@ -40,6 +40,11 @@
     },
     /// The process was told to stop and finishes its work.
     Draining,
+    /// The process was not scheduled for some time and goes on.
+    Resumed {
+        /// How long it stood still.
+        after: Duration,
+    },
     /// The process stopped.
     Stopped,
     /// A configuration came in force.
