--- a/crates/standins/src/caller/client.rs
+++ b/crates/standins/src/caller/client.rs
@@ -173,6 +173,23 @@
         Ok(submission)
     }
 
+    /// Posts a booking once, on a new connection, under a key of the caller's own.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::connect`] and [`Connection::request`].
+    pub async fn book_with_key(&self, id: &str, key: &str) -> Result<Answer, Error> {
+        let mut connection = self.connect().await?;
+        let body = json!({ "booking": id }).to_string();
+        let mut request = request("POST", "/bookings")?;
+        let key = key
+            .parse()
+            .map_err(|_| Error::Wrong(format!("no key: {key}")))?;
+        request.headers_mut().insert("idempotency-key", key);
+        let limit = self.settings.deadline;
+        connection.request(request, body.into(), limit).await
+    }
+
     /// Posts `body` under a ticket, again under the same ticket while nothing is known, and under
     /// a fresh one after a refusal, until the deadline.
     pub async fn submit(&mut self, path: &str, body: Bytes) -> Submission {
--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -15,6 +15,7 @@
 use sassafrasmast_wire::ConfigVersion;
 use sassafrasmastd::api::Announced;
 use serde_json::Value;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use super::{Network, Operator, Settings};
 use crate::{
@@ -37,6 +38,9 @@
 /// Largest request body in bytes.
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Deployments of one process that run at once; more would take each other's processor time.
+static RUNNING: Semaphore = Semaphore::const_new(3);
+
 /// A whole deployment as child processes, which end with it.
 #[derive(Debug)]
 pub struct Deployment {
@@ -50,6 +54,7 @@
     directory: PathBuf,
     /// Whether settings and logs outlive it.
     keep: bool,
+    _running: SemaphorePermit<'static>,
 }
 
 impl Drop for Deployment {
@@ -90,7 +95,7 @@
     ///
     /// Names what could not be started, or what did not get ready in time with its log.
     pub async fn start(settings: Settings) -> anyhow::Result<Self> {
-        let mut deployment = Self::prepare(settings)?;
+        let mut deployment = Self::prepare(settings).await?;
         deployment.keep = true;
         deployment.launch()?;
         deployment.admit().await?;
@@ -99,12 +104,14 @@
         Ok(deployment)
     }
 
-    /// Makes the directory with the certificate; starts nothing.
+    /// Makes the directory with the certificate; starts nothing. Waits while many deployments of
+    /// this process run.
     ///
     /// # Errors
     ///
     /// If a file cannot be written.
-    pub fn prepare(settings: Settings) -> anyhow::Result<Self> {
+    pub async fn prepare(settings: Settings) -> anyhow::Result<Self> {
+        let _running = RUNNING.acquire().await?;
         let network = Network::unique();
         let name = format!("sassafrasmast-{}", network.store().ip());
         let directory = env::temp_dir().join(name);
@@ -116,6 +123,7 @@
             processes: BTreeMap::new(),
             directory,
             keep: false,
+            _running,
         })
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`certificate`]: a development certificate.
 //! - [`process`]: child processes.
 //! - [`quickstart`]: a tour of the product.
+//! - [`scenario`]: steps that tests of the whole path share.
 
 pub mod caller;
 pub mod certificate;
@@ -16,5 +17,6 @@
 pub mod http;
 pub mod process;
 pub mod quickstart;
+pub mod scenario;
 pub mod store;
 pub mod upstream;
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -70,8 +70,7 @@
     /// If the system refuses it.
     pub fn signal(&mut self, signal: Signal) -> anyhow::Result<()> {
         if self.is_running() {
-            let id = i32::try_from(self.child.id())?;
-            signal::kill(Pid::from_raw(id), signal)?;
+            send(self.child.id(), signal)?;
         }
         Ok(())
     }
@@ -111,6 +110,16 @@
     }
 }
 
+/// Sends a signal to a process that is known to run.
+///
+/// # Errors
+///
+/// If the system refuses it.
+pub fn send(id: u32, signal: Signal) -> anyhow::Result<()> {
+    signal::kill(Pid::from_raw(i32::try_from(id)?), signal)?;
+    Ok(())
+}
+
 /// Starts a binary whose output is appended to `log`.
 fn spawn(binary: &str, arguments: &[String], log: &Path) -> anyhow::Result<Child> {
     let path = directory()?.join(binary);
