feat: record the inputs of agents' decisions and replay a live time line

The decision core keeps each input with its time; the agent puts them on the time line in the order the core got them, timed by the monotonic clock, and records the ticks that changed something. A replay compares what the recording tells of hand-overs and answers.

--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -69,7 +69,7 @@
     if json {
         print!("{lines}");
     } else if out.is_none() {
-        for event in events {
+        for event in events.iter().filter(|event| !event.kind.is_input()) {
             println!("{}", row(event));
         }
     }
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -105,8 +105,12 @@
     /// When the last small request arrived.
     small: Option<Instant>,
     actions: VecDeque<Action>,
+    recorded: Vec<Recorded>,
 }
 
+/// An input with its time and the request concerned.
+pub type Recorded = (Instant, Option<RequestId>, Input);
+
 impl Agent {
     /// An agent without a configuration: it refuses everything until [`Agent::config`].
     ///
@@ -142,6 +146,7 @@
             predictor: Predictor::default(),
             small: None,
             actions: VecDeque::new(),
+            recorded: Vec::new(),
         }
     }
 
@@ -150,6 +155,18 @@
         self.actions.pop_front()
     }
 
+    /// The inputs since the last call, if [`Settings::recording`] is set.
+    pub fn inputs(&mut self) -> Vec<Recorded> {
+        std::mem::take(&mut self.recorded)
+    }
+
+    /// Records an input.
+    fn note(&mut self, now: Instant, id: Option<RequestId>, input: impl FnOnce() -> Input) {
+        if self.settings.recording {
+            self.recorded.push((now, id, input()));
+        }
+    }
+
     /// Id and service of this agent, once it is admitted.
     pub fn identity(&self) -> Option<(AgentId, ServiceId)> {
         let member = self.member.as_ref()?;
@@ -171,6 +188,7 @@
 
     /// A fresh ticket for the next request of a caller; `None` unless this agent takes new work.
     pub fn ticket(&mut self, now: Instant) -> Option<Ticket> {
+        self.note(now, None, || Input::Ticket);
         let member = self.member.as_ref()?;
         if !self.state().takes_work() {
             return None;
@@ -187,6 +205,7 @@
 
     /// Takes in the load that a peer of the same service reports.
     pub fn peer(&mut self, now: Instant, agent: AgentId, load: Load) {
+        self.note(now, None, || Input::Peer { agent, load });
         let peer = |member: &Member| member.peers.contains(&agent);
         if self.member.as_ref().is_some_and(peer) {
             self.peers.report(now, agent, load);
--- a/crates/core/src/agent/arrival.rs
+++ b/crates/core/src/agent/arrival.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    Agent, Class, Entry, Key, Record, Reply, Request, Weight, claim,
+    Agent, Class, Entry, Input, Key, Record, Reply, Request, Weight, claim,
     flight::{Flight, Stage},
 };
 
@@ -28,6 +28,7 @@
     /// a minted key is cut to [`claim::STARTABLE`], so that its run ends while its claim holds.
     pub fn arrive(&mut self, now: Instant, mut request: Request) {
         let id = request.id;
+        self.note(now, Some(id), || Input::arrived(now, &request));
         if self.flights.contains_key(&id) {
             return;
         }
--- a/crates/core/src/agent/claiming.rs
+++ b/crates/core/src/agent/claiming.rs
@@ -4,11 +4,12 @@
 
 use crate::{error::Kind, timeline::RequestId};
 
-use super::{Action, Agent, Claim, Key, Nonce, claim, flight::Stage};
+use super::{Action, Agent, Claim, Input, Key, Nonce, claim, flight::Stage};
 
 impl Agent {
     /// The result of a claim.
     pub fn claimed(&mut self, now: Instant, id: RequestId, result: Claim) {
+        self.note(now, Some(id), || Input::Claimed { claim: result });
         if self
             .flights
             .get(&id)
--- a/crates/core/src/agent/clock.rs
+++ b/crates/core/src/agent/clock.rs
@@ -7,12 +7,27 @@
     timeline::RequestId,
 };
 
-use super::{Action, Agent, Reply, Sign, flight::Stage};
+use super::{Action, Agent, Input, Reply, Sign, flight::Stage};
 
 impl Agent {
     /// Lets time pass: ends what is due, gives up what a drain could not move, relays what waits
     /// too long.
     pub fn tick(&mut self, now: Instant) {
+        let before = self.mark(now);
+        self.pass(now);
+        // Recorded only where it changed something: ticks are many.
+        if self.mark(now) != before {
+            self.note(now, None, || Input::Tick);
+        }
+    }
+
+    /// What changes when a tick decides something.
+    fn mark(&self, now: Instant) -> impl PartialEq + use<> {
+        let waiting = (self.queue.len(), self.dues.len(), self.registry.len());
+        (self.actions.len(), waiting, self.limiter.limit(now))
+    }
+
+    fn pass(&mut self, now: Instant) {
         while let Some(&(at, id)) = self.dues.first() {
             if at > now {
                 break;
--- a/crates/core/src/agent/ending.rs
+++ b/crates/core/src/agent/ending.rs
@@ -8,13 +8,14 @@
 };
 
 use super::{
-    Action, Agent, Key, Record, Reply, claim,
+    Action, Agent, Input, Key, Record, Reply, claim,
     flight::{Flight, Stage},
 };
 
 impl Agent {
     /// The caller gave up. A run under a key goes on, so that a repeat gets its answer.
     pub fn cancelled(&mut self, now: Instant, id: RequestId) {
+        self.note(now, Some(id), || Input::Cancelled);
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
--- a/crates/core/src/agent/input.rs
+++ b/crates/core/src/agent/input.rs
@@ -144,6 +144,13 @@
 }
 
 impl Input {
+    /// Records a configuration, without its secrets.
+    pub fn config(document: &Document) -> Self {
+        Self::Config {
+            document: Box::new(document.without_secrets()),
+        }
+    }
+
     /// Records a request that arrived at `now`.
     pub fn arrived(now: Instant, request: &Request) -> Self {
         let mut digest = [0; size_of::<u64>()];
--- a/crates/core/src/agent/membership.rs
+++ b/crates/core/src/agent/membership.rs
@@ -4,11 +4,12 @@
 
 use crate::{config::Snapshot, error::Kind};
 
-use super::{Agent, Limiter, flight::Stage, member::Member};
+use super::{Agent, Input, Limiter, flight::Stage, member::Member};
 
 impl Agent {
     /// A configuration came in force.
     pub fn config(&mut self, now: Instant, snapshot: &Snapshot) {
+        self.note(now, None, || Input::config(&snapshot.document));
         let member = Member::find(&snapshot.document, self.settings.listen);
         let was_out = self.member.as_ref().is_some_and(|member| member.out);
         let fresh = self.member.is_none();
@@ -38,6 +39,7 @@
     /// The process was told to stop: nothing new is taken, what runs is finished, what waits is
     /// relayed, or started within the grace, or refused.
     pub fn drain(&mut self, now: Instant) {
+        self.note(now, None, || Input::Drain);
         self.stopping = true;
         self.set_draining(now, true);
         self.pump(now);
--- a/crates/core/src/agent/relaying.rs
+++ b/crates/core/src/agent/relaying.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    Action, Agent, Class, Key, Relay, Reply,
+    Action, Agent, Class, Input, Key, Relay, Reply,
     flight::{Flight, Stage},
 };
 
@@ -26,6 +26,7 @@
 impl Agent {
     /// The result of a relay.
     pub fn relayed(&mut self, now: Instant, id: RequestId, result: Relay) {
+        self.note(now, Some(id), || Input::Relayed { relay: result });
         let Some(flight) = self.flights.get(&id) else {
             return;
         };
--- a/crates/core/src/agent/running.rs
+++ b/crates/core/src/agent/running.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    Action, Agent, Class, Finish, Kept, Key, Record, Reply, Sign, Weight, claim,
+    Action, Agent, Class, Finish, Input, Kept, Key, Record, Reply, Sign, Weight, claim,
     flight::{Flight, Stage},
 };
 
@@ -23,6 +23,7 @@
     /// first byte is written, as the process may have been paused. After `false` the request has
     /// its final answer and nothing may be sent.
     pub fn may_start(&mut self, now: Instant, id: RequestId) -> bool {
+        self.note(now, Some(id), || Input::HandOver);
         let Some(flight) = self.flights.get(&id) else {
             return false;
         };
@@ -49,6 +50,7 @@
 
     /// The head of a feed's answer arrived: the feed gives back its slot.
     pub fn opened(&mut self, now: Instant, id: RequestId, latency: Duration) {
+        self.note(now, Some(id), || Input::Opened { latency });
         let Some(flight) = self.flights.get(&id) else {
             return;
         };
@@ -66,6 +68,7 @@
 
     /// A started request came to its end.
     pub fn finished(&mut self, now: Instant, id: RequestId, finish: Finish) {
+        self.note(now, Some(id), || Input::finished(&finish));
         let Some(flight) = self.flights.get(&id) else {
             return;
         };
--- a/crates/core/src/agent/settings.rs
+++ b/crates/core/src/agent/settings.rs
@@ -26,6 +26,8 @@
     pub drain_grace: Duration,
     /// Store writes per second that all agents of the fleet together may spend on claims.
     pub fleet_claims_per_s: f64,
+    /// Whether inputs are kept for [`super::Agent::inputs`].
+    pub recording: bool,
 }
 
 impl Default for Settings {
@@ -39,6 +41,7 @@
             ticket_life: Duration::from_secs(600),
             drain_grace: Duration::from_secs(3),
             fleet_claims_per_s: 200.0,
+            recording: false,
         }
     }
 }
--- a/crates/core/src/replay/checker.rs
+++ b/crates/core/src/replay/checker.rs
@@ -13,7 +13,8 @@
     keys: BTreeMap<Place, Key>,
     runs: BTreeMap<Place, u32>,
     runs_by_key: BTreeMap<Key, u32>,
-    answered: BTreeSet<Place>,
+    arrived: BTreeSet<Place>,
+    answered: BTreeMap<Place, Outcome>,
     not_run: BTreeSet<Place>,
     not_run_keys: BTreeSet<Key>,
     violations: Vec<String>,
@@ -22,6 +23,7 @@
 impl Checker {
     /// A request arrived.
     pub(super) fn arrived(&mut self, place: Place, key: Option<Key>) {
+        self.arrived.insert(place.clone());
         if let Some(key) = key {
             self.keys.insert(place, key);
         }
@@ -66,7 +68,7 @@
 
     /// A request got its final answer.
     pub(super) fn answered(&mut self, place: &Place, outcome: Outcome) {
-        if !self.answered.insert(place.clone()) {
+        if self.answered.insert(place.clone(), outcome).is_some() {
             self.fault(place, "was answered twice");
         }
         if outcome != Outcome::NotRun {
@@ -85,6 +87,23 @@
         self.not_run_keys.extend(key);
     }
 
+    /// The recording says that the hand-over took place.
+    pub(super) fn recorded_start(&mut self, place: &Place) {
+        if self.arrived.contains(place) && !self.runs.contains_key(place) {
+            self.fault(place, "was handed over in the recording only");
+        }
+    }
+
+    /// The recording says that the request got its final answer.
+    pub(super) fn recorded_answer(&mut self, place: &Place, outcome: &str) {
+        let replayed = self.answered.get(place).map(|outcome| outcome.as_str());
+        if self.arrived.contains(place) && replayed != Some(outcome) {
+            let replayed = replayed.unwrap_or("nothing");
+            let what = format!("was answered {outcome} in the recording, {replayed} in the replay");
+            self.fault(place, &what);
+        }
+    }
+
     /// All violations found.
     pub(super) fn finish(self) -> Vec<String> {
         self.violations
--- a/crates/core/src/replay/player.rs
+++ b/crates/core/src/replay/player.rs
@@ -1,7 +1,7 @@
 //! Feeds a trace to the decisions.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -20,6 +20,8 @@
     start_ns: u64,
     agents: BTreeMap<String, Agent>,
     balancers: BTreeMap<String, Balancer>,
+    /// Agents whose ticks are not recorded.
+    ticking: BTreeSet<String>,
     /// Spans in which a process stood still.
     pauses: BTreeMap<String, Vec<(Instant, Instant)>>,
     checker: Checker,
@@ -34,6 +36,7 @@
             start_ns: 0,
             agents: BTreeMap::new(),
             balancers: BTreeMap::new(),
+            ticking: BTreeSet::new(),
             pauses: BTreeMap::new(),
             checker: Checker::default(),
             decisions: Vec::new(),
@@ -114,6 +117,7 @@
             let next = self
                 .agents
                 .iter()
+                .filter(|(process, _)| self.ticking.contains(*process))
                 .filter_map(due)
                 .min()
                 .filter(|(at, _)| *at <= now);
@@ -136,12 +140,15 @@
     /// Feeds one event. Returns whether it was an input.
     fn feed(&mut self, now: Instant, event: &Event) -> Result<bool, Error> {
         match &event.kind {
-            Kind::AgentSettings { listen } => {
+            Kind::AgentSettings { listen, ticks } => {
                 let settings = Settings {
                     listen: *listen,
                     incarnation: event.incarnation,
                     ..Settings::default()
                 };
+                if !ticks {
+                    self.ticking.insert(event.process.clone());
+                }
                 self.agents
                     .insert(event.process.clone(), Agent::new(settings, now));
             }
@@ -158,11 +165,27 @@
                     self.note(now, &event.process, None, what);
                 }
             }
-            _ => return Ok(false),
+            kind => {
+                self.compare(event, kind);
+                return Ok(false);
+            }
         }
         Ok(true)
     }
 
+    /// Compares what the recording tells of a request with the replay.
+    fn compare(&mut self, event: &Event, kind: &Kind) {
+        let Some(request) = event.request else {
+            return;
+        };
+        let place = (event.process.clone(), request);
+        match kind {
+            Kind::RequestStarted => self.checker.recorded_start(&place),
+            Kind::RequestAnswered { outcome, .. } => self.checker.recorded_answer(&place, outcome),
+            _ => {}
+        }
+    }
+
     fn feed_agent(&mut self, now: Instant, event: &Event, input: &Input) -> Result<(), Error> {
         let process = &event.process;
         let agent = self.agents.get_mut(process);
--- a/crates/core/src/timeline/kind.rs
+++ b/crates/core/src/timeline/kind.rs
@@ -18,6 +18,10 @@
     AgentSettings {
         /// Address of the agent for frames.
         listen: SocketAddr,
+        /// Whether the ticks that decided something are recorded; otherwise a replay ticks when
+        /// something is due.
+        #[serde(default)]
+        ticks: bool,
     },
     /// A balancer's decisions began. What follows of them can be replayed.
     BalancerSettings {
@@ -109,3 +113,10 @@
         reachable: bool,
     },
 }
+
+impl Kind {
+    /// Whether the event is an input for a replay rather than something for a person to read.
+    pub fn is_input(&self) -> bool {
+        matches!(self, Self::AgentInput { .. } | Self::BalancerInput { .. })
+    }
+}
--- a/crates/daemon/src/app/agent/desk.rs
+++ b/crates/daemon/src/app/agent/desk.rs
@@ -23,8 +23,8 @@
 /// Actions for one request. The channel closes when no more decisions about it can follow.
 pub type Actions = mpsc::UnboundedReceiver<Action>;
 
-/// Holds the decision core. Its lock is never held across an await point, nor while another one
-/// is taken.
+/// Holds the decision core. Its lock is never held across an await point. The only lock taken
+/// under it is that of the time line.
 #[derive(Debug)]
 pub struct Desk {
     inner: Mutex<Inner>,
@@ -62,6 +62,7 @@
         let result = event(&mut inner.agent, Instant::now());
         let told = inner.hand_out();
         let after = inner.agent.wake();
+        self.record_inputs(&mut inner);
         drop(inner);
         if after.is_some_and(|after| before.is_none_or(|before| after < before)) {
             self.sooner.notify_one();
@@ -105,6 +106,14 @@
         }
     }
 
+    /// Puts the inputs on the time line, in the order in which the core got them.
+    fn record_inputs(&self, inner: &mut Inner) {
+        for (at, request, input) in inner.agent.inputs() {
+            let kind = Kind::AgentInput { input };
+            self.recorder.record_at(at, None, request, kind);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/app/agent/server.rs
+++ b/crates/daemon/src/app/agent/server.rs
@@ -12,6 +12,7 @@
     Blackboard,
     agent::{self, Claim, Key, Nonce},
     config::{Service, Snapshot},
+    timeline::Kind,
 };
 use sassafrasmast_wire::Incarnation;
 use tokio::sync::watch;
@@ -63,9 +64,16 @@
         let decisions = agent::Settings {
             listen: settings.listen,
             incarnation,
+            recording: true,
             ..agent::Settings::default()
         };
-        let core = agent::Agent::new(decisions, Instant::now());
+        let start = Instant::now();
+        let began = Kind::AgentSettings {
+            listen: settings.listen,
+            ticks: decisions.recording,
+        };
+        recorder.record_at(start, None, None, began);
+        let core = agent::Agent::new(decisions, start);
         let claims = match &role.store[..] {
             [] => None,
             store => Some(Claims::new(Arc::new(Etcd::new(store.to_vec())))),
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use sassafrasmast_core::{
@@ -17,6 +17,10 @@
     board: Arc<Blackboard>,
     process: String,
     incarnation: Incarnation,
+    /// The same moment on the monotonic and the wall clock. Events are timed by the first, so
+    /// that they stay in order when the second is set.
+    start: Instant,
+    epoch: Duration,
 }
 
 impl Recorder {
@@ -26,6 +30,10 @@
             board,
             process,
             incarnation,
+            start: Instant::now(),
+            epoch: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default(),
         }
     }
 
@@ -51,9 +59,18 @@
 
     /// Records `kind` about a flow or a request.
     pub fn record_about(&self, flow: Option<FlowId>, request: Option<RequestId>, kind: Kind) {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        self.record_at(Instant::now(), flow, request, kind);
+    }
+
+    /// Records `kind` at a time that was read before.
+    pub fn record_at(
+        &self,
+        at: Instant,
+        flow: Option<FlowId>,
+        request: Option<RequestId>,
+        kind: Kind,
+    ) {
+        let since_epoch = self.epoch + at.saturating_duration_since(self.start);
         self.board.record(Event {
             at_ns: u64::try_from(since_epoch.as_nanos()).unwrap_or(u64::MAX),
             process: self.process.clone(),
