fix(standins): a restarted store gave lease ids of its earlier life again

Cause: ids were counted from 1, so its old lease id named another balancer's new lease and its keep-alive succeeded. Ruled out: the spread of the configuration (all three balancers had the new version in time). The ids now start at a random number, as the real store's are unique.

--- a/crates/standins/src/store/table.rs
+++ b/crates/standins/src/store/table.rs
@@ -57,7 +57,8 @@
             revision: 1,
             slots: BTreeMap::new(),
             leases: BTreeMap::new(),
-            next_lease: 1,
+            // A store that starts anew gives no id of an earlier life again.
+            next_lease: rand::random_range(1..i64::MAX / 2),
             history: VecDeque::new(),
         }
     }
