test: configuration over separate balancers and a failing store

Racing confirms, a confirm whose reply is lost, a boot during an outage, a store that comes back empty and a paused balancer; bound 5 s where the promise has one.

--- /dev/null
+++ b/crates/standins/tests/configuration.rs
@@ -0,0 +1,150 @@
+//! The configuration over separate balancers and a failing store.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use sassafrasmast_core::config::Change;
+use sassafrasmast_standins::{
+    deployment::{Deployment, ServiceSettings, Settings, until},
+    store::Fault,
+};
+
+/// "A few seconds" of the promises: a confirmed configuration is in force everywhere.
+const FEW_SECONDS: Duration = Duration::from_secs(5);
+
+/// Longest time in which a started balancer answers.
+const BOOT: Duration = Duration::from_secs(10);
+
+/// Balancers without upstreams.
+async fn start() -> Deployment {
+    let settings = Settings {
+        services: vec![ServiceSettings::new("dispatch", 0)],
+        ..Settings::default()
+    };
+    let mut deployment = Deployment::prepare(settings).await.expect("a directory");
+    deployment.launch().expect("the processes start");
+    deployment.create().await.expect("zones and services");
+    deployment
+}
+
+fn zone(name: &str) -> Vec<Change> {
+    vec![Change::AddZone {
+        zone: name.to_owned(),
+    }]
+}
+
+async fn fault(deployment: &Deployment, fault: Fault) {
+    deployment.fault_store(&fault).await.expect("a fault");
+}
+
+fn down() -> Fault {
+    Fault {
+        down: true,
+        ..Fault::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_of_two_racing_plans_is_confirmed_and_in_force_everywhere() {
+    let deployment = start().await;
+    let (one, two) = (deployment.operator(0), deployment.operator(1));
+    let version = two.status().await.unwrap().version.max(2);
+    deployment.in_force(version, FEW_SECONDS).await.unwrap();
+    let first = one.plan(zone("first")).await.unwrap();
+    let second = two.plan(zone("second")).await.unwrap();
+    let (first, second) = tokio::join!(one.confirm(first, "a"), two.confirm(second, "b"));
+    let won = match (first, second) {
+        (Ok(won), Err(lost)) | (Err(lost), Ok(won)) => {
+            assert!(lost.to_string().contains(": 409 "), "{lost}");
+            won
+        }
+        both => panic!("{both:?}"),
+    };
+    assert_eq!(won.version, version + 1);
+    deployment.in_force(won.version, FEW_SECONDS).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn confirm_whose_reply_is_lost_counts_once() {
+    let deployment = start().await;
+    let operator = deployment.operator(0);
+    let plan = operator.plan(zone("lost")).await.unwrap();
+    let lose = Fault {
+        lose_replies: 1,
+        ..Fault::default()
+    };
+    fault(&deployment, lose).await;
+    let first = operator.confirm(plan.clone(), "once").await.unwrap();
+    let again = deployment.operator(2).confirm(plan.clone(), "once").await;
+    assert_eq!(again.unwrap().version, first.version);
+    assert_eq!(first.version, plan.base + 1);
+    let version = operator.status().await.unwrap().version;
+    assert_eq!(version, first.version);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn balancer_that_boots_in_an_outage_gets_the_configuration_from_a_peer() {
+    let mut deployment = start().await;
+    let operator = deployment.operator(0);
+    let version = operator.status().await.unwrap().version;
+    fault(&deployment, down()).await;
+    let balancer = deployment.process("balancer-2").unwrap();
+    balancer.signal(Signal::SIGKILL).unwrap();
+    balancer.restart().unwrap();
+    let restarted = deployment.operator(2);
+    until("balancer-2", BOOT, || async {
+        let found = restarted.status().await?.version;
+        anyhow::ensure!(found == version, "version {found}");
+        Ok(())
+    })
+    .await
+    .unwrap();
+    // Nothing can be confirmed now, and it is said so.
+    let plan = operator.plan(zone("outage")).await.unwrap();
+    let refused = operator.confirm(plan, "outage").await.unwrap_err();
+    assert!(refused.to_string().contains(": 503 "), "{refused}");
+    assert_eq!(operator.status().await.unwrap().version, version);
+    fault(&deployment, Fault::default()).await;
+    until("a confirm after the outage", BOOT, || async {
+        operator.change(zone("after")).await?;
+        Ok(())
+    })
+    .await
+    .unwrap();
+    deployment.in_force(version + 1, FEW_SECONDS).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_never_falls_when_the_store_comes_back_empty() {
+    let mut deployment = start().await;
+    let operators = [0, 1, 2].map(|index| deployment.operator(index));
+    let version = operators[0].status().await.unwrap().version;
+    deployment.in_force(version, FEW_SECONDS).await.unwrap();
+    deployment.process("store").unwrap().restart().unwrap();
+    for _ in 0..40 {
+        for operator in &operators {
+            let found = operator.status().await.unwrap().version;
+            assert!(found >= version, "{found} after {version}");
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    until("a confirm after the loss", BOOT, || async {
+        operators[1].change(zone("after")).await?;
+        Ok(())
+    })
+    .await
+    .unwrap();
+    deployment.in_force(version + 1, FEW_SECONDS).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_balancer_has_the_configuration_seconds_after_it_goes_on() {
+    let mut deployment = start().await;
+    let version = deployment.operator(0).status().await.unwrap().version;
+    deployment.in_force(version, FEW_SECONDS).await.unwrap();
+    deployment.signal("balancer-2", Signal::SIGSTOP).unwrap();
+    let version = deployment.operator(0).change(zone("new")).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    deployment.signal("balancer-2", Signal::SIGCONT).unwrap();
+    deployment.in_force(version, FEW_SECONDS).await.unwrap();
+}
