fix(agent): digest a large body by its first 64 KiB

A ticketed request with a large body was refused as a reuse of its key when it came in pieces of another size, through a peer for example: the digest covered as much of the beginning as happened to be read. Seen in a test that sends 300,000 bytes through another agent (422 instead of the answer); the digest now covers the first 64 KiB exactly.

--- a/crates/daemon/src/app/agent/flow.rs
+++ b/crates/daemon/src/app/agent/flow.rs
@@ -56,53 +56,60 @@
     server
         .recorder
         .record_about(Some(id), None, Kind::FlowOpened);
-    requests(&server, &connection, id).await;
-    let reason = match connection.close_reason() {
-        Some(reason) => reason.to_string(),
-        None => "closed".to_owned(),
-    };
+    let reason = requests(&server, &connection, id).await;
     log::debug!("agent: flow of {caller} ended: {reason}");
     let closed = Kind::FlowClosed { reason };
     server.recorder.record_about(Some(id), None, closed);
 }
 
-/// Accepts the requests of one flow until the caller or the agent leaves.
-async fn requests(server: &Arc<Server>, connection: &quinn::Connection, flow: FlowId) {
+/// Accepts the requests of one flow until the caller or the agent leaves. Returns why it ended.
+async fn requests(server: &Arc<Server>, connection: &quinn::Connection, flow: FlowId) -> String {
     let transport = Connection::new(connection.clone());
     let cancels = transport.cancels();
     let built = h3::server::builder()
         .send_grease(false)
         .build::<_, Bytes>(transport)
         .await;
-    let Ok(mut http) = built else {
-        return;
+    let mut http = match built {
+        Ok(http) => http,
+        Err(error) => return error.to_string(),
     };
     let mut running = JoinSet::new();
     let mut told = false;
-    loop {
+    let reason = loop {
         tokio::select! {
             accepted = http.accept() => match accepted {
                 Ok(Some(resolver)) => {
                     let cancels = cancels.clone();
                     running.spawn(request(Arc::clone(server), flow, resolver, cancels));
                 }
-                Ok(None) | Err(_) => break,
+                Ok(None) => break "the caller left".to_owned(),
+                Err(error) => break reason(server, &error),
             },
             () = server.wait_for(|phase| phase != Phase::Serving), if !told => {
                 told = true;
-                if http.shutdown(GRACE_REQUESTS).await.is_err() {
-                    break;
+                if let Err(error) = http.shutdown(GRACE_REQUESTS).await {
+                    break reason(server, &error);
                 }
             }
             () = sleep(GRACE), if told && running.is_empty() => {
                 connection.close(NO_ERROR, b"draining");
-                break;
+                break "drained".to_owned();
             }
             Some(_) = running.join_next() => {}
         }
-    }
+    };
     // The caller is gone; requests with a key may still have to finish.
     running.detach_all();
+    reason
+}
+
+/// Why a flow ended with an error.
+fn reason(server: &Server, error: &h3::error::ConnectionError) -> String {
+    match *server.phase.borrow() {
+        Phase::Out => "availability zone out".to_owned(),
+        _ => error.to_string(),
+    }
 }
 
 /// Serves one request.
--- a/crates/daemon/src/app/agent/source.rs
+++ b/crates/daemon/src/app/agent/source.rs
@@ -84,9 +84,9 @@
         self.length
     }
 
-    /// The beginning of the body, all of it if it is small.
+    /// The first [`WHOLE_BYTES`] of the body, however it came in pieces.
     pub fn start(&self) -> &[u8] {
-        &self.start
+        &self.start[..self.start.len().min(WHOLE_BYTES)]
     }
 
     /// The body for one attempt and what feeds it; `None` if it cannot be repeated.
--- a/crates/daemon/src/quic/endpoint.rs
+++ b/crates/daemon/src/quic/endpoint.rs
@@ -15,7 +15,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Silent flows are probed this often, so a dead path is noticed within the idle timeout.
-const KEEP_ALIVE: Duration = Duration::from_secs(4);
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
 
 /// Largest QUIC datagram in bytes: with frame (about 80), UDP and IP headers it fits 1,500.
 const MAX_DATAGRAM: u16 = 1_352;
--- a/crates/daemon/tests/agent/balancer.rs
+++ b/crates/daemon/tests/agent/balancer.rs
@@ -9,7 +9,7 @@
 };
 
 use sassafrasmast_core::Blackboard;
-use sassafrasmast_wire::{Body, Cid, Frame, cid};
+use sassafrasmast_wire::{AgentId, Body, Cid, Frame, cid};
 use tokio::net::UdpSocket;
 
 /// Counts what it sees.
@@ -25,7 +25,11 @@
 
 impl Balancer {
     /// Forwards callers' datagrams to `agent` until the runtime ends.
-    pub async fn start(ip: IpAddr, agent: SocketAddr, blackboard: Arc<Blackboard>) -> Self {
+    pub async fn start(
+        ip: IpAddr,
+        agent: (AgentId, SocketAddr),
+        blackboard: Arc<Blackboard>,
+    ) -> Self {
         let front = Arc::new(UdpSocket::bind((ip, 0)).await.unwrap());
         let back = Arc::new(UdpSocket::bind((ip, 0)).await.unwrap());
         let balancer = Self {
@@ -58,7 +62,7 @@
 async fn inward(
     front: Arc<UdpSocket>,
     back: Arc<UdpSocket>,
-    agent: SocketAddr,
+    (agent, address): (AgentId, SocketAddr),
     blackboard: Arc<Blackboard>,
 ) {
     let mut datagram = [0; 2_048];
@@ -74,7 +78,7 @@
             .filter(|cid| config.document.upstreams.contains_key(&cid.agent));
         let body = Body::Inbound {
             service: 1,
-            agent: 1,
+            agent,
             incarnation: known.map(|cid| cid.incarnation),
             attempt: 0,
             caller,
@@ -83,7 +87,7 @@
         Frame::new(blackboard.version(), body)
             .encode(&mut frame)
             .unwrap();
-        back.send_to(&frame, agent).await.unwrap();
+        back.send_to(&frame, address).await.unwrap();
     }
 }
 
--- a/crates/daemon/tests/agent/caller.rs
+++ b/crates/daemon/tests/agent/caller.rs
@@ -25,6 +25,10 @@
 }
 
 impl Answer {
+    pub fn ticket(&self) -> &str {
+        self.headers["sassafrasmast-ticket"].to_str().unwrap()
+    }
+
     pub fn outcome(&self) -> &str {
         self.headers["sassafrasmast-outcome"].to_str().unwrap()
     }
@@ -100,6 +104,18 @@
         self.ask(get(path), b"").await
     }
 
+    /// Posts under an idempotency key.
+    pub async fn post_once(&mut self, path: &str, key: &str, body: &[u8]) -> Answer {
+        let request = post(path).header("idempotency-key", key);
+        self.ask(request.body(()).unwrap(), body).await.unwrap()
+    }
+
+    /// Takes a ticket.
+    pub async fn ticket(&mut self) -> String {
+        let answer = self.get("/.well-known/sassafrasmast/ticket").await.unwrap();
+        answer.ticket().to_owned()
+    }
+
     pub async fn post(&mut self, path: &str, body: &[u8]) -> anyhow::Result<Answer> {
         self.ask(post(path).body(()).unwrap(), body).await
     }
--- a/crates/daemon/tests/agent/main.rs
+++ b/crates/daemon/tests/agent/main.rs
@@ -10,5 +10,6 @@
 mod balancer;
 mod caller;
 mod flows;
+mod once;
 mod site;
 mod upstream;
--- /dev/null
+++ b/crates/daemon/tests/agent/once.rs
@@ -0,0 +1,114 @@
+//! A non-idempotent request runs at most once, and "not run" is true.
+
+use std::sync::atomic::Ordering;
+
+use super::site::Site;
+
+fn ran(site: &Site) -> u64 {
+    site.counts.ran.load(Ordering::Relaxed)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_ticket_gets_the_same_answer() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let ticket = caller.ticket().await;
+    let first = caller.post_once("/echo", &ticket, b"one").await;
+    let again = caller.post_once("/echo", &ticket, b"one").await;
+    assert_eq!((first.outcome(), again.outcome()), ("ran", "ran"));
+    assert_eq!((&first.body, ran(&site)), (&again.body, 1));
+    let other = caller.post_once("/echo", &ticket, b"two").await;
+    assert_eq!((other.status, other.outcome()), (422, "not-run"));
+    let next = caller.post_once("/echo", first.ticket(), b"two").await;
+    assert_eq!((next.outcome(), ran(&site)), ("ran", 2));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_left_gets_the_answer_of_its_run_later() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let ticket = caller.ticket().await;
+    let (mut gone, key) = (caller.clone(), ticket.clone());
+    let task = tokio::spawn(async move { gone.post_once("/slow/500", &key, b"").await });
+    site.wait_until(|site| site.counts.started.load(Ordering::Relaxed) == 1)
+        .await;
+    task.abort();
+    caller.connection.close(0_u32.into(), b"gone");
+    let mut back = site.caller().await;
+    let answer = back.post_once("/slow/500", &ticket, b"").await;
+    assert_eq!((answer.status, answer.outcome()), (200, "ran"));
+    assert_eq!(site.counts.started.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_runs_at_its_home_whoever_gets_it() {
+    let (one, two) = Site::pair().await;
+    let (mut home, mut away) = (one.caller().await, two.caller().await);
+    let ticket = home.ticket().await;
+    let body = vec![7; 300_000];
+    let answer = away.post_once("/size", &ticket, &body).await;
+    assert_eq!((answer.status, answer.outcome()), (200, "ran"));
+    assert_eq!(answer.body, "300000");
+    let again = home.post_once("/size", &ticket, &body).await;
+    assert_eq!((again.outcome(), &again.body), ("ran", &answer.body));
+    assert_eq!((ran(&one), ran(&two)), (1, 0));
+    let ticket = home.ticket().await;
+    let large = away.post_once("/large/1000000", &ticket, b"").await;
+    assert_eq!((large.outcome(), large.body.len()), ("ran", 1_000_000));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_whose_home_is_gone_never_runs_elsewhere() {
+    let (mut one, two) = Site::pair().await;
+    let ticket = one.caller().await.ticket().await;
+    one.restart().await;
+    let mut away = two.caller().await;
+    let answer = away.post_once("/echo", &ticket, b"").await;
+    assert_eq!((answer.status, answer.outcome()), (409, "unknown"));
+    let answer = one.caller().await.post_once("/echo", &ticket, b"").await;
+    assert_eq!((answer.status, answer.outcome()), (409, "unknown"));
+    one.kill().await;
+    let answer = away.post_once("/echo", &ticket, b"").await;
+    assert_eq!((answer.status, answer.outcome()), (409, "unknown"));
+    assert_eq!((ran(&one), ran(&two)), (0, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relayed_answer_that_is_cut_is_no_short_success() {
+    let (one, two) = Site::pair().await;
+    let ticket = one.caller().await.ticket().await;
+    let mut away = two.caller().await;
+    let answer = away.post_once("/cut/chunked", &ticket, b"").await;
+    assert_eq!((answer.status, answer.outcome()), (502, "unknown"));
+    let ticket = one.caller().await.ticket().await;
+    let request = super::caller::post("/cut/large").header("idempotency-key", ticket);
+    let large = away.ask(request.body(()).unwrap(), b"").await;
+    assert!(large.is_err(), "a body cut after its head: {large:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_run_goes_on_when_its_caller_leaves_the_relay() {
+    let (one, two) = Site::pair().await;
+    let ticket = one.caller().await.ticket().await;
+    let mut away = two.caller().await;
+    let task = tokio::spawn(async move { away.post_once("/slow/700", &ticket, b"").await });
+    one.wait_until(|one| one.counts.started.load(Ordering::Relaxed) == 1)
+        .await;
+    task.abort();
+    // The run has a key, so it goes on and its answer is kept.
+    one.wait_until(|one| ran(one) == 1).await;
+    assert_eq!(one.counts.cancelled.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_of_a_caller_is_refused_without_a_store() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let answer = caller.post_once("/echo", "order-17", b"").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(ran(&site), 0);
+    for bad in ["st1-forged", "st1-"] {
+        let answer = caller.post_once("/echo", bad, b"").await;
+        assert_eq!((answer.status, answer.outcome()), (400, "not-run"));
+    }
+}
--- a/crates/daemon/tests/agent/site.rs
+++ b/crates/daemon/tests/agent/site.rs
@@ -16,9 +16,11 @@
     Blackboard,
     config::{Document, Secrets, Service, Snapshot, Upstream, Zone},
 };
+use sassafrasmast_wire::AgentId;
 use sassafrasmastd::{
     app::agent::{Lifecycle, Server},
     options::{Agent, Role, Settings},
+    peer,
 };
 use tokio::{runtime::Runtime, task::JoinHandle, time::sleep};
 
@@ -106,11 +108,29 @@
 
     /// Starts an agent without a configuration.
     pub async fn unadmitted() -> Self {
+        Self::named(1).await
+    }
+
+    /// Starts agents 1 and 2 of one service.
+    pub async fn pair() -> (Self, Self) {
+        let (one, two) = (Self::named(1).await, Self::named(2).await);
+        let mut both = document(one.listen, one.upstream);
+        let other = document(two.listen, two.upstream).upstreams.remove(&1);
+        both.upstreams.extend(other.map(|upstream| (2, upstream)));
+        for site in [&one, &two] {
+            site.install(both.clone());
+            site.wait_until(|site| site.server().socket.identity().is_some())
+                .await;
+        }
+        (one, two)
+    }
+
+    async fn named(agent: AgentId) -> Self {
         let ip = ip();
         let listen = SocketAddr::new(ip, 4_433);
         let blackboard = Arc::new(Blackboard::new(10_000));
         let (upstream, counts) = upstream::start(ip).await;
-        let balancer = Balancer::start(ip, listen, blackboard.clone()).await;
+        let balancer = Balancer::start(ip, (agent, listen), blackboard.clone()).await;
         let (certificate, chain, key) = certificate(ip);
         let role = Agent {
             service: "bookings".to_owned(),
@@ -161,6 +181,8 @@
         let lifecycle = Lifecycle::start(settings, role, self.blackboard.clone()).unwrap();
         self.server = Some(lifecycle.server().clone());
         self.drain = Box::new(lifecycle.drain());
+        let (listen, host) = (self.listen, lifecycle.host());
+        runtime.spawn(async move { peer::Server::bind(listen).await.unwrap().run(host).await });
         self.task = runtime.spawn(lifecycle.run());
         drop(guard);
         self.runtime = Some(runtime);
