--- a/crates/daemon/src/app/agent/flow.rs
+++ b/crates/daemon/src/app/agent/flow.rs
@@ -5,10 +5,14 @@
 use bytes::Bytes;
 use h3::server::RequestResolver;
 use quinn::{Incoming, VarInt};
-use sassafrasmast_core::timeline::{FlowId, Kind};
+use sassafrasmast_core::timeline::{self, FlowId, Kind};
 use tokio::{task::JoinSet, time::sleep};
 
-use super::{Phase, Recorder, Server, exchange};
+use super::{
+    Phase, Server, Sink,
+    exchange::{self, Arrival},
+    source::Origin,
+};
 use crate::http3::{Cancels, Connection};
 
 /// Requests still accepted, and answered with a refusal, after a flow was told to go away.
@@ -40,7 +44,7 @@
 /// Serves one flow to its end.
 async fn flow(server: Arc<Server>, incoming: Incoming) {
     let caller = incoming.remote_address();
-    let id = Recorder::flow(caller);
+    let id = timeline::flow::id(caller);
     let Ok(connecting) = incoming.accept() else {
         return;
     };
@@ -48,55 +52,64 @@
         return;
     };
     let _entry = server.enter();
-    metrics::counter!("agent_flows_total").increment(1);
-    server.recorder.record(Some(id), None, Kind::FlowOpened);
-    requests(&server, &connection, id).await;
-    let reason = match connection.close_reason() {
-        Some(reason) => reason.to_string(),
-        None => "closed".to_owned(),
-    };
+    metrics::counter!("sassafrasmast_agent_flows_total").increment(1);
+    server
+        .recorder
+        .record_about(Some(id), None, Kind::FlowOpened);
+    let reason = requests(&server, &connection, id).await;
     log::debug!("agent: flow of {caller} ended: {reason}");
     let closed = Kind::FlowClosed { reason };
-    server.recorder.record(Some(id), None, closed);
+    server.recorder.record_about(Some(id), None, closed);
 }
 
-/// Accepts the requests of one flow until the caller or the agent leaves.
-async fn requests(server: &Arc<Server>, connection: &quinn::Connection, flow: FlowId) {
+/// Accepts the requests of one flow until the caller or the agent leaves. Returns why it ended.
+async fn requests(server: &Arc<Server>, connection: &quinn::Connection, flow: FlowId) -> String {
     let transport = Connection::new(connection.clone());
     let cancels = transport.cancels();
     let built = h3::server::builder()
         .send_grease(false)
         .build::<_, Bytes>(transport)
         .await;
-    let Ok(mut http) = built else {
-        return;
+    let mut http = match built {
+        Ok(http) => http,
+        Err(error) => return error.to_string(),
     };
     let mut running = JoinSet::new();
     let mut told = false;
-    loop {
+    let reason = loop {
         tokio::select! {
             accepted = http.accept() => match accepted {
                 Ok(Some(resolver)) => {
                     let cancels = cancels.clone();
                     running.spawn(request(Arc::clone(server), flow, resolver, cancels));
                 }
-                Ok(None) | Err(_) => break,
+                Ok(None) => break "the caller left".to_owned(),
+                Err(error) => break reason(server, &error),
             },
             () = server.wait_for(|phase| phase != Phase::Serving), if !told => {
                 told = true;
-                if http.shutdown(GRACE_REQUESTS).await.is_err() {
-                    break;
+                if let Err(error) = http.shutdown(GRACE_REQUESTS).await {
+                    break reason(server, &error);
                 }
             }
             () = sleep(GRACE), if told && running.is_empty() => {
                 connection.close(NO_ERROR, b"draining");
-                break;
+                break "drained".to_owned();
             }
             Some(_) = running.join_next() => {}
         }
-    }
+    };
     // The caller is gone; requests with a key may still have to finish.
     running.detach_all();
+    reason
+}
+
+/// Why a flow ended with an error.
+fn reason(server: &Server, error: &h3::error::ConnectionError) -> String {
+    match *server.phase.borrow() {
+        Phase::Out => "availability zone out".to_owned(),
+        _ => error.to_string(),
+    }
 }
 
 /// Serves one request.
@@ -109,7 +122,16 @@
     match resolver.resolve_request().await {
         Ok((request, stream)) => {
             let cancel = cancels.take(stream.id().into_inner());
-            exchange::serve(server, flow, request, stream, cancel).await;
+            let (sender, receiver) = stream.split();
+            let arrival = Arrival {
+                flow: Some(flow),
+                request,
+                origin: Origin::Caller(receiver),
+                sink: Sink::Caller(Box::new(sender)),
+                cancel: cancel.unwrap_or_else(|| Box::pin(std::future::pending())),
+                left: None,
+            };
+            exchange::serve(server, arrival).await;
         }
         Err(error) => log::debug!("agent: request not readable: {error}"),
     }
