--- a/crates/core/src/balancer/placement.rs
+++ b/crates/core/src/balancer/placement.rs
@@ -14,7 +14,7 @@
 const MAX_SAMPLE: usize = 32;
 
 /// Wait in microseconds that an agent filled up to its limit stands for.
-const OCCUPANCY_US: f64 = 10_000.0;
+const OCCUPANCY_US: f64 = 100_000.0;
 
 /// One of this many flows may go to a cold agent while others are ready.
 const TRICKLE_SHARE: u32 = 8;
@@ -86,6 +86,7 @@
                 *among.get(self.turn % among.len())?
             }
             Policy::LeastConnections => *among.iter().min_by(|a, b| a.flows.total_cmp(&b.flows))?,
+            Policy::LeastWait => *among.iter().min_by(|a, b| a.cost.total_cmp(&b.cost))?,
             Policy::PredictedWait => *among
                 .choose_multiple(rng, 2)
                 .min_by(|a, b| a.cost.total_cmp(&b.cost))?,
--- a/crates/core/src/balancer/policy.rs
+++ b/crates/core/src/balancer/policy.rs
@@ -13,7 +13,9 @@
     /// The fewest open flows, as last reported.
     LeastConnections,
     /// The better of two random agents by the wait they predict, corrected for what was placed
-    /// since.
-    #[default]
+    /// since their last report.
     PredictedWait,
+    /// The best of all agents by that wait.
+    #[default]
+    LeastWait,
 }
--- a/crates/core/tests/balancer.rs
+++ b/crates/core/tests/balancer.rs
@@ -8,5 +8,7 @@
 mod liveness;
 #[path = "balancer/placing.rs"]
 mod placing;
+#[path = "balancer/policies.rs"]
+mod policies;
 #[path = "balancer/routing.rs"]
 mod routing;
