--- a/crates/core/src/agent/clock.rs
+++ b/crates/core/src/agent/clock.rs
@@ -21,6 +21,7 @@
             self.overdue(now, id);
         }
         self.registry.expire(now);
+        self.limiter.resume(now);
         self.end_drain(now);
         self.rebalance(now);
         self.pump(now);
@@ -30,7 +31,6 @@
         let Some(flight) = self.flights.get(&id) else {
             return;
         };
-        let answered = flight.answered;
         match flight.stage {
             Stage::New | Stage::Claiming | Stage::Queued => {
                 self.refuse(now, id, Kind::DeadlinePassed);
@@ -44,10 +44,7 @@
                 self.answer(id, timeout());
                 self.actions.push_back(Action::Abort { id });
             }
-            Stage::Relaying(_) | Stage::Attached(_) if !answered => {
-                self.conclude(id, timeout());
-            }
-            Stage::Relaying(_) | Stage::Attached(_) => self.remove(id),
+            Stage::Relaying(_) | Stage::Attached(_) => self.conclude(id, timeout()),
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod blackboard;
 pub mod config;
 pub mod error;
+pub mod replay;
 pub mod timeline;
 
 pub use self::{announcement::Announcement, blackboard::Blackboard};
--- /dev/null
+++ b/crates/core/src/replay/trace.rs
@@ -0,0 +1,58 @@
+//! A recorded run and the outcomes it has to have.
+
+use crate::timeline::Event;
+
+use super::{Error, Outcome};
+
+/// Events in the order of their time, and stated outcomes.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Trace {
+    /// Recorded events.
+    pub events: Vec<Event>,
+    /// Stated outcomes.
+    pub outcomes: Vec<Outcome>,
+}
+
+impl Trace {
+    /// Parses a trace. Empty lines and lines that start with `#` are skipped.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Line`] names the first line that cannot be read.
+    ///
+    /// ```
+    /// use sassafrasmast_core::replay::Trace;
+    /// let text = r#"
+    /// ## An agent that only starts.
+    /// {"at_ns":1,"process":"dispatch-1","incarnation":7,"kind":{"what":"started"}}
+    /// {"expect":"answers","process":"dispatch-1","count":0}
+    /// "#.replace("## ", "# ");
+    /// let trace = Trace::parse(&text).unwrap();
+    /// assert_eq!((trace.events.len(), trace.outcomes.len()), (1, 1));
+    /// assert!(Trace::parse("{}").is_err());
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let mut trace = Self::default();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let fault = |error: serde_json::Error| Error::Line {
+                line: index + 1,
+                reason: error.to_string(),
+            };
+            if line.contains("\"expect\"") {
+                trace
+                    .outcomes
+                    .push(serde_json::from_str(line).map_err(fault)?);
+            } else {
+                trace
+                    .events
+                    .push(serde_json::from_str(line).map_err(fault)?);
+            }
+        }
+        trace.events.sort_by_key(|event| event.at_ns);
+        Ok(trace)
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,8 +4,10 @@
 //! - [`app`]: the two roles, balancer and agent.
 //! - [`api`]: the operators' API.
 //! - [`config`]: how a process gets, keeps and passes on the configuration.
+//! - [`http3`] and [`quic`]: the callers' protocols at an agent.
 //! - [`peer`]: calls between processes.
 //! - [`recorder`]: the time line of this process.
+//! - [`relay`]: requests sent from agent to agent.
 //! - [`store`]: the platform's key-value store.
 
 use std::process::ExitCode;
@@ -15,9 +17,12 @@
 pub mod api;
 pub mod app;
 pub mod config;
+pub mod http3;
 pub mod options;
 pub mod peer;
+pub mod quic;
 pub mod recorder;
+pub mod relay;
 pub mod store;
 
 use crate::options::{Arguments, Role, Settings};
