--- a/crates/daemon/tests/agent/main.rs
+++ b/crates/daemon/tests/agent/main.rs
@@ -11,5 +11,6 @@
 mod caller;
 mod flows;
 mod once;
+mod relay;
 mod site;
 mod upstream;
--- /dev/null
+++ b/crates/daemon/tests/agent/relay.rs
@@ -0,0 +1,67 @@
+//! Requests that have not started move to a peer that serves them sooner.
+
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use super::site::Site;
+
+fn started(site: &Site) -> u64 {
+    site.counts.started.load(Ordering::Relaxed)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_waiting_request_moves_to_an_idle_peer() {
+    let (one, two) = Site::pair().await;
+    let caller = one.caller().await;
+    // The wait is predicted from what was seen.
+    caller.clone().post("/slow/100", b"").await.unwrap();
+    let mut busy = caller.clone();
+    let long = tokio::spawn(async move { busy.post("/slow/3000", b"").await.unwrap() });
+    one.wait_until(|one| started(one) == 2).await;
+    let since = Instant::now();
+    let answer = caller.clone().post("/echo", b"moved").await.unwrap();
+    assert_eq!((answer.outcome(), &answer.body[..]), ("ran", &b"moved"[..]));
+    assert!(since.elapsed() < Duration::from_secs(2));
+    assert_eq!((started(&one), started(&two)), (2, 1));
+    assert_eq!(long.await.unwrap().status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_agent_gives_what_waits_to_a_peer() {
+    let (one, two) = Site::pair().await;
+    let caller = one.caller().await;
+    let mut busy = caller.clone();
+    let long = tokio::spawn(async move { busy.post("/slow/2000", b"").await.unwrap() });
+    one.wait_until(|one| started(one) == 1).await;
+    let mut waiting = caller.clone();
+    let moved = tokio::spawn(async move { waiting.post("/echo", b"moved").await.unwrap() });
+    one.wait_until(|one| one.server().desk.look(|agent, _| agent.open()) == 2)
+        .await;
+    (one.drain)();
+    let answer = moved.await.unwrap();
+    assert_eq!((answer.outcome(), &answer.body[..]), ("ran", &b"moved"[..]));
+    assert_eq!(long.await.unwrap().outcome(), "ran");
+    assert_eq!((started(&one), started(&two)), (1, 1));
+    drop(caller);
+    one.wait_until(|one| one.task.is_finished()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_cannot_be_served_in_time_is_refused_at_once() {
+    let site = Site::start().await;
+    let caller = site.caller().await;
+    let mut busy = caller.clone();
+    let long = tokio::spawn(async move { busy.post("/slow/1500", b"").await.unwrap() });
+    site.wait_until(|site| started(site) == 1).await;
+    let request = super::caller::post("/echo").header("sassafrasmast-deadline-ms", 200);
+    let since = Instant::now();
+    let request = request.body(()).unwrap();
+    let answer = caller.clone().ask(request, b"").await.unwrap();
+    assert_eq!(answer.outcome(), "not-run");
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(since.elapsed() < Duration::from_millis(700));
+    assert_eq!(long.await.unwrap().outcome(), "ran");
+    assert_eq!(started(&site), 1);
+}
