fix(agent): bound what is read before admission, keep the caller's host, refuse doubled lengths

Bodies are read up to 64 KiB before their request is admitted; at most 512 at once. The upstream sees the authority of the caller instead of its own address, and cannot set the headers by which the agent speaks.

--- a/crates/daemon/src/app/agent/exchange.rs
+++ b/crates/daemon/src/app/agent/exchange.rs
@@ -145,6 +145,7 @@
     left: Option<Duration>,
 ) -> Result<Facts, Kind> {
     let arrived = Instant::now();
+    let _room = server.reading.try_acquire().map_err(|_| Kind::Overloaded)?;
     let (service, snapshot) = server.service().ok_or(Kind::NotReady)?;
     let headers = request.headers();
     let limit = match left {
--- a/crates/daemon/src/app/agent/flow.rs
+++ b/crates/daemon/src/app/agent/flow.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use h3::server::RequestResolver;
+use http::{HeaderValue, Request, header};
 use quinn::{Incoming, VarInt};
 use sassafrasmast_core::timeline::{self, FlowId, Kind};
 use tokio::{task::JoinSet, time::sleep};
@@ -21,6 +22,9 @@
 /// A flow without requests is closed this long after it was told to go away.
 const GRACE: Duration = Duration::from_secs(1);
 
+/// Largest head of a request in bytes, as RFC 9114 counts them.
+const MAX_HEAD_BYTES: u64 = 32 * 1_024;
+
 /// Application close code: no error (RFC 9114, section 8.1).
 const NO_ERROR: VarInt = VarInt::from_u32(0x100);
 
@@ -68,6 +72,7 @@
     let cancels = transport.cancels();
     let built = h3::server::builder()
         .send_grease(false)
+        .max_field_section_size(MAX_HEAD_BYTES)
         .build::<_, Bytes>(transport)
         .await;
     let mut http = match built {
@@ -104,6 +109,14 @@
     reason
 }
 
+/// Puts the authority of an HTTP/3 request where HTTP/1.1 has it.
+fn name_host(request: &mut Request<()>) {
+    let authority = request.uri().authority().map(|host| host.as_str());
+    if let Some(Ok(host)) = authority.map(HeaderValue::from_str) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+}
+
 /// Why a flow ended with an error.
 fn reason(server: &Server, error: &h3::error::ConnectionError) -> String {
     match *server.phase.borrow() {
@@ -120,7 +133,8 @@
     cancels: Cancels,
 ) {
     match resolver.resolve_request().await {
-        Ok((request, stream)) => {
+        Ok((mut request, stream)) => {
+            name_host(&mut request);
             let cancel = cancels.take(stream.id().into_inner());
             let (sender, receiver) = stream.split();
             let arrival = Arrival {
--- a/crates/daemon/src/app/agent/server.rs
+++ b/crates/daemon/src/app/agent/server.rs
@@ -14,7 +14,7 @@
     config::{Service, Snapshot},
 };
 use sassafrasmast_wire::Incarnation;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use super::{Claims, Desk, Phase, Upstream};
 use crate::{
@@ -24,6 +24,9 @@
     store::Etcd,
 };
 
+/// Requests whose beginning, at most 64 KiB, is being read at once; more are refused.
+const MAX_READING: usize = 512;
+
 /// The running agent.
 #[derive(Debug)]
 pub struct Server {
@@ -45,6 +48,8 @@
     pub recorder: Recorder,
     /// Where the agent is in its life.
     pub phase: watch::Sender<Phase>,
+    /// Room for requests whose beginning is being read.
+    pub reading: Semaphore,
     claims: Option<Claims>,
     flows: AtomicU32,
     requests: AtomicU64,
@@ -73,6 +78,7 @@
         Self {
             upstream: Upstream::new(role.upstream),
             desk: Desk::new(core, recorder.clone()),
+            reading: Semaphore::new(MAX_READING),
             claims,
             settings,
             role,
--- a/crates/daemon/src/app/agent/source.rs
+++ b/crates/daemon/src/app/agent/source.rs
@@ -141,9 +141,13 @@
 
 /// The declared length of a body.
 fn content_length(headers: &HeaderMap) -> Result<Option<u64>, Kind> {
-    let Some(value) = headers.get(header::CONTENT_LENGTH) else {
+    let mut values = headers.get_all(header::CONTENT_LENGTH).iter();
+    let Some(value) = values.next() else {
         return Ok(None);
     };
+    if values.next().is_some() {
+        return Err(Kind::BadRequest);
+    }
     let text = value.to_str().map_err(|_| Kind::BadRequest)?;
     text.parse().map(Some).map_err(|_| Kind::BadRequest)
 }
--- a/crates/daemon/src/app/agent/upstream.rs
+++ b/crates/daemon/src/app/agent/upstream.rs
@@ -2,13 +2,13 @@
 
 use std::{error::Error as _, net::SocketAddr, time::Duration};
 
-use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use sassafrasmast_core::error::Kind;
+use sassafrasmast_core::error::{Kind, Outcome};
 use tokio::{net::TcpStream, time::timeout};
 
-use super::{Cut, Driver, Inflow};
+use super::{Cut, Driver, Inflow, answer::TICKET};
 
 /// An upstream that does not accept a connection for this long cannot be reached.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -27,6 +27,9 @@
     header::PROXY_AUTHORIZATION,
 ];
 
+/// Answer headers that only the agent may set.
+const OURS: [header::HeaderName; 2] = [TICKET, HeaderName::from_static(Outcome::HEADER)];
+
 /// Opens one connection per running request, so no answer can meet another request.
 #[derive(Debug, Clone, Copy)]
 pub struct Upstream {
@@ -95,8 +98,11 @@
     /// says that it did not run the request, or what is wrong with the request's body.
     pub async fn send(mut self, mut request: Request<Inflow>) -> Result<Call, Kind> {
         strip(request.headers_mut());
-        let host = HeaderValue::from_str(&self.host.to_string()).map_err(|_| Kind::BadRequest)?;
-        request.headers_mut().insert(header::HOST, host);
+        if !request.headers().contains_key(header::HOST) {
+            let host = HeaderValue::from_str(&self.host.to_string());
+            let host = host.map_err(|_| Kind::BadRequest)?;
+            request.headers_mut().insert(header::HOST, host);
+        }
         let sent = self.sender.send_request(request).await;
         let mut response = sent.map_err(|error| failure(&error))?;
         if refused(&response) {
@@ -104,6 +110,9 @@
         }
         let delimited = is_delimited(&response);
         strip(response.headers_mut());
+        for name in OURS {
+            response.headers_mut().remove(name);
+        }
         Ok(Call {
             response,
             delimited,
--- a/crates/daemon/src/quic/endpoint.rs
+++ b/crates/daemon/src/quic/endpoint.rs
@@ -30,7 +30,7 @@
 const STREAM_WINDOW: u32 = 256 * 1_024;
 
 /// Bytes a caller may send ahead on one flow.
-const FLOW_WINDOW: u32 = 1_024 * 1_024;
+const FLOW_WINDOW: u32 = 512 * 1_024;
 
 /// Bytes held unacknowledged toward one caller.
 const SEND_WINDOW: u64 = 1_024 * 1_024;
--- a/crates/daemon/tests/agent/answers.rs
+++ b/crates/daemon/tests/agent/answers.rs
@@ -171,3 +171,42 @@
     stream.recv_response().await.unwrap();
     assert!(read(&mut stream).await.is_err());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_cannot_speak_for_the_agent() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let answer = caller.get("/pretend").await.unwrap();
+    assert_eq!(answer.outcome(), "ran");
+    assert!(answer.ticket().starts_with("st1-"));
+    assert_eq!(
+        answer
+            .headers
+            .get_all("sassafrasmast-ticket")
+            .iter()
+            .count(),
+        1
+    );
+    assert_eq!(caller.get("/host").await.unwrap().body, "localhost");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_content_lengths_are_refused() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let request = post("/size")
+        .header("content-length", 4)
+        .header("content-length", 5);
+    let answer = caller
+        .ask(request.body(()).unwrap(), b"1234")
+        .await
+        .unwrap();
+    assert_eq!((answer.status, answer.outcome()), (400, "not-run"));
+    let request = post("/size").header("content-length", 9);
+    let answer = caller
+        .ask(request.body(()).unwrap(), b"1234")
+        .await
+        .unwrap();
+    assert_eq!((answer.status, answer.outcome()), (400, "not-run"));
+    assert_eq!(site.counts.started.load(Ordering::Relaxed), 0);
+}
--- a/crates/daemon/tests/agent/main.rs
+++ b/crates/daemon/tests/agent/main.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod balancer;
 mod caller;
+mod document;
 mod flows;
 mod once;
 mod relay;
--- a/crates/daemon/tests/agent/site.rs
+++ b/crates/daemon/tests/agent/site.rs
@@ -1,20 +1,11 @@
 //! One agent with its upstream, balancer and configuration.
 
-use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::PathBuf,
-    process,
-    sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rustls_pki_types::CertificateDer;
 use sassafrasmast_core::{
     Blackboard,
-    config::{Document, Secrets, Service, Snapshot, Upstream, Zone},
+    config::{Document, Snapshot},
 };
 use sassafrasmast_wire::AgentId;
 use sassafrasmastd::{
@@ -27,17 +18,10 @@
 use super::{
     balancer::Balancer,
     caller::Caller,
+    document::{certificate, document, ip},
     upstream::{self, Counts},
 };
 
-static NEXT: AtomicU8 = AtomicU8::new(1);
-
-/// A loopback address of this test alone.
-pub fn ip() -> IpAddr {
-    let [.., high, low] = process::id().to_be_bytes();
-    Ipv4Addr::new(127, high | 1, low, NEXT.fetch_add(1, Ordering::Relaxed)).into()
-}
-
 /// Everything around one agent.
 pub struct Site {
     pub blackboard: Arc<Blackboard>,
@@ -53,49 +37,6 @@
     settings: Settings,
 }
 
-pub fn service() -> Service {
-    Service {
-        name: "bookings".to_owned(),
-        address: "127.0.0.1:443".parse().unwrap(),
-        feeds: vec!["/feed".to_owned()],
-        deadline_ms: 5_000,
-        max_body_bytes: 20_000_000,
-    }
-}
-
-/// A document that admits the upstream as agent 1 of service 1.
-pub fn document(agent: SocketAddr, upstream: SocketAddr) -> Document {
-    let mut document = Document::first(Secrets {
-        sealing: 0,
-        phases: [(0, [1; 32])].into(),
-        reset: [2; 32],
-    });
-    document.zones.insert("a".to_owned(), Zone::default());
-    document.services.insert(1, service());
-    let admitted = Upstream {
-        service: 1,
-        zone: "a".to_owned(),
-        agent,
-        upstream,
-        slots: 5,
-        connections: 2_000,
-        draining: false,
-    };
-    document.upstreams.insert(1, admitted);
-    document
-}
-
-/// Writes a certificate for `localhost`.
-fn certificate(ip: IpAddr) -> (CertificateDer<'static>, PathBuf, PathBuf) {
-    let made = rcgen::generate_simple_self_signed(["localhost".to_owned()]).unwrap();
-    let folder = std::env::temp_dir().join(format!("sassafrasmast-test-{ip}"));
-    std::fs::create_dir_all(&folder).unwrap();
-    let (chain, key) = (folder.join("chain.pem"), folder.join("key.pem"));
-    std::fs::write(&chain, made.cert.pem()).unwrap();
-    std::fs::write(&key, made.signing_key.serialize_pem()).unwrap();
-    (made.cert.der().clone(), chain, key)
-}
-
 impl Site {
     /// Starts an admitted agent.
     pub async fn start() -> Self {
--- a/crates/daemon/tests/agent/upstream.rs
+++ b/crates/daemon/tests/agent/upstream.rs
@@ -104,11 +104,11 @@
     fed(length, receiver)
 }
 
-fn feed() -> Reply {
+fn feed(interval: Duration) -> Reply {
     let (sender, receiver) = mpsc::channel(1);
     tokio::spawn(async move {
         while sender.send(Ok("line\n".into())).await.is_ok() {
-            sleep(Duration::from_millis(20)).await;
+            sleep(interval).await;
         }
     });
     fed(None, receiver)
@@ -134,6 +134,18 @@
         ["", "cut", "length"] => cut(Some(1_000), 10),
         ["", "cut", "chunked"] => cut(None, 10),
         ["", "cut", "large"] => cut(None, 200_000),
+        ["", "host"] => {
+            let host = head.headers.get("host");
+            whole(host.map_or(Vec::new(), |host| host.as_bytes().to_vec()))
+        }
+        ["", "pretend"] => {
+            let mut reply = whole("pretend");
+            for name in ["sassafrasmast-outcome", "sassafrasmast-ticket"] {
+                let value = http::HeaderValue::from_static("not-run");
+                reply.headers_mut().append(name, value);
+            }
+            reply
+        }
         ["", "shed"] => {
             let mut reply = whole("shed");
             *reply.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
@@ -141,7 +153,8 @@
             reply.headers_mut().insert("sassafrasmast-not-run", value);
             reply
         }
-        ["", "feed", ..] => feed(),
+        ["", "feed", "quiet"] => feed(Duration::from_secs(10)),
+        ["", "feed", ..] => feed(Duration::from_millis(20)),
         _ => {
             let mut reply = whole("not found");
             *reply.status_mut() = http::StatusCode::NOT_FOUND;
