--- a/crates/core/tests/agent/main.rs
+++ b/crates/core/tests/agent/main.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod explore;
 mod fuzz;
+mod limits;
 mod queues;
 mod relays;
 mod rig;
