feat(core): agents report their predicted time until the answer

An agent that knows no service time yet assumes 50 ms, so a cold queue no longer looks free of waiting.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -158,7 +158,7 @@
 
     /// The load to report. The edge fills in the number of flows.
     pub fn load(&self, now: Instant) -> Load {
-        let wait = self.wait(now, Weight::Small);
+        let wait = self.expected(now, Weight::Small);
         Load {
             state: self.state(),
             running: self.slots.used(),
@@ -221,9 +221,23 @@
         }
     }
 
+    /// Predicted time until a request that arrives now is answered: the learnt service time of
+    /// its weight, longer by the share of the limit that is taken or waited for.
+    pub fn expected(&self, now: Instant, weight: Weight) -> Duration {
+        let start = self.resumes(now);
+        let ahead = usize::from(self.slots.used()) + self.queue.len() + self.claiming;
+        let limit = self.limiter.limit(start).max(1);
+        let share = ahead as f64 / f64::from(limit);
+        start - now + self.predictor.service(weight).mul_f64(1.0 + share)
+    }
+
+    fn resumes(&self, now: Instant) -> Instant {
+        self.limiter.resumes().map_or(now, |at| at.max(now))
+    }
+
     /// Predicted wait for a slot of a request that arrives now.
     fn wait(&self, now: Instant, weight: Weight) -> Duration {
-        let start = self.limiter.resumes().map_or(now, |at| at.max(now));
+        let start = self.resumes(now);
         let pause = start - now;
         let limit = u32::from(self.limiter.limit(start));
         if limit == 0 {
--- a/crates/core/src/agent/peers.rs
+++ b/crates/core/src/agent/peers.rs
@@ -67,13 +67,13 @@
         }
     }
 
-    /// The peer with the shortest predicted wait, the time of the relay included. `service` is
+    /// The peer with the shortest predicted time until the answer, the relay included. `service` is
     /// the expected service time of what was sent there since its report.
     pub fn best(&self, now: Instant, service: Duration) -> Option<(AgentId, Duration)> {
         let usable = self.reports.iter().filter(|(_, report)| report.usable(now));
         usable
-            .map(|(agent, report)| (*agent, report.wait(now, service)))
-            .min_by_key(|(_, wait)| *wait)
+            .map(|(agent, report)| (*agent, report.expected(now, service)))
+            .min_by_key(|(_, expected)| *expected)
     }
 }
 
@@ -84,7 +84,7 @@
         fresh && !avoided && self.load.state.takes_work()
     }
 
-    fn wait(&self, now: Instant, service: Duration) -> Duration {
+    fn expected(&self, now: Instant, service: Duration) -> Duration {
         let age = now.saturating_duration_since(self.at);
         let load = &self.load;
         let limit = u32::from(load.limit.max(1));
--- a/crates/core/src/agent/predictor.rs
+++ b/crates/core/src/agent/predictor.rs
@@ -4,6 +4,9 @@
 
 use super::Weight;
 
+/// Service time assumed while nothing is known.
+const ASSUMED: Duration = Duration::from_millis(50);
+
 /// Share of a new observation in the moving mean.
 const GAIN: f64 = 0.1;
 
@@ -25,14 +28,13 @@
         *mean = Some(mean.map_or(new, |old| old + GAIN * (new - old)));
     }
 
-    /// Expected service time; that of the other weight while this one is unknown, zero while
-    /// both are.
+    /// Expected service time; that of the other weight while this one is unknown, a default
+    /// while both are.
     ///
     /// ```
     /// use std::time::Duration;
     /// use sassafrasmast_core::agent::{Predictor, Weight};
     /// let mut predictor = Predictor::default();
-    /// assert_eq!(predictor.service(Weight::Small), Duration::ZERO);
     /// predictor.observe(Weight::Small, Duration::from_millis(40));
     /// assert_eq!(predictor.service(Weight::Small), Duration::from_millis(40));
     /// ```
@@ -41,6 +43,6 @@
             Weight::Small => (self.small_s, self.heavy_s),
             Weight::Heavy => (self.heavy_s, self.small_s),
         };
-        Duration::from_secs_f64(own.or(other).unwrap_or(0.0))
+        own.or(other).map_or(ASSUMED, Duration::from_secs_f64)
     }
 }
--- a/crates/core/src/agent/relaying.rs
+++ b/crates/core/src/agent/relaying.rs
@@ -17,7 +17,7 @@
 /// A predicted wait below this is not worth a relay.
 const WORTH: Duration = Duration::from_millis(20);
 
-/// The peer's wait must be shorter than ours by this factor.
+/// The peer's predicted time must be shorter than ours by this factor.
 const SHORTER: u32 = 2;
 
 /// Waiting requests that are relayed in one go at most.
@@ -131,9 +131,10 @@
         let peer = match wait {
             None => self.peer_in_time(now, id),
             Some(wait) if wait >= WORTH => {
+                let ours = self.expected(now, flight.weight);
                 let service = self.predictor.service(flight.weight);
                 let best = self.peers.best(now, service);
-                best.filter(|(_, theirs)| *theirs * SHORTER <= wait)
+                best.filter(|(_, theirs)| *theirs * SHORTER <= ours)
                     .map(|(peer, _)| peer)
             }
             Some(_) => None,
@@ -156,9 +157,9 @@
     fn peer_in_time(&self, now: Instant, id: RequestId) -> Option<AgentId> {
         let flight = self.flights.get(&id)?;
         let service = self.predictor.service(flight.weight);
-        let (peer, wait) = self.peers.best(now, service)?;
-        let start = now.checked_add(wait.saturating_add(self.margin(id)))?;
-        (start <= flight.request.deadline).then_some(peer)
+        let (peer, expected) = self.peers.best(now, service)?;
+        let end = now.checked_add(expected)?;
+        (end <= flight.request.deadline).then_some(peer)
     }
 
     /// Whether as many requests are relayed as may wait here.
--- a/crates/core/tests/agent/main.rs
+++ b/crates/core/tests/agent/main.rs
@@ -5,6 +5,7 @@
 mod explore;
 mod fuzz;
 mod limits;
+mod predictions;
 mod queues;
 mod relays;
 mod rig;
--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -19,7 +19,8 @@
     pub limit: u16,
     /// Open flows (QUIC connections).
     pub flows: u32,
-    /// The agent's own prediction of the wait of a request that arrives now, in microseconds.
+    /// The agent's own prediction of how long the caller of a small request that arrives now waits
+    /// for the answer, in microseconds.
     pub wait_us: u32,
 }
 
