--- a/crates/core/tests/agent/claims.rs
+++ b/crates/core/tests/agent/claims.rs
@@ -140,3 +140,49 @@
     rig.assert_error(1, Kind::DeadlinePassed, Outcome::Unknown);
     assert_eq!(rig.agent.keys(), 0);
 }
+
+#[test]
+fn an_old_claim_allows_no_start_even_if_it_is_ours() {
+    let mut rig = Rig::new(5);
+    rig.booking(1, key());
+    claimed(&mut rig, 1, Claim::Unsettled);
+    rig.now += claim::STARTABLE - Duration::from_secs(1);
+    rig.booking(2, key());
+    claimed(&mut rig, 2, Claim::Ours);
+    rig.pass(2_000);
+    assert!(!rig.hand_over(2));
+    rig.assert_error(2, Kind::ClaimUnavailable, Outcome::Unknown);
+    rig.booking(3, key());
+    assert_eq!(nonce(&rig, 3), None);
+    rig.assert_error(3, Kind::ClaimUnavailable, Outcome::Unknown);
+}
+
+#[test]
+fn a_run_under_a_claim_ends_while_the_claim_holds() {
+    let mut rig = Rig::new(5);
+    let mut request = rig.request(1, Class::NonIdempotent, key());
+    request.deadline = rig.now + claim::HOLD * 2;
+    rig.arrive(request);
+    claimed(&mut rig, 1, Claim::Ours);
+    assert!(rig.hand_over(1));
+    rig.now += claim::STARTABLE;
+    rig.tick(0);
+    rig.assert_error(1, Kind::UpstreamTimeout, Outcome::Unknown);
+    assert!(rig.actions.contains(&Action::Abort { id: 1 }));
+}
+
+#[test]
+fn what_became_of_a_key_is_known_as_long_as_its_claim_is_held() {
+    let mut rig = Rig::new(5);
+    rig.booking(1, key());
+    claimed(&mut rig, 1, Claim::Ours);
+    rig.run(1);
+    rig.now += claim::HOLD - Duration::from_secs(1);
+    rig.tick(0);
+    rig.booking(2, key());
+    assert_eq!(nonce(&rig, 2), None);
+    assert_eq!(
+        rig.replies(2),
+        [Reply::Kept(kept("booked").expect("an answer"))]
+    );
+}
--- a/crates/core/tests/agent/relays.rs
+++ b/crates/core/tests/agent/relays.rs
@@ -225,3 +225,38 @@
     }
     offered
 }
+
+#[test]
+fn a_query_that_was_cut_here_is_never_called_not_run() {
+    let mut rig = busy();
+    rig.peer(3, 5, 0);
+    assert!(rig.hand_over(0));
+    rig.finish(0, Finish::Cut);
+    assert_eq!(rig.relay(0), Some(3));
+    let refused = Relay::Refused {
+        kind: Kind::Overloaded,
+        outcome: Outcome::NotRun,
+    };
+    rig.relayed(0, refused);
+    rig.assert_error(0, Kind::Overloaded, Outcome::Unknown);
+}
+
+#[test]
+fn a_minted_key_of_a_draining_agent_is_claimed_by_the_peer() {
+    let mut rig = busy();
+    rig.peer(3, 5, 0);
+    rig.agent.drain(rig.now);
+    rig.booking(10, Some(Key::Minted("order-1".into())));
+    assert_eq!(rig.relay(10), Some(3));
+    let refused = Relay::Refused {
+        kind: Kind::UpstreamRefused,
+        outcome: Outcome::NotRun,
+    };
+    rig.relayed(10, refused);
+    rig.assert_error(10, Kind::UpstreamRefused, Outcome::NotRun);
+    assert!(
+        rig.actions
+            .iter()
+            .all(|action| !matches!(action, Action::Claim { .. }))
+    );
+}
