test(core): the silent-agent trace no longer states how idle agents share flows

It asked for flows on every agent though all reported no load. Placement now prefers the balancer's own zone while it has room, so the trace was wrong, not the placement. It now lets the local agent fall silent and states more: no flow on it while silent, flows on it before and after, and no flow without an agent.

--- a/crates/core/src/replay/outcome.rs
+++ b/crates/core/src/replay/outcome.rs
@@ -89,6 +89,8 @@
         /// At least so many.
         at_least: usize,
     },
+    /// Each flow finds an agent.
+    AllPlaced,
 }
 
 impl Outcome {
@@ -149,6 +151,7 @@
                 let own = |d: &Decision| within(d.at, *from_ms, *to_ms);
                 count(&|d| own(d) && d.what == What::Placed(*agent)) == 0
             }
+            Self::AllPlaced => count(&|d| matches!(d.what, What::Unplaced(_))) == 0,
             Self::Placed { agent, at_least } => {
                 count(&|d| d.what == What::Placed(*agent)) >= *at_least
             }
