fix(balancer): hold handbacks after a pause, hear agents whose clock fell behind

Both found by random fault schedules over the core. An agent that came back with a lower incarnation (a replaced machine, clock behind) was ignored for ever and its flows reset after the idle timeout; a lower incarnation now counts once the newer one is suspect. Ruled out: taking any lower one, since late frames of the old process would then overwrite the new one's load.

--- a/crates/core/src/balancer/member.rs
+++ b/crates/core/src/balancer/member.rs
@@ -66,12 +66,13 @@
         }
     }
 
-    /// Takes a report; one of an older incarnation is ignored. Returns whether it was taken.
+    /// Takes a report; one of an older incarnation is ignored while the newer one answers. Returns
+    /// whether it was taken. A replaced machine whose clock is behind is thus heard in the end.
     pub(super) fn report(&mut self, now: Instant, incarnation: Incarnation, load: Load) -> bool {
-        if incarnation < self.incarnation {
+        if incarnation < self.incarnation && !self.is_suspect(now) {
             return false;
         }
-        if incarnation > self.incarnation {
+        if incarnation != self.incarnation {
             self.incarnation = incarnation;
             self.pending = 0.0;
             self.refused = None;
--- a/crates/core/src/balancer/router.rs
+++ b/crates/core/src/balancer/router.rs
@@ -155,6 +155,9 @@
         let Ok(frame) = Frame::decode(datagram) else {
             return Counters::add(&self.counters.malformed_frames);
         };
+        if self.gate.was_paused(now) {
+            self.hold(now);
+        }
         let table = self.table(now);
         let sender = table.as_deref().and_then(|table| Sender::of(table, from));
         match frame.body {
--- a/crates/core/tests/balancer.rs
+++ b/crates/core/tests/balancer.rs
@@ -1,5 +1,7 @@
 //! The routing core of a balancer under bad input, faults and load.
 
+#[path = "balancer/faults.rs"]
+mod faults;
 #[path = "balancer/fixture.rs"]
 mod fixture;
 #[path = "balancer/hold.rs"]
--- a/crates/core/tests/balancer/liveness.rs
+++ b/crates/core/tests/balancer/liveness.rs
@@ -29,6 +29,18 @@
     assert!(fleet.forwards(1));
 }
 
+#[test]
+fn an_agent_replaced_by_a_machine_whose_clock_is_behind_is_heard() {
+    let mut fleet = Fleet::ready();
+    fleet.report(1, INCARNATION + 9_000, ready());
+    fleet.report(1, INCARNATION, ready());
+    let incarnation = |fleet: &Fleet| fleet.router.load(fleet.now, 1).map(|(is, _)| is);
+    assert_eq!(incarnation(&fleet), Some(INCARNATION + 9_000));
+    fleet.pass(Duration::from_secs(30), |_| Some(1));
+    assert_eq!(incarnation(&fleet), Some(INCARNATION));
+    assert!(fleet.forwards(1));
+}
+
 #[test]
 fn a_zone_that_is_cut_off_from_here_is_not_declared_dead() {
     let mut fleet = Fleet::ready();
