--- a/crates/core/tests/agent/main.rs
+++ b/crates/core/tests/agent/main.rs
@@ -4,6 +4,8 @@
 mod claims;
 mod explore;
 mod fuzz;
+mod limits;
+mod predictions;
 mod queues;
 mod relays;
 mod rig;
--- a/crates/daemon/src/app/agent/server.rs
+++ b/crates/daemon/src/app/agent/server.rs
@@ -12,9 +12,10 @@
     Blackboard,
     agent::{self, Claim, Key, Nonce},
     config::{Service, Snapshot},
+    timeline::Kind,
 };
 use sassafrasmast_wire::Incarnation;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use super::{Claims, Desk, Phase, Upstream};
 use crate::{
@@ -24,6 +25,9 @@
     store::Etcd,
 };
 
+/// Requests whose beginning, at most 64 KiB, is being read at once; more are refused.
+const MAX_READING: usize = 512;
+
 /// The running agent.
 #[derive(Debug)]
 pub struct Server {
@@ -45,6 +49,8 @@
     pub recorder: Recorder,
     /// Where the agent is in its life.
     pub phase: watch::Sender<Phase>,
+    /// Room for requests whose beginning is being read.
+    pub reading: Semaphore,
     claims: Option<Claims>,
     flows: AtomicU32,
     requests: AtomicU64,
@@ -63,9 +69,16 @@
         let decisions = agent::Settings {
             listen: settings.listen,
             incarnation,
+            recording: true,
             ..agent::Settings::default()
         };
-        let core = agent::Agent::new(decisions, Instant::now());
+        let start = Instant::now();
+        let began = Kind::AgentSettings {
+            listen: settings.listen,
+            ticks: decisions.recording,
+        };
+        recorder.record_at(start, None, None, began);
+        let core = agent::Agent::new(decisions, start);
         let claims = match &role.store[..] {
             [] => None,
             store => Some(Claims::new(Arc::new(Etcd::new(store.to_vec())))),
@@ -73,6 +86,7 @@
         Self {
             upstream: Upstream::new(role.upstream),
             desk: Desk::new(core, recorder.clone()),
+            reading: Semaphore::new(MAX_READING),
             claims,
             settings,
             role,
