--- a/crates/daemon/tests/agent/flows.rs
+++ b/crates/daemon/tests/agent/flows.rs
@@ -179,3 +179,53 @@
     });
     assert_eq!(site.caller().await.get("/echo").await.unwrap().status, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_with_a_deadline_ends_then() {
+    let site = Site::with(|role| role.drain_deadline_ms = Some(1_000)).await;
+    let mut caller = site.caller().await;
+    let mut stream = feed(&mut caller).await;
+    (site.drain)();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    line(&mut stream).await;
+    site.wait_until(|site| site.task.is_finished()).await;
+    let ended = async { while stream.recv_data().await.is_ok_and(|data| data.is_some()) {} };
+    timeout(FEW_SECONDS, ended).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_drain_an_agent_without_ending_it() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let mut stream = feed(&mut caller).await;
+    let drain = |on: bool| {
+        site.change(|document| {
+            if let Some(upstream) = document.upstreams.get_mut(&1) {
+                upstream.draining = on;
+            }
+        });
+    };
+    drain(true);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    line(&mut stream).await;
+    let connect = Caller::connect(&site.certificate, site.balancer.front);
+    assert!(timeout(Duration::from_secs(1), connect).await.is_err());
+    drop(stream);
+    site.wait_until(|site| site.server().flows() == 0).await;
+    assert!(!site.task.is_finished());
+    drain(false);
+    assert_eq!(site.caller().await.get("/echo").await.unwrap().status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_beyond_the_limit_are_handed_back() {
+    let site = Site::with(|role| role.connections = 1).await;
+    let mut caller = site.caller().await;
+    caller.get("/echo").await.unwrap();
+    site.wait_until(|site| site.server().socket.load().flows == 1)
+        .await;
+    let connect = Caller::connect(&site.certificate, site.balancer.front);
+    assert!(timeout(Duration::from_secs(1), connect).await.is_err());
+    assert!(site.balancer.handed_back.load(Ordering::Relaxed) > 0);
+    assert_eq!(caller.get("/echo").await.unwrap().status, 200);
+}
--- a/crates/daemon/tests/agent/site.rs
+++ b/crates/daemon/tests/agent/site.rs
@@ -40,21 +40,26 @@
 impl Site {
     /// Starts an admitted agent.
     pub async fn start() -> Self {
-        let site = Self::unadmitted().await;
-        site.install(document(site.listen, site.upstream));
-        site.wait_until(|site| site.server().socket.identity().is_some())
-            .await;
-        site
+        Self::with(|_| ()).await
     }
 
     /// Starts an agent without a configuration.
     pub async fn unadmitted() -> Self {
-        Self::named(1).await
+        Self::named(1, |_| ()).await
+    }
+
+    /// Starts an admitted agent with changed settings.
+    pub async fn with(change: impl FnOnce(&mut Agent)) -> Self {
+        let site = Self::named(1, change).await;
+        site.install(document(site.listen, site.upstream));
+        site.wait_until(|site| site.server().socket.identity().is_some())
+            .await;
+        site
     }
 
     /// Starts agents 1 and 2 of one service.
     pub async fn pair() -> (Self, Self) {
-        let (one, two) = (Self::named(1).await, Self::named(2).await);
+        let (one, two) = (Self::named(1, |_| ()).await, Self::named(2, |_| ()).await);
         let mut both = document(one.listen, one.upstream);
         let other = document(two.listen, two.upstream).upstreams.remove(&1);
         both.upstreams.extend(other.map(|upstream| (2, upstream)));
@@ -66,14 +71,14 @@
         (one, two)
     }
 
-    async fn named(agent: AgentId) -> Self {
+    async fn named(agent: AgentId, change: impl FnOnce(&mut Agent)) -> Self {
         let ip = ip();
         let listen = SocketAddr::new(ip, 4_433);
         let blackboard = Arc::new(Blackboard::new(10_000));
         let (upstream, counts) = upstream::start(ip).await;
         let balancer = Balancer::start(ip, (agent, listen), blackboard.clone()).await;
         let (certificate, chain, key) = certificate(ip);
-        let role = Agent {
+        let mut role = Agent {
             service: "bookings".to_owned(),
             upstream,
             slots: 5,
@@ -84,6 +89,7 @@
             certificate: chain,
             key,
         };
+        change(&mut role);
         let settings = Settings {
             name: "agent".to_owned(),
             zone: "a".to_owned(),
