test(config): plans in words, rules, size, and all interleavings of racing confirms

Every reachable state of up to three operators with lost, late and reordered calls is visited. The largest planned document (4,200 upstreams, 1,700 services) fits in one value of the store.

--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -11,6 +11,8 @@
 
 use super::{Digest, OperationId, Secrets, Service, Upstream, Zone, ZoneName, digest};
 
+pub use self::validate::MAX_DOCUMENT_BYTES;
+
 /// Confirmed operations remembered for settling a lost reply or a second confirm.
 pub const REMEMBERED_OPERATIONS: usize = 64;
 
--- /dev/null
+++ b/crates/core/tests/config.rs
@@ -0,0 +1,73 @@
+//! Plans, rules and confirms of the configuration.
+
+#[path = "config/plan.rs"]
+mod plan;
+#[path = "config/race.rs"]
+mod race;
+#[path = "config/rules.rs"]
+mod rules;
+#[path = "config/size.rs"]
+mod size;
+
+use std::collections::BTreeMap;
+
+use sassafrasmast_core::config::{Change, Document, Secrets, Service};
+
+/// The first document of a fleet.
+fn first() -> Document {
+    Document::first(Secrets {
+        sealing: 0,
+        phases: BTreeMap::from([(0, [1; 32])]),
+        reset: [2; 32],
+    })
+}
+
+fn service(name: &str, address: &str) -> Service {
+    Service {
+        name: name.to_owned(),
+        address: address.parse().expect("an address"),
+        feeds: vec!["/feed".to_owned()],
+        deadline_ms: 5_000,
+        max_body_bytes: 1 << 20,
+    }
+}
+
+fn add_zone(zone: &str) -> Change {
+    Change::AddZone {
+        zone: zone.to_owned(),
+    }
+}
+
+fn zone_out(zone: &str) -> Change {
+    Change::ZoneOut {
+        zone: zone.to_owned(),
+    }
+}
+
+fn admit(service: &str, zone: &str, host: u8) -> Change {
+    Change::Admit {
+        service: service.to_owned(),
+        zone: zone.to_owned(),
+        agent: ([127, 0, 0, host], 7000).into(),
+        upstream: ([127, 0, 0, host], 8080).into(),
+        slots: 5,
+        connections: 2_000,
+    }
+}
+
+/// Two zones; dispatch has two upstreams in pocitos and one in centro.
+fn fleet() -> Document {
+    let changes = [
+        add_zone("pocitos"),
+        add_zone("centro"),
+        Change::CreateService {
+            service: service("dispatch", "127.0.1.1:443"),
+        },
+        admit("dispatch", "pocitos", 1),
+        admit("dispatch", "pocitos", 2),
+        admit("dispatch", "centro", 3),
+    ];
+    first()
+        .apply(&changes, &[3; 32])
+        .expect("the changes make sense")
+}
--- /dev/null
+++ b/crates/core/tests/config/rules.rs
@@ -0,0 +1,89 @@
+//! The rules that documents keep, whatever wrote them.
+
+use expect_test::expect;
+use sassafrasmast_core::config::{Document, Record};
+
+use super::{add_zone, fleet, zone_out};
+
+#[test]
+fn documents_that_break_a_rule_are_refused() {
+    let breaks: [fn(&mut Document); 11] = [
+        |d| d.version = 0,
+        |d| d.next_agent = 3,
+        |d| d.next_service = 1,
+        |d| d.secrets.sealing = 7,
+        |d| _ = d.secrets.phases.insert(1, [1; 32]),
+        |d| d.services.get_mut(&1).unwrap().deadline_ms = 0,
+        |d| d.services.get_mut(&1).unwrap().address.set_port(0),
+        |d| d.services.get_mut(&1).unwrap().feeds = vec!["feed".to_owned()],
+        |d| d.upstreams.get_mut(&2).unwrap().slots = 0,
+        |d| d.upstreams.get_mut(&2).unwrap().zone = "nowhere".to_owned(),
+        |d| d.upstreams.get_mut(&2).unwrap().upstream = d.upstreams[&1].upstream,
+    ];
+    let text: String = breaks
+        .into_iter()
+        .map(|break_it| {
+            let mut document = fleet();
+            break_it(&mut document);
+            format!("{}\n", document.validate().unwrap_err())
+        })
+        .collect();
+    expect![[r#"
+        version 0 is no configuration
+        agent id 3 is not below the next one, 3
+        service id 1 is not below the next one, 1
+        the sealing phase 7 has no key
+        key phases 0 and 1 have the same key
+        deadline-ms of service dispatch is zero
+        127.0.1.1:0 is not usable as an address of service dispatch
+        feed path "feed" of service dispatch does not start with '/'
+        slots of agent 2 is zero
+        the upstream of agent 2 is in zone nowhere, which does not exist
+        agents 1 and 2 are both beside the upstream 127.0.0.1:8080
+    "#]]
+    .assert_eq(&text);
+}
+
+#[test]
+fn ids_are_never_given_out_twice() {
+    let remove = sassafrasmast_core::config::Change::RemoveUpstream { agent: 3 };
+    let without = fleet().apply(&[remove], &[0; 32]).unwrap();
+    let again = without
+        .apply(&[super::admit("dispatch", "centro", 3)], &[0; 32])
+        .unwrap();
+    assert!(!again.upstreams.contains_key(&3));
+    assert!(again.upstreams.contains_key(&4));
+}
+
+#[test]
+fn a_record_follows_only_its_own_base() {
+    let base = fleet();
+    let changes = vec![zone_out("centro")];
+    let mut next = base.apply(&changes, &[4; 32]).unwrap();
+    next.remember("op".to_owned());
+    let record = Record {
+        version: next.version,
+        operation: "op".to_owned(),
+        changes,
+        fresh: [4; 32],
+        digest: next.digest(),
+    };
+    assert_eq!(record.follow(&base), Some(next.clone()));
+    assert_eq!(record.follow(&next), None);
+    let other = base.apply(&[add_zone("third")], &[0; 32]).unwrap();
+    assert_eq!(record.follow(&other), None);
+    let mut fork = base;
+    fork.next_agent += 1;
+    assert_eq!(record.follow(&fork), None);
+}
+
+#[test]
+fn an_agent_gets_its_service_and_nothing_else() {
+    let all = fleet();
+    let own = all.for_agent("127.0.0.2:7000".parse().unwrap()).unwrap();
+    assert_eq!(own.upstreams, all.upstreams);
+    assert_eq!(own.validate(), Ok(()));
+    assert_eq!(all.for_agent("127.0.0.9:7000".parse().unwrap()), None);
+    assert_eq!(all.bare().validate(), Ok(()));
+    assert!(all.bare().upstreams.is_empty());
+}
--- a/crates/daemon/src/api/error.rs
+++ b/crates/daemon/src/api/error.rs
@@ -51,8 +51,8 @@
     /// The plan was changed after it was made.
     #[error("the plan is not the one that its digest names: plan anew")]
     Altered,
-    /// The store does not answer; nothing was confirmed.
-    #[error("the store does not answer; the plan is not confirmed")]
+    /// The store does not answer; this confirm wrote nothing.
+    #[error("the store does not answer; this confirm wrote nothing")]
     StoreDown,
     /// The store stopped answering while the plan was being confirmed.
     #[error(
