--- a/crates/core/src/replay/player.rs
+++ b/crates/core/src/replay/player.rs
@@ -1,7 +1,7 @@
 //! Feeds a trace to the decisions.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -20,6 +20,10 @@
     start_ns: u64,
     agents: BTreeMap<String, Agent>,
     balancers: BTreeMap<String, Balancer>,
+    /// Agents whose ticks are not recorded.
+    ticking: BTreeSet<String>,
+    /// Spans in which a process stood still.
+    pauses: BTreeMap<String, Vec<(Instant, Instant)>>,
     checker: Checker,
     decisions: Vec<Decision>,
 }
@@ -32,6 +36,8 @@
             start_ns: 0,
             agents: BTreeMap::new(),
             balancers: BTreeMap::new(),
+            ticking: BTreeSet::new(),
+            pauses: BTreeMap::new(),
             checker: Checker::default(),
             decisions: Vec::new(),
         }
@@ -51,9 +57,10 @@
     /// ```
     pub fn play(mut self, trace: &Trace) -> Result<Report, Error> {
         self.start_ns = trace.events.first().map_or(0, |event| event.at_ns);
+        self.find_pauses(trace);
         let mut inputs = 0;
         for event in &trace.events {
-            let now = self.base + Duration::from_nanos(event.at_ns - self.start_ns);
+            let now = self.time(event);
             self.advance(now);
             inputs += usize::from(self.feed(now, event)?);
         }
@@ -69,16 +76,48 @@
         })
     }
 
+    /// Time of an event on the virtual clock.
+    fn time(&self, event: &Event) -> Instant {
+        self.base + Duration::from_nanos(event.at_ns - self.start_ns)
+    }
+
+    /// Pauses are known only afterwards, so they are collected before the replay.
+    fn find_pauses(&mut self, trace: &Trace) {
+        for event in &trace.events {
+            if let Kind::Resumed { after } = event.kind {
+                let end = self.time(event);
+                let pause = (end.checked_sub(after).unwrap_or(self.base), end);
+                self.pauses
+                    .entry(event.process.clone())
+                    .or_default()
+                    .push(pause);
+            }
+        }
+    }
+
+    /// When a process does what is due at `at`: after its pause, if it stands still then, and
+    /// after what it does in the first instant of going on.
+    fn awake(&self, process: &str, at: Instant) -> Instant {
+        let pauses = self.pauses.get(process).into_iter().flatten();
+        let pause = pauses
+            .copied()
+            .find(|(from, to)| (*from..=*to).contains(&at));
+        pause.map_or(at, |(_, end)| end + Duration::from_nanos(1))
+    }
+
     /// Lets all processes do what is due before `now`, in the order of time.
     fn advance(&mut self, now: Instant) {
         for balancer in self.balancers.values_mut() {
             balancer.advance(now);
         }
         loop {
-            let due = |(process, agent): (&String, &Agent)| Some((agent.wake()?, process.clone()));
+            let due = |(process, agent): (&String, &Agent)| {
+                Some((self.awake(process, agent.wake()?), process.clone()))
+            };
             let next = self
                 .agents
                 .iter()
+                .filter(|(process, _)| self.ticking.contains(*process))
                 .filter_map(due)
                 .min()
                 .filter(|(at, _)| *at <= now);
@@ -101,12 +140,15 @@
     /// Feeds one event. Returns whether it was an input.
     fn feed(&mut self, now: Instant, event: &Event) -> Result<bool, Error> {
         match &event.kind {
-            Kind::AgentSettings { listen } => {
+            Kind::AgentSettings { listen, ticks } => {
                 let settings = Settings {
                     listen: *listen,
                     incarnation: event.incarnation,
                     ..Settings::default()
                 };
+                if !ticks {
+                    self.ticking.insert(event.process.clone());
+                }
                 self.agents
                     .insert(event.process.clone(), Agent::new(settings, now));
             }
@@ -123,11 +165,27 @@
                     self.note(now, &event.process, None, what);
                 }
             }
-            _ => return Ok(false),
+            kind => {
+                self.compare(event, kind);
+                return Ok(false);
+            }
         }
         Ok(true)
     }
 
+    /// Compares what the recording tells of a request with the replay.
+    fn compare(&mut self, event: &Event, kind: &Kind) {
+        let Some(request) = event.request else {
+            return;
+        };
+        let place = (event.process.clone(), request);
+        match kind {
+            Kind::RequestStarted => self.checker.recorded_start(&place),
+            Kind::RequestAnswered { outcome, .. } => self.checker.recorded_answer(&place, outcome),
+            _ => {}
+        }
+    }
+
     fn feed_agent(&mut self, now: Instant, event: &Event, input: &Input) -> Result<(), Error> {
         let process = &event.process;
         let agent = self.agents.get_mut(process);
--- a/crates/core/src/timeline/kind.rs
+++ b/crates/core/src/timeline/kind.rs
@@ -1,6 +1,6 @@
 //! The closed set of things that can happen.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use sassafrasmast_wire::{AgentId, ConfigVersion, ServiceId};
 use schemars::JsonSchema;
@@ -18,6 +18,10 @@
     AgentSettings {
         /// Address of the agent for frames.
         listen: SocketAddr,
+        /// Whether the ticks that decided something are recorded; otherwise a replay ticks when
+        /// something is due.
+        #[serde(default)]
+        ticks: bool,
     },
     /// A balancer's decisions began. What follows of them can be replayed.
     BalancerSettings {
@@ -40,6 +44,11 @@
     },
     /// The process was told to stop and finishes its work.
     Draining,
+    /// The process was not scheduled for some time and goes on.
+    Resumed {
+        /// How long it stood still.
+        after: Duration,
+    },
     /// The process stopped.
     Stopped,
     /// A configuration came in force.
@@ -104,3 +113,10 @@
         reachable: bool,
     },
 }
+
+impl Kind {
+    /// Whether the event is an input for a replay rather than something for a person to read.
+    pub fn is_input(&self) -> bool {
+        matches!(self, Self::AgentInput { .. } | Self::BalancerInput { .. })
+    }
+}
--- a/crates/daemon/src/app/agent/server.rs
+++ b/crates/daemon/src/app/agent/server.rs
@@ -5,19 +5,29 @@
         Arc,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::Instant,
 };
 
-use sassafrasmast_core::{Blackboard, config::Service};
+use sassafrasmast_core::{
+    Blackboard,
+    agent::{self, Claim, Key, Nonce},
+    config::{Service, Snapshot},
+    timeline::Kind,
+};
 use sassafrasmast_wire::Incarnation;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
-use super::{Phase, Recorder, Upstream};
+use super::{Claims, Desk, Phase, Upstream};
 use crate::{
     options::{Agent, Settings},
     quic::Socket,
+    recorder::Recorder,
+    store::Etcd,
 };
 
+/// Requests whose beginning, at most 64 KiB, is being read at once; more are refused.
+const MAX_READING: usize = 512;
+
 /// The running agent.
 #[derive(Debug)]
 pub struct Server {
@@ -33,10 +43,15 @@
     pub socket: Arc<Socket>,
     /// The one upstream.
     pub upstream: Upstream,
+    /// Decides about requests.
+    pub desk: Desk,
     /// Writes the time line.
     pub recorder: Recorder,
     /// Where the agent is in its life.
     pub phase: watch::Sender<Phase>,
+    /// Room for requests whose beginning is being read.
+    pub reading: Semaphore,
+    claims: Option<Claims>,
     flows: AtomicU32,
     requests: AtomicU64,
 }
@@ -51,8 +66,28 @@
         socket: Arc<Socket>,
     ) -> Self {
         let recorder = Recorder::new(Arc::clone(&blackboard), settings.name.clone(), incarnation);
+        let decisions = agent::Settings {
+            listen: settings.listen,
+            incarnation,
+            recording: true,
+            ..agent::Settings::default()
+        };
+        let start = Instant::now();
+        let began = Kind::AgentSettings {
+            listen: settings.listen,
+            ticks: decisions.recording,
+        };
+        recorder.record_at(start, None, None, began);
+        let core = agent::Agent::new(decisions, start);
+        let claims = match &role.store[..] {
+            [] => None,
+            store => Some(Claims::new(Arc::new(Etcd::new(store.to_vec())))),
+        };
         Self {
             upstream: Upstream::new(role.upstream),
+            desk: Desk::new(core, recorder.clone()),
+            reading: Semaphore::new(MAX_READING),
+            claims,
             settings,
             role,
             blackboard,
@@ -65,11 +100,12 @@
         }
     }
 
-    /// The service in force, once the agent is admitted.
-    pub fn service(&self) -> Option<Service> {
+    /// The service and the configuration in force, once the agent is admitted.
+    pub fn service(&self) -> Option<(Service, Arc<Snapshot>)> {
         let snapshot = self.blackboard.config()?;
         let identity = self.socket.identity()?;
-        snapshot.document.services.get(&identity.service).cloned()
+        let service = snapshot.document.services.get(&identity.service)?.clone();
+        Some((service, snapshot))
     }
 
     /// A request id that was never used by this incarnation.
@@ -97,14 +133,21 @@
         let _ = phase.wait_for(|phase| wanted(*phase)).await;
     }
 
-    /// Longest time a request may take, from its caller's header or the service.
-    pub fn time_limit(service: &Service, headers: &http::HeaderMap) -> Option<Duration> {
-        match headers.get(super::exchange::DEADLINE) {
-            None => Some(Duration::from_millis(service.deadline_ms)),
-            Some(value) => {
-                let millis = value.to_str().ok()?.parse().ok()?;
-                Some(Duration::from_millis(millis))
-            }
+    /// A fresh sealed ticket, unless the agent takes no new work.
+    pub fn ticket(&self) -> Option<String> {
+        let ticket = self.desk.decide(agent::Agent::ticket)?;
+        let snapshot = self.blackboard.config()?;
+        Some(ticket.seal(&snapshot.keys, rand::random()))
+    }
+
+    /// Claims a caller's key in the platform's store.
+    pub async fn claim(&self, key: &Key, nonce: Nonce) -> Claim {
+        let (Some(claims), Some(identity)) = (&self.claims, self.socket.identity()) else {
+            return Claim::Unsettled;
+        };
+        match key {
+            Key::Minted(key) => claims.claim(identity.service, key, nonce).await,
+            Key::Ticket(_) => Claim::Unsettled,
         }
     }
 }
--- a/crates/daemon/tests/agent/site.rs
+++ b/crates/daemon/tests/agent/site.rs
@@ -1,41 +1,27 @@
 //! One agent with its upstream, balancer and configuration.
 
-use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::PathBuf,
-    process,
-    sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rustls_pki_types::CertificateDer;
 use sassafrasmast_core::{
     Blackboard,
-    config::{Document, Secrets, Service, Snapshot, Upstream, Zone},
+    config::{Document, Snapshot},
 };
+use sassafrasmast_wire::AgentId;
 use sassafrasmastd::{
     app::agent::{Lifecycle, Server},
     options::{Agent, Role, Settings},
+    peer,
 };
 use tokio::{runtime::Runtime, task::JoinHandle, time::sleep};
 
 use super::{
     balancer::Balancer,
     caller::Caller,
+    document::{certificate, document, ip},
     upstream::{self, Counts},
 };
 
-static NEXT: AtomicU8 = AtomicU8::new(1);
-
-/// A loopback address of this test alone.
-pub fn ip() -> IpAddr {
-    let [.., high, low] = process::id().to_be_bytes();
-    Ipv4Addr::new(127, high | 1, low, NEXT.fetch_add(1, Ordering::Relaxed)).into()
-}
-
 /// Everything around one agent.
 pub struct Site {
     pub blackboard: Arc<Blackboard>,
@@ -51,49 +37,6 @@
     settings: Settings,
 }
 
-pub fn service() -> Service {
-    Service {
-        name: "bookings".to_owned(),
-        address: "127.0.0.1:443".parse().unwrap(),
-        feeds: vec!["/feed".to_owned()],
-        deadline_ms: 5_000,
-        max_body_bytes: 20_000_000,
-    }
-}
-
-/// A document that admits the upstream as agent 1 of service 1.
-pub fn document(agent: SocketAddr, upstream: SocketAddr) -> Document {
-    let mut document = Document::first(Secrets {
-        sealing: 0,
-        phases: [(0, [1; 32])].into(),
-        reset: [2; 32],
-    });
-    document.zones.insert("a".to_owned(), Zone::default());
-    document.services.insert(1, service());
-    let admitted = Upstream {
-        service: 1,
-        zone: "a".to_owned(),
-        agent,
-        upstream,
-        slots: 5,
-        connections: 2_000,
-        draining: false,
-    };
-    document.upstreams.insert(1, admitted);
-    document
-}
-
-/// Writes a certificate for `localhost`.
-fn certificate(ip: IpAddr) -> (CertificateDer<'static>, PathBuf, PathBuf) {
-    let made = rcgen::generate_simple_self_signed(["localhost".to_owned()]).unwrap();
-    let folder = std::env::temp_dir().join(format!("sassafrasmast-test-{ip}"));
-    std::fs::create_dir_all(&folder).unwrap();
-    let (chain, key) = (folder.join("chain.pem"), folder.join("key.pem"));
-    std::fs::write(&chain, made.cert.pem()).unwrap();
-    std::fs::write(&key, made.signing_key.serialize_pem()).unwrap();
-    (made.cert.der().clone(), chain, key)
-}
-
 impl Site {
     /// Starts an admitted agent.
     pub async fn start() -> Self {
@@ -106,11 +49,29 @@
 
     /// Starts an agent without a configuration.
     pub async fn unadmitted() -> Self {
+        Self::named(1).await
+    }
+
+    /// Starts agents 1 and 2 of one service.
+    pub async fn pair() -> (Self, Self) {
+        let (one, two) = (Self::named(1).await, Self::named(2).await);
+        let mut both = document(one.listen, one.upstream);
+        let other = document(two.listen, two.upstream).upstreams.remove(&1);
+        both.upstreams.extend(other.map(|upstream| (2, upstream)));
+        for site in [&one, &two] {
+            site.install(both.clone());
+            site.wait_until(|site| site.server().socket.identity().is_some())
+                .await;
+        }
+        (one, two)
+    }
+
+    async fn named(agent: AgentId) -> Self {
         let ip = ip();
         let listen = SocketAddr::new(ip, 4_433);
         let blackboard = Arc::new(Blackboard::new(10_000));
         let (upstream, counts) = upstream::start(ip).await;
-        let balancer = Balancer::start(ip, listen, blackboard.clone()).await;
+        let balancer = Balancer::start(ip, (agent, listen), blackboard.clone()).await;
         let (certificate, chain, key) = certificate(ip);
         let role = Agent {
             service: "bookings".to_owned(),
@@ -118,6 +79,8 @@
             slots: 5,
             connections: 2_000,
             entries: vec![balancer.back],
+            store: Vec::new(),
+            drain_deadline_ms: None,
             certificate: chain,
             key,
         };
@@ -159,6 +122,8 @@
         let lifecycle = Lifecycle::start(settings, role, self.blackboard.clone()).unwrap();
         self.server = Some(lifecycle.server().clone());
         self.drain = Box::new(lifecycle.drain());
+        let (listen, host) = (self.listen, lifecycle.host());
+        runtime.spawn(async move { peer::Server::bind(listen).await.unwrap().run(host).await });
         self.task = runtime.spawn(lifecycle.run());
         drop(guard);
         self.runtime = Some(runtime);
@@ -206,6 +171,21 @@
         connect.await.unwrap()
     }
 
+    /// Runs quick requests until the cold upstream is trusted with two at once.
+    pub async fn warm(&self) -> Caller {
+        let caller = self.caller().await;
+        for _ in 0..500 {
+            if self.server().desk.look(|agent, now| agent.load(now).limit) >= 2 {
+                return caller;
+            }
+            let (mut one, mut two) = (caller.clone(), caller.clone());
+            let both = tokio::join!(one.get("/slow/5"), two.get("/slow/5"));
+            both.0.unwrap();
+            both.1.unwrap();
+        }
+        panic!("the limit did not grow");
+    }
+
     /// Waits up to 5 s for a condition.
     pub async fn wait_until(&self, condition: impl Fn(&Self) -> bool) {
         for _ in 0..250 {
