--- a/crates/daemon/src/app/balancer.rs
+++ b/crates/daemon/src/app/balancer.rs
@@ -21,7 +21,10 @@
 };
 
 use self::control::Control;
-use crate::options::{Balancer, Settings};
+use crate::{
+    options::{Balancer, Settings},
+    recorder::Recorder,
+};
 
 pub use self::{edge::Edge, journal::Journal, pull::Pull};
 
@@ -47,6 +50,7 @@
         Instant::now(),
         balancer::Settings {
             zone: settings.zone.clone(),
+            policy: role.policy,
             seed: incarnation,
             ..balancer::Settings::default()
         },
@@ -56,12 +60,13 @@
     if let Some(address) = settings.metrics {
         meter::export(address)?;
     }
-    let journal = Journal::new(settings.name.clone(), incarnation, Arc::clone(&blackboard));
+    let name = settings.name.clone();
+    let recorder = Recorder::new(Arc::clone(&blackboard), name, incarnation);
+    let journal = Journal::new(recorder.clone());
     journal.record(timeline::Kind::Started);
     let (pulls, wanted) = mpsc::channel(MAX_PULLS);
-    let board = Arc::clone(&blackboard);
     let edge = Edge::bind(&settings, &role, router, blackboard, journal, pulls)?;
-    let control = Control::start(&settings, &role, board, incarnation, &edge).await?;
+    let control = Control::start(&settings, &role, recorder, &edge).await?;
     pull::watch(wanted, control.config.puller.clone());
     edge.start();
     log::info!("balancer: {} serves on {}", settings.name, settings.listen);
--- a/crates/daemon/src/app/balancer/control.rs
+++ b/crates/daemon/src/app/balancer/control.rs
@@ -46,8 +46,7 @@
     pub(super) async fn start(
         settings: &Settings,
         role: &Balancer,
-        board: Arc<Blackboard>,
-        incarnation: Incarnation,
+        recorder: Recorder,
         edge: &Arc<Edge>,
     ) -> anyhow::Result<Self> {
         let own = Registration {
@@ -56,7 +55,7 @@
             listen: settings.listen,
             api: role.api,
         };
-        let recorder = Recorder::new(board.clone(), settings.name.clone(), incarnation);
+        let board = Arc::clone(recorder.board());
         let store = Arc::new(Etcd::new(role.store.clone()));
         let peers = role.peers.clone();
         let config =
--- a/crates/daemon/src/app/balancer/edge.rs
+++ b/crates/daemon/src/app/balancer/edge.rs
@@ -224,10 +224,6 @@
             let version = self.blackboard.version();
             if version != followed || now.duration_since(bound) >= REBIND_PERIOD {
                 bound = now;
-                if version != followed {
-                    let kind = timeline::Kind::ConfigInForce { version };
-                    self.journal.record(kind);
-                }
                 self.follow();
                 followed = version;
             }
--- a/crates/daemon/src/app/balancer/journal.rs
+++ b/crates/daemon/src/app/balancer/journal.rs
@@ -1,44 +1,40 @@
-//! The process's own part of the time line.
+//! The balancer's own part of the time line.
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    sync::{Mutex, PoisonError},
+    time::Instant,
 };
 
 use sassafrasmast_core::{
-    Blackboard,
     balancer::Bucket,
-    timeline::{Event, FlowId, Kind, flow},
+    timeline::{Kind, flow},
 };
-use sassafrasmast_wire::Incarnation;
+
+use crate::recorder::Recorder;
 
 /// Events about single flows a second, and at once.
 const FLOW_EVENTS: u32 = 200;
 
-/// Records events with the process's name and the wall clock.
+/// Records events; those about single flows at a bounded rate.
 #[derive(Debug)]
 pub struct Journal {
-    process: String,
-    incarnation: Incarnation,
-    blackboard: Arc<Blackboard>,
+    recorder: Recorder,
     flows: Mutex<Bucket>,
 }
 
 impl Journal {
-    /// A journal that writes to `blackboard`.
-    pub fn new(process: String, incarnation: Incarnation, blackboard: Arc<Blackboard>) -> Self {
+    /// A journal that writes through `recorder`.
+    pub fn new(recorder: Recorder) -> Self {
         Self {
-            process,
-            incarnation,
-            blackboard,
+            recorder,
             flows: Mutex::new(Bucket::new(Instant::now(), FLOW_EVENTS, FLOW_EVENTS)),
         }
     }
 
     /// Records an event of the process.
     pub fn record(&self, kind: Kind) {
-        self.push(None, kind);
+        self.recorder.record(kind);
     }
 
     /// Records an event of one flow, at a bounded rate.
@@ -47,19 +43,8 @@
         let allowed = flows.take(now, 1);
         drop(flows);
         if allowed {
-            self.push(Some(flow::id(caller)), kind);
+            let flow = Some(flow::id(caller));
+            self.recorder.record_at(now, flow, None, kind);
         }
     }
-
-    fn push(&self, flow: Option<FlowId>, kind: Kind) {
-        let at = SystemTime::now().duration_since(UNIX_EPOCH);
-        self.blackboard.record(Event {
-            at_ns: at.map_or(0, |at| at.as_nanos() as u64),
-            process: self.process.clone(),
-            incarnation: self.incarnation,
-            flow,
-            request: None,
-            kind,
-        });
-    }
 }
--- a/crates/daemon/src/options/balancer.rs
+++ b/crates/daemon/src/options/balancer.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
+use sassafrasmast_core::balancer::Policy;
 use serde::Deserialize;
 
 /// Settings of a balancer.
@@ -18,4 +19,7 @@
     /// Local address to bind for a service address, where the two differ.
     #[serde(default)]
     pub bind: BTreeMap<SocketAddr, SocketAddr>,
+    /// How new flows choose among agents.
+    #[serde(default)]
+    pub policy: Policy,
 }
--- a/crates/daemon/tests/balancer.rs
+++ b/crates/daemon/tests/balancer.rs
@@ -18,6 +18,7 @@
 use sassafrasmastd::{
     app::balancer::{Edge, Journal, Pull},
     options::{Balancer, Role, Settings},
+    recorder::Recorder,
 };
 use tokio::{net::UdpSocket, sync::mpsc, time::timeout};
 
@@ -139,6 +140,7 @@
         store: Vec::new(),
         peers: Vec::new(),
         bind: [].into(),
+        policy: balancer::Policy::default(),
     };
     let settings = Settings {
         name: "balancer-1".to_owned(),
@@ -152,7 +154,7 @@
     };
     let board = || Arc::clone(blackboard);
     let router = balancer::Router::new(Instant::now(), balancer::Settings::default(), board());
-    let journal = Journal::new(settings.name.clone(), 1, board());
+    let journal = Journal::new(Recorder::new(board(), settings.name.clone(), 1));
     Edge::bind(&settings, &role, router, board(), journal, wanted)
 }
 
