fix(agent): an early refusal under a key is "unknown", not "not run"

Cause: requests refused before any decision (malformed deadline, body not here in time, relay to the wrong agent, no configuration) got the table's "not run", also when another copy of the same key had run; so did a relayed ticket that met an agent which is not its home, and the peer passed that on as the home's word. Seen in a test that failed first: a ticket ran, its copy with a malformed deadline was told "not-run". Now only a forged ticket keeps it.

--- a/crates/daemon/src/app/agent/exchange.rs
+++ b/crates/daemon/src/app/agent/exchange.rs
@@ -91,7 +91,10 @@
     let facts = match facts {
         Ok(facts) => facts,
         Err(Kind::Cancelled) => return,
-        Err(kind) => return deliver(&server, flow, id, sink, Answer::refusal(kind)).await,
+        Err(kind) => {
+            let answer = intake::refusal(kind, request.headers());
+            return deliver(&server, flow, id, sink, answer).await;
+        }
     };
     let class = facts.class;
     let arrived = agent::Request {
--- a/crates/daemon/src/app/agent/host.rs
+++ b/crates/daemon/src/app/agent/host.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use http::Request;
-use sassafrasmast_core::error::Kind;
+use sassafrasmast_core::error::{Kind, Outcome};
 use tokio::{
     net::TcpStream,
     sync::{mpsc, oneshot},
@@ -13,6 +13,7 @@
 use super::{
     Answer, Cut, Driver, Inflow, Piece, Server, Sink,
     exchange::{self, Arrival},
+    intake,
     source::Origin,
 };
 use crate::{
@@ -60,10 +61,15 @@
     async fn relay(&self, from: SocketAddr, head: Head, stream: TcpStream) {
         let (read, write) = stream.into_split();
         let mut sink = Sink::Peer(Sender::new(write));
-        let Some(request) = request(&head).filter(|_| self.accepts(from, &head)) else {
+        let request = request(&head);
+        let Some(request) = request.filter(|_| self.accepts(from, &head)) else {
             log::debug!("agent: a relayed request from {from} is refused.");
+            let answer = match head.headers.to_headers() {
+                Some(headers) => intake::refusal(Kind::NotReady, &headers),
+                None => Answer::error(Kind::NotReady, Outcome::Unknown),
+            };
             // The peer learns it from the closed connection as well.
-            let _ = sink.head(&Answer::refusal(Kind::NotReady), None).await;
+            let _ = sink.head(&answer, None).await;
             return;
         };
         let (pieces, body) = Inflow::stream(None);
--- a/crates/daemon/src/app/agent/intake.rs
+++ b/crates/daemon/src/app/agent/intake.rs
@@ -7,11 +7,11 @@
 use sassafrasmast_core::{
     agent::{Class, Digest, Key},
     config::Service,
-    error::Kind,
+    error::{Kind, Outcome},
 };
 use sassafrasmast_wire::{Error, Keys, Ticket};
 
-use super::Source;
+use super::{Answer, Source};
 
 /// Header with the whole time in milliseconds that a caller waits.
 pub const DEADLINE: HeaderName = HeaderName::from_static("sassafrasmast-deadline-ms");
@@ -62,6 +62,16 @@
     }
 }
 
+/// The answer to a request that is refused before anything is decided about it. Under a key that
+/// may be real, another copy may have run, here or elsewhere: "not run" would be a guess.
+pub fn refusal(kind: Kind, headers: &HeaderMap) -> Answer {
+    let keyed = headers.contains_key(IDEMPOTENCY_KEY) && kind != Kind::TicketInvalid;
+    match kind.answer().outcome {
+        Outcome::NotRun if keyed => Answer::error(kind, Outcome::Unknown),
+        outcome => Answer::error(kind, outcome),
+    }
+}
+
 /// How long the caller waits, at most as long as the service allows.
 ///
 /// # Errors
--- a/crates/daemon/tests/agent/once.rs
+++ b/crates/daemon/tests/agent/once.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::Ordering;
 
-use super::site::Site;
+use super::{caller::post, site::Site};
 
 fn ran(site: &Site) -> u64 {
     site.counts.ran.load(Ordering::Relaxed)
@@ -112,3 +112,24 @@
         assert_eq!((answer.status, answer.outcome()), (400, "not-run"));
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_refused_on_arrival_says_nothing_about_its_key() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let ticket = caller.ticket().await;
+    caller.post_once("/echo", &ticket, b"one").await;
+    assert_eq!(ran(&site), 1);
+    let copy = |deadline| {
+        let request = post("/echo").header("idempotency-key", ticket.as_str());
+        request.header("sassafrasmast-deadline-ms", deadline)
+    };
+    let malformed = copy("soon").body(()).unwrap();
+    let answer = caller.ask(malformed, b"one").await.unwrap();
+    assert_eq!((answer.status, answer.outcome()), (400, "unknown"));
+    let slow = copy("100").header("content-length", "3").body(()).unwrap();
+    let mut stream = caller.open(slow).await.unwrap();
+    let response = stream.recv_response().await.unwrap();
+    assert_eq!(response.status(), 504);
+    assert_eq!(response.headers()["sassafrasmast-outcome"], "unknown");
+}
