--- a/crates/core/src/balancer/policy.rs
+++ b/crates/core/src/balancer/policy.rs
@@ -1,5 +1,7 @@
 //! How a new flow chooses among agents.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 /// Placement policies, so that they can be measured against each other.
@@ -19,3 +21,27 @@
     #[default]
     LeastWait,
 }
+
+impl Policy {
+    /// Name in settings files.
+    ///
+    /// ```
+    /// use sassafrasmast_core::balancer::Policy;
+    /// assert_eq!(Policy::LeastConnections.to_string(), "least-connections");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Random => "random",
+            Self::RoundRobin => "round-robin",
+            Self::LeastConnections => "least-connections",
+            Self::PredictedWait => "predicted-wait",
+            Self::LeastWait => "least-wait",
+        }
+    }
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/fault.rs
@@ -0,0 +1,131 @@
+//! What happens during a scenario.
+
+use nix::sys::signal::Signal;
+use sassafrasmast_core::config::Change;
+use sassafrasmast_standins::{deployment::Deployment, store, upstream};
+use serde::Deserialize;
+
+/// A fault or an operators' change at a stated time.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// Seconds after the measured load began.
+    pub at_s: f64,
+    /// What happens.
+    #[serde(flatten)]
+    pub event: Event,
+}
+
+/// The closed set of things that can happen.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
+pub enum Event {
+    /// Operators take a zone out.
+    ZoneOut {
+        /// Index of the zone.
+        zone: usize,
+    },
+    /// Operators bring a zone back.
+    ZoneIn {
+        /// Index of the zone.
+        zone: usize,
+    },
+    /// An upstream falls cold.
+    Cold {
+        /// Index of the upstream.
+        upstream: usize,
+    },
+    /// An upstream takes longer by a factor, 1 being its own speed.
+    Slow {
+        /// Index of the upstream.
+        upstream: usize,
+        /// The factor.
+        factor: f64,
+    },
+    /// An upstream's health and load endpoints tell of an idle and healthy upstream.
+    Lie {
+        /// Index of the upstream.
+        upstream: usize,
+    },
+    /// The platform's store goes down or comes back.
+    Store {
+        /// Whether it is down.
+        down: bool,
+    },
+    /// A balancer is killed; the fabric goes on without it.
+    Kill {
+        /// Index of the balancer.
+        balancer: usize,
+    },
+    /// A killed balancer is replaced.
+    Join {
+        /// Index of the balancer.
+        balancer: usize,
+    },
+}
+
+impl Event {
+    /// Makes it happen.
+    ///
+    /// # Errors
+    ///
+    /// If a stand-in or the operators' API does not answer.
+    pub async fn apply(&self, deployment: &mut Deployment) -> anyhow::Result<()> {
+        match self {
+            Self::ZoneOut { zone } => {
+                let zone = deployment.settings.zone(*zone).to_owned();
+                deployment
+                    .operator(0)
+                    .change(vec![Change::ZoneOut { zone }])
+                    .await?;
+            }
+            Self::ZoneIn { zone } => {
+                let zone = deployment.settings.zone(*zone).to_owned();
+                deployment
+                    .operator(0)
+                    .change(vec![Change::ZoneIn { zone }])
+                    .await?;
+            }
+            Self::Cold { upstream } => {
+                let fault = upstream::Fault {
+                    cold: true,
+                    ..upstream::Fault::default()
+                };
+                deployment.fault_upstream(*upstream, &fault).await?;
+            }
+            Self::Slow { upstream, factor } => {
+                let fault = upstream::Fault {
+                    slow: *factor,
+                    ..upstream::Fault::default()
+                };
+                deployment.fault_upstream(*upstream, &fault).await?;
+            }
+            Self::Lie { upstream } => {
+                let fault = upstream::Fault {
+                    lie: true,
+                    ..upstream::Fault::default()
+                };
+                deployment.fault_upstream(*upstream, &fault).await?;
+            }
+            Self::Store { down } => {
+                let fault = store::Fault {
+                    down: *down,
+                    ..store::Fault::default()
+                };
+                deployment.fault_store(&fault).await?;
+            }
+            Self::Kill { balancer } => {
+                deployment.signal(&format!("balancer-{balancer}"), Signal::SIGKILL)?;
+                let all = 0..deployment.settings.balancers;
+                let left: Vec<_> = all.filter(|index| index != balancer).collect();
+                deployment.spray_to(&left).await?;
+            }
+            Self::Join { balancer } => {
+                deployment.launch_balancer(*balancer)?;
+                let all: Vec<_> = (0..deployment.settings.balancers).collect();
+                deployment.spray_to(&all).await?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/scenario.rs
@@ -0,0 +1,130 @@
+//! What is run.
+
+use std::{fs, path::Path, time::Duration};
+
+use anyhow::Context;
+use sassafrasmast_core::balancer::Policy;
+use sassafrasmast_standins::deployment;
+use serde::Deserialize;
+
+use crate::fault::Fault;
+
+/// A scenario file.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Scenario {
+    /// Name of the scenario and of its result files.
+    pub name: String,
+    /// Which deployment of the users is run.
+    pub deployment: Site,
+    /// Balancers.
+    pub balancers: usize,
+    /// Placement policies, each run on a deployment of its own.
+    pub policies: Vec<Policy>,
+    /// Duration of the load in seconds.
+    pub seconds: u64,
+    /// Seconds of load before anything is measured, in which upstreams get warm.
+    pub warm_up: u64,
+    /// Feeds held open.
+    pub feeds: usize,
+    /// Bookings a second, with exponential times between arrivals.
+    pub bookings_per_s: f64,
+    /// Bookings after which a caller opens a new connection.
+    pub bookings_per_flow: u32,
+    /// Manifests a second.
+    pub manifests_per_s: f64,
+    /// Bytes of a manifest.
+    pub manifest_bytes: usize,
+    /// Time a caller waits for an answer, retries included, in milliseconds.
+    pub deadline_ms: u64,
+    /// Mean service time of a booking in milliseconds.
+    pub booking_ms: u64,
+    /// Mean service time of a manifest in milliseconds.
+    pub manifest_ms: u64,
+    /// Seed of arrivals, fabric and upstreams.
+    pub seed: u64,
+    /// Single bookings compared with direct calls of an upstream; 0 leaves the comparison out.
+    pub compared: u64,
+    /// Faults and operators' changes.
+    pub faults: Vec<Fault>,
+}
+
+/// A deployment of the users.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Site {
+    /// Dispatch on 7 servers, manifest intake on 3.
+    Reciclumen,
+    /// Booking on 7 servers, manifest intake on 3.
+    Refugios,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            name: "unnamed".to_owned(),
+            deployment: Site::Reciclumen,
+            balancers: 4,
+            policies: vec![Policy::default()],
+            seconds: 20,
+            warm_up: 10,
+            feeds: 0,
+            bookings_per_s: 0.0,
+            bookings_per_flow: 10,
+            manifests_per_s: 0.0,
+            manifest_bytes: 256 * 1024,
+            deadline_ms: 5_000,
+            booking_ms: 100,
+            manifest_ms: 200,
+            seed: 1,
+            compared: 0,
+            faults: Vec::new(),
+        }
+    }
+}
+
+impl Scenario {
+    /// Reads a scenario file.
+    ///
+    /// # Errors
+    ///
+    /// Names the file and what is wrong with it.
+    pub fn load(file: &Path) -> anyhow::Result<Self> {
+        let text = fs::read_to_string(file).with_context(|| format!("{}", file.display()))?;
+        let scenario: Self =
+            toml::from_str(&text).with_context(|| format!("{}", file.display()))?;
+        anyhow::ensure!(
+            !scenario.policies.is_empty(),
+            "{}: no policies",
+            file.display()
+        );
+        anyhow::ensure!(scenario.seconds > 0, "{}: seconds is zero", file.display());
+        Ok(scenario)
+    }
+
+    /// Sizes of the deployment under `policy`.
+    pub fn sizes(&self, policy: Policy) -> deployment::Settings {
+        let site = match self.deployment {
+            Site::Reciclumen => deployment::Settings::reciclumen(),
+            Site::Refugios => deployment::Settings::refugios(),
+        };
+        deployment::Settings {
+            balancers: self.balancers,
+            policy,
+            upstream: vec![
+                "--booking-ms".to_owned(),
+                self.booking_ms.to_string(),
+                "--manifest-ms".to_owned(),
+                self.manifest_ms.to_string(),
+            ],
+            log: "warn".to_owned(),
+            seed: self.seed,
+            ..site
+        }
+    }
+
+    /// Time a caller waits, retries included.
+    pub fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+}
--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -181,10 +181,12 @@
         let peers = (0..self.settings.balancers).filter(|&other| other != index);
         let peers: Vec<_> = peers.map(|other| network.balancer(other)).collect();
         text += &format!(
-            "[role.balancer]\napi = \"{}\"\nstore = {}\npeers = {}\n[role.balancer.bind]\n",
+            "[role.balancer]\napi = \"{}\"\nstore = {}\npeers = {}\npolicy = \"{}\"\n\
+             [role.balancer.bind]\n",
             network.api(index),
             list(&[network.store()]),
             list(&peers),
+            self.settings.policy,
         );
         for service in 0..self.settings.services.len() {
             let bound = network.bound(index, service);
--- a/crates/standins/src/deployment/settings.rs
+++ b/crates/standins/src/deployment/settings.rs
@@ -1,5 +1,7 @@
 //! Sizes of a deployment.
 
+use sassafrasmast_core::balancer::Policy;
+
 /// Sizes of a deployment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
@@ -9,6 +11,8 @@
     pub balancers: usize,
     /// Services, with their upstreams spread over the zones.
     pub services: Vec<ServiceSettings>,
+    /// How balancers place new flows.
+    pub policy: Policy,
     /// Further arguments of each upstream.
     pub upstream: Vec<String>,
     /// Log level of the daemons.
@@ -36,6 +40,7 @@
                 ServiceSettings::new("dispatch", 3),
                 ServiceSettings::new("manifests", 2),
             ],
+            policy: Policy::default(),
             upstream: Vec::new(),
             log: "info".to_owned(),
             seed: 1,
