fix(agent): an opened feed no longer warms a cold upstream up

Cause: the answer that opens a feed counted as finished work, so ten feeds raised the limit to two while the upstream had run nothing. Ruled out: the bookings' own answers (none had finished) and placement. A feed's opening answer now teaches neither limiter nor predictor; failures and timeouts while it holds a slot still do.

--- a/crates/core/src/agent/running.rs
+++ b/crates/core/src/agent/running.rs
@@ -166,12 +166,18 @@
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
-        let opened = flight.request.class == Class::Feed && !self.slots.holds(id);
-        let ended = matches!(sign, Sign::Answer(_) | Sign::Timeout(_));
-        if flight.judged || (opened && ended) {
+        let feed = flight.request.class == Class::Feed;
+        // An opened feed is no finished work: it tells nothing of what the slots bear.
+        let idle = feed && !self.slots.holds(id);
+        let says_nothing = match sign {
+            Sign::Answer(_) => feed,
+            Sign::Timeout(_) => idle,
+            _ => false,
+        };
+        if flight.judged || says_nothing {
             return;
         }
-        flight.judged = flight.request.class != Class::Feed;
+        flight.judged = !feed;
         let weight = flight.weight;
         if let Sign::Answer(latency) = sign {
             self.predictor.observe(weight, latency);
