--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -6,6 +6,7 @@
     future::Future,
     net::SocketAddr,
     path::{Path, PathBuf},
+    process::Command,
     time::{Duration, Instant},
 };
 
@@ -13,7 +14,7 @@
 use nix::sys::signal::Signal;
 use sassafrasmast_core::config::{Change, Service};
 use sassafrasmast_wire::ConfigVersion;
-use sassafrasmastd::api::Announced;
+use sassafrasmastd::api::{Announced, Health};
 use serde_json::Value;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
@@ -22,7 +23,7 @@
     caller::{self, Client},
     certificate::{self, Certificate},
     http,
-    process::Process,
+    process::{self, Process},
     upstream,
 };
 
@@ -38,6 +39,9 @@
 /// Largest request body in bytes.
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Exit code of the operators' tool when some processes are silent.
+const PARTIAL: i32 = 6;
+
 /// Deployments of one process that run at once; more would take each other's processor time.
 static RUNNING: Semaphore = Semaphore::const_new(3);
 
@@ -219,9 +223,10 @@
         let mut text = self.common(&name, number, network.agent(index));
         text += &format!(
             "[role.agent]\nservice = \"{service}\"\nupstream = \"{}\"\nslots = 5\n\
-             connections = 2000\nentries = {}\ncertificate = \"{}\"\nkey = \"{}\"\n",
+             connections = 2000\nentries = {}\nstore = {}\ncertificate = \"{}\"\nkey = \"{}\"\n",
             network.upstream(index),
             list(&entries.collect::<Vec<_>>()),
+            list(&[network.store()]),
             self.directory.join("certificate.pem").display(),
             self.directory.join("key.pem").display(),
         );
@@ -278,7 +283,8 @@
         Ok(())
     }
 
-    /// Waits until all processes have one configuration and each service answers a caller.
+    /// Waits until all processes have one configuration, all balancers have heard all agents and
+    /// each service answers a caller.
     ///
     /// # Errors
     ///
@@ -286,6 +292,17 @@
     pub async fn ready(&self) -> anyhow::Result<()> {
         let version = self.operator(0).status().await?.version;
         self.in_force(version, START_LIMIT).await?;
+        for balancer in 0..self.settings.balancers {
+            let operator = self.operator(balancer);
+            until("all agents", START_LIMIT, || async {
+                let upstreams = operator.status().await?.upstreams;
+                let unknown = upstreams.iter().filter(|u| u.health == Health::Unknown);
+                let unknown = unknown.count();
+                anyhow::ensure!(unknown == 0, "balancer-{balancer} never heard {unknown}");
+                Ok(())
+            })
+            .await?;
+        }
         for (service, settings) in self.settings.services.iter().enumerate() {
             let client = self.client(service)?;
             until(&settings.name, START_LIMIT, || async {
@@ -458,6 +475,27 @@
         Ok(self.settings.zone(number))
     }
 
+    /// The time line of all processes that answer, by the operators' tool.
+    ///
+    /// # Errors
+    ///
+    /// If the tool cannot be run or no balancer answers.
+    pub fn timeline(&self) -> anyhow::Result<String> {
+        let mut command = Command::new(process::directory()?.join("sassafrasmast"));
+        command.arg("timeline");
+        for balancer in 0..self.settings.balancers {
+            command.args(["--api", &self.network.api(balancer).to_string()]);
+        }
+        let output = command.output()?;
+        let silent = output.status.code() == Some(PARTIAL);
+        let errors = String::from_utf8_lossy(&output.stderr);
+        anyhow::ensure!(output.status.success() || silent, "timeline: {errors}");
+        Ok(format!(
+            "{}{errors}",
+            String::from_utf8_lossy(&output.stdout)
+        ))
+    }
+
     /// Directory with settings, logs and the certificate.
     pub fn directory(&self) -> &Path {
         &self.directory
