--- a/crates/core/tests/balancer.rs
+++ b/crates/core/tests/balancer.rs
@@ -1,5 +1,7 @@
 //! The routing core of a balancer under bad input, faults and load.
 
+#[path = "balancer/faults.rs"]
+mod faults;
 #[path = "balancer/fixture.rs"]
 mod fixture;
 #[path = "balancer/hold.rs"]
@@ -8,5 +10,7 @@
 mod liveness;
 #[path = "balancer/placing.rs"]
 mod placing;
+#[path = "balancer/policies.rs"]
+mod policies;
 #[path = "balancer/routing.rs"]
 mod routing;
--- a/crates/daemon/src/app/agent/exchange.rs
+++ b/crates/daemon/src/app/agent/exchange.rs
@@ -91,7 +91,10 @@
     let facts = match facts {
         Ok(facts) => facts,
         Err(Kind::Cancelled) => return,
-        Err(kind) => return deliver(&server, flow, id, sink, Answer::refusal(kind)).await,
+        Err(kind) => {
+            let answer = intake::refusal(kind, request.headers());
+            return deliver(&server, flow, id, sink, answer).await;
+        }
     };
     let class = facts.class;
     let arrived = agent::Request {
@@ -145,6 +148,7 @@
     left: Option<Duration>,
 ) -> Result<Facts, Kind> {
     let arrived = Instant::now();
+    let _room = server.reading.try_acquire().map_err(|_| Kind::Overloaded)?;
     let (service, snapshot) = server.service().ok_or(Kind::NotReady)?;
     let headers = request.headers();
     let limit = match left {
--- a/crates/daemon/tests/agent/main.rs
+++ b/crates/daemon/tests/agent/main.rs
@@ -9,7 +9,9 @@
 mod answers;
 mod balancer;
 mod caller;
+mod document;
 mod flows;
 mod once;
+mod relay;
 mod site;
 mod upstream;
--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -6,7 +6,6 @@
     future::Future,
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::Command,
     time::{Duration, Instant},
 };
 
@@ -23,7 +22,7 @@
     caller::{self, Client},
     certificate::{self, Certificate},
     http,
-    process::{self, Process},
+    process::Process,
     upstream,
 };
 
@@ -39,9 +38,6 @@
 /// Largest request body in bytes.
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
-/// Exit code of the operators' tool when some processes are silent.
-const PARTIAL: i32 = 6;
-
 /// Deployments of one process that run at once; more would take each other's processor time.
 static RUNNING: Semaphore = Semaphore::const_new(3);
 
@@ -240,8 +236,16 @@
     /// If no balancer gets ready, an upstream does not announce itself or a plan is refused.
     pub async fn admit(&self) -> anyhow::Result<()> {
         self.create().await?;
+        self.admit_announced(self.upstreams().len()).await
+    }
+
+    /// Admits all announced upstreams once there are `wanted` of them.
+    ///
+    /// # Errors
+    ///
+    /// If an upstream does not announce itself or the plan is refused.
+    pub async fn admit_announced(&self, wanted: usize) -> anyhow::Result<()> {
         let operator = self.operator(0);
-        let wanted = self.upstreams().len();
         until("all announcements", START_LIMIT, || async {
             let announced = operator.status().await?.announced.len();
             anyhow::ensure!(announced == wanted, "{announced} of {wanted}");
@@ -475,27 +479,6 @@
         Ok(self.settings.zone(number))
     }
 
-    /// The time line of all processes that answer, by the operators' tool.
-    ///
-    /// # Errors
-    ///
-    /// If the tool cannot be run or no balancer answers.
-    pub fn timeline(&self) -> anyhow::Result<String> {
-        let mut command = Command::new(process::directory()?.join("sassafrasmast"));
-        command.arg("timeline");
-        for balancer in 0..self.settings.balancers {
-            command.args(["--api", &self.network.api(balancer).to_string()]);
-        }
-        let output = command.output()?;
-        let silent = output.status.code() == Some(PARTIAL);
-        let errors = String::from_utf8_lossy(&output.stderr);
-        anyhow::ensure!(output.status.success() || silent, "timeline: {errors}");
-        Ok(format!(
-            "{}{errors}",
-            String::from_utf8_lossy(&output.stdout)
-        ))
-    }
-
     /// Directory with settings, logs and the certificate.
     pub fn directory(&self) -> &Path {
         &self.directory
--- a/crates/standins/src/quickstart.rs
+++ b/crates/standins/src/quickstart.rs
@@ -2,6 +2,8 @@
 
 use std::{
     future::Future,
+    path::Path,
+    process::Command,
     time::{Duration, Instant},
 };
 
@@ -12,11 +14,15 @@
 use crate::{
     caller::{Error, Fate, Feed},
     deployment::{Deployment, Settings},
+    process,
 };
 
 /// Balancer that is killed.
 const KILLED: usize = 1;
 
+/// Exit code of the operators' tool when a process could not be asked.
+const PARTIAL: i32 = 6;
+
 /// Time in which the fabric learns of a dead balancer.
 const FABRIC_LAG: Duration = Duration::from_millis(300);
 
@@ -95,10 +101,17 @@
             .step("both feeds go on without a gap", both_go_on(&mut feeds))
             .await;
         self.zone_out(&deployment, feeds).await?;
-        let timeline = async { deployment.timeline() };
-        let timeline = self.step("the time lines are merged", timeline).await?;
-        print!("{timeline}");
-        Ok(())
+        let recording = deployment.directory().join("timeline.jsonl");
+        let _ = self
+            .step(
+                "the time line is collected",
+                collect_timeline(&deployment, &recording),
+            )
+            .await;
+        let _ = self
+            .step("its replay comes to the same decisions", replay(&recording))
+            .await;
+        print_timeline(&deployment)
     }
 
     /// Takes a zone out by a confirmed plan.
@@ -231,3 +244,40 @@
         }
     }
 }
+
+/// Runs the operators' tool and gives what it printed. One process was killed, so a time line
+/// without it is what is expected.
+fn tool(arguments: &[&str]) -> anyhow::Result<String> {
+    let output = Command::new(process::directory()?.join("sassafrasmast"))
+        .args(arguments)
+        .output()?;
+    let partial = output.status.code() == Some(PARTIAL) && arguments.first() == Some(&"timeline");
+    anyhow::ensure!(
+        output.status.success() || partial,
+        "{arguments:?}: {}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    );
+    Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+}
+
+/// Writes the time line of all processes to a file.
+async fn collect_timeline(deployment: &Deployment, file: &Path) -> anyhow::Result<()> {
+    let api = deployment.network.api(0).to_string();
+    tool(&["timeline", "--api", &api, "--out", &file.to_string_lossy()])?;
+    Ok(())
+}
+
+/// Replays a recorded time line through the decisions.
+async fn replay(file: &Path) -> anyhow::Result<()> {
+    let printed = tool(&["replay", &file.to_string_lossy()])?;
+    println!("        {}", printed.lines().last().unwrap_or_default());
+    Ok(())
+}
+
+/// Prints the time line of all processes.
+fn print_timeline(deployment: &Deployment) -> anyhow::Result<()> {
+    let api = deployment.network.api(0).to_string();
+    print!("{}", tool(&["timeline", "--api", &api])?);
+    Ok(())
+}
