--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -13,7 +13,7 @@
 use nix::sys::signal::Signal;
 use sassafrasmast_core::config::{Change, Service};
 use sassafrasmast_wire::ConfigVersion;
-use sassafrasmastd::api::Announced;
+use sassafrasmastd::api::{Announced, Health};
 use serde_json::Value;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
@@ -221,9 +221,10 @@
         let mut text = self.common(&name, number, network.agent(index));
         text += &format!(
             "[role.agent]\nservice = \"{service}\"\nupstream = \"{}\"\nslots = 5\n\
-             connections = 2000\nentries = {}\ncertificate = \"{}\"\nkey = \"{}\"\n",
+             connections = 2000\nentries = {}\nstore = {}\ncertificate = \"{}\"\nkey = \"{}\"\n",
             network.upstream(index),
             list(&entries.collect::<Vec<_>>()),
+            list(&[network.store()]),
             self.directory.join("certificate.pem").display(),
             self.directory.join("key.pem").display(),
         );
@@ -237,8 +238,16 @@
     /// If no balancer gets ready, an upstream does not announce itself or a plan is refused.
     pub async fn admit(&self) -> anyhow::Result<()> {
         self.create().await?;
+        self.admit_announced(self.upstreams().len()).await
+    }
+
+    /// Admits all announced upstreams once there are `wanted` of them.
+    ///
+    /// # Errors
+    ///
+    /// If an upstream does not announce itself or the plan is refused.
+    pub async fn admit_announced(&self, wanted: usize) -> anyhow::Result<()> {
         let operator = self.operator(0);
-        let wanted = self.upstreams().len();
         until("all announcements", START_LIMIT, || async {
             let announced = operator.status().await?.announced.len();
             anyhow::ensure!(announced == wanted, "{announced} of {wanted}");
@@ -280,7 +289,8 @@
         Ok(())
     }
 
-    /// Waits until all processes have one configuration and each service answers a caller.
+    /// Waits until all processes have one configuration, all balancers have heard all agents and
+    /// each service answers a caller.
     ///
     /// # Errors
     ///
@@ -288,6 +298,17 @@
     pub async fn ready(&self) -> anyhow::Result<()> {
         let version = self.operator(0).status().await?.version;
         self.in_force(version, START_LIMIT).await?;
+        for balancer in 0..self.settings.balancers {
+            let operator = self.operator(balancer);
+            until("all agents", START_LIMIT, || async {
+                let upstreams = operator.status().await?.upstreams;
+                let unknown = upstreams.iter().filter(|u| u.health == Health::Unknown);
+                let unknown = unknown.count();
+                anyhow::ensure!(unknown == 0, "balancer-{balancer} never heard {unknown}");
+                Ok(())
+            })
+            .await?;
+        }
         for (service, settings) in self.settings.services.iter().enumerate() {
             let client = self.client(service)?;
             until(&settings.name, START_LIMIT, || async {
