--- a/crates/core/src/balancer/placement.rs
+++ b/crates/core/src/balancer/placement.rs
@@ -16,6 +16,9 @@
 /// Wait in microseconds that an agent filled up to its limit stands for.
 const OCCUPANCY_US: f64 = 100_000.0;
 
+/// Wait in microseconds that an open flow stands for: feeds hold connections, not slots.
+const FLOW_US: f64 = 100.0;
+
 /// One of this many flows may go to a cold agent while others are ready.
 const TRICKLE_SHARE: u32 = 8;
 
@@ -86,7 +89,9 @@
                 *among.get(self.turn % among.len())?
             }
             Policy::LeastConnections => *among.iter().min_by(|a, b| a.flows.total_cmp(&b.flows))?,
-            Policy::LeastWait => *among.iter().min_by(|a, b| a.cost.total_cmp(&b.cost))?,
+            Policy::LeastWait => *among
+                .choose_multiple(rng, among.len() / 2 + 1)
+                .min_by(|a, b| a.cost.total_cmp(&b.cost))?,
             Policy::PredictedWait => *among
                 .choose_multiple(rng, 2)
                 .min_by(|a, b| a.cost.total_cmp(&b.cost))?,
@@ -119,7 +124,10 @@
             agent,
             class,
             trickle: member.takes_trickle(now),
-            cost: f64::from(member.load.wait_us) + OCCUPANCY_US * member.occupancy(now) + penalty,
+            cost: f64::from(member.load.wait_us)
+                + OCCUPANCY_US * member.occupancy(now)
+                + FLOW_US * f64::from(member.load.flows)
+                + penalty,
             flows: f64::from(member.load.flows) + member.pending(now),
         })
     }
--- a/crates/core/src/balancer/policy.rs
+++ b/crates/core/src/balancer/policy.rs
@@ -15,7 +15,8 @@
     /// The better of two random agents by the wait they predict, corrected for what was placed
     /// since their last report.
     PredictedWait,
-    /// The best of all agents by that wait.
+    /// The best of a random half of the agents by that wait. All of them would draw the balancers
+    /// to the same agent, and open feeds to the nearest.
     #[default]
     LeastWait,
 }
--- a/crates/core/src/balancer/settings.rs
+++ b/crates/core/src/balancer/settings.rs
@@ -10,7 +10,7 @@
 pub const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Cost of placing a flow in another availability zone, as added wait.
-const DEFAULT_REMOTE_PENALTY: Duration = Duration::from_millis(20);
+const DEFAULT_REMOTE_PENALTY: Duration = Duration::from_millis(2);
 
 /// Control bytes a second; leaves a fifth of 3 KB/s to calls between processes.
 const DEFAULT_CONTROL_RATE: u32 = 2_400;
--- a/crates/core/tests/balancer/policies.rs
+++ b/crates/core/tests/balancer/policies.rs
@@ -169,6 +169,21 @@
         }
     }
 
+    /// Lets time pass without arrivals.
+    fn quiet(&mut self, end: Instant) {
+        while let Some(Reverse((at, _, step))) = self.steps.pop() {
+            self.now = at;
+            match step {
+                Step::Arrive => self.at(WINDOW * 100, Step::Arrive),
+                step => self.step(step),
+            }
+            if at >= end {
+                break;
+            }
+        }
+        self.now = self.now.max(end);
+    }
+
     fn until(&mut self, end: Instant) {
         while let Some(Reverse((at, _, step))) = self.steps.pop() {
             self.now = at;
@@ -317,3 +332,26 @@
         );
     }
 }
+
+/// Feeds that stay open leave no running work, and still have to be spread.
+#[test]
+fn feeds_are_spread_while_nothing_else_runs() {
+    const FEEDS: u32 = 700;
+    let mut bench = Bench::new(&Settings::default(), 1, 0.5, 0);
+    bench.until(bench.now + Duration::from_millis(200));
+    for _ in 0..FEEDS {
+        let at = bench.rng.random_range(0..BALANCERS);
+        let router = &bench.balancers[at].router;
+        let Route::Place { agent, .. } = router.route(bench.now, DISPATCH, &initial()) else {
+            panic!("every flow is placed");
+        };
+        bench.node(agent).flows += 1;
+        bench.at(ONE_WAY * 2, Step::Frame(at, agent));
+        let gap = bench.exponential(Duration::from_millis(20));
+        bench.quiet(bench.now + gap);
+    }
+    let most = bench.nodes.iter().map(|node| node.flows).max().unwrap_or(0);
+    let share = f64::from(most * AGENTS) / f64::from(FEEDS);
+    println!("feeds max/mean {share:.3}");
+    assert!(share <= TARGET, "{share:.3}");
+}
