--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod placement;
 mod policy;
+mod prober;
 mod reason;
 mod reset;
 mod route;
--- a/crates/core/src/balancer/counters.rs
+++ b/crates/core/src/balancer/counters.rs
@@ -42,7 +42,7 @@
     }
 
     /// Counts a dropped datagram.
-    pub(super) fn drop(&self, reason: Reason) {
+    pub(super) fn discard(&self, reason: Reason) {
         Self::add(&self.dropped[reason as usize]);
     }
 
--- a/crates/core/src/balancer/router.rs
+++ b/crates/core/src/balancer/router.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicU32, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -20,6 +20,7 @@
     gate::Gate,
     peers::Peers,
     placement::Placement,
+    prober::Prober,
     table::{Entry, Table},
 };
 
@@ -29,21 +30,6 @@
 /// How often one first datagram may be handed back.
 const MAX_ATTEMPTS: u8 = 3;
 
-/// Bytes of IP and UDP headers, counted on top of each control frame.
-const HEADER_BYTES: u32 = 28;
-
-/// Bytes to reserve for a probe and its report, headers included.
-const PROBE_ROUND_BYTES: u32 = 120;
-
-/// Bytes of a greeting, headers included.
-const GREETING_BYTES: u32 = HEADER_BYTES + 12;
-
-/// Agents looked at in one tick beside those used lately.
-const SCAN: usize = 64;
-
-/// Agents probed in one tick of a hold.
-const HOLD_PROBES: usize = 4;
-
 /// Stateless resets a second, and at once.
 const RESET_RATE: u32 = 1_000;
 
@@ -59,44 +45,33 @@
 pub struct Router {
     settings: Settings,
     blackboard: Arc<Blackboard>,
-    counters: Counters,
+    counters: Arc<Counters>,
     start: Instant,
     table: RwLock<Option<Arc<Table>>>,
     gate: Gate,
-    hot: Mutex<Vec<AgentId>>,
-    control: Mutex<Bucket>,
+    prober: Prober,
     resets: Mutex<Bucket>,
-    peers: Mutex<Peers>,
     pulls: Mutex<Peers>,
     rng: Mutex<StdRng>,
     trusted: RwLock<Vec<Address>>,
-    nonce: AtomicU32,
     turn: AtomicUsize,
-    cursor: AtomicUsize,
 }
 
 impl Router {
     /// A router that takes its configuration from `blackboard`.
     pub fn new(now: Instant, settings: Settings, blackboard: Arc<Blackboard>) -> Self {
+        let counters = Arc::<Counters>::default();
         Self {
-            counters: Counters::default(),
             start: now,
             table: RwLock::new(None),
             gate: Gate::new(now),
-            hot: Mutex::new(Vec::new()),
-            control: Mutex::new(Bucket::new(
-                now,
-                settings.control_rate,
-                settings.control_burst,
-            )),
+            prober: Prober::new(now, &settings, Arc::clone(&counters)),
+            counters,
             resets: Mutex::new(Bucket::new(now, RESET_RATE, RESET_RATE)),
-            peers: Mutex::new(Peers::default()),
             pulls: Mutex::new(Peers::default()),
             rng: Mutex::new(StdRng::seed_from_u64(settings.seed)),
             trusted: RwLock::new(Vec::new()),
-            nonce: AtomicU32::new(1),
             turn: AtomicUsize::new(0),
-            cursor: AtomicUsize::new(0),
             settings,
             blackboard,
         }
@@ -139,7 +114,7 @@
             Route::Forward { .. } => Counters::add(&self.counters.forwarded),
             Route::Place { .. } => Counters::add(&self.counters.placed),
             Route::Reset { .. } => Counters::add(&self.counters.reset),
-            Route::Drop(reason) => self.counters.drop(*reason),
+            Route::Drop(reason) => self.counters.discard(*reason),
         }
         route
     }
@@ -162,7 +137,7 @@
         let sender = table.as_deref().and_then(|table| Sender::of(table, from));
         match frame.body {
             Body::Outbound { .. } | Body::Handback { .. } | Body::Inbound { .. } => {}
-            _ => self.charge(now, datagram.len()),
+            _ => self.prober.charge(now, datagram.len()),
         }
         if sender.is_some() || self.trusts(from) {
             self.compare(now, from, frame.config, actions);
@@ -187,11 +162,7 @@
             return;
         };
         self.gate.release(now, table.snapshot.document.version);
-        if self.gate.is_held() {
-            self.probe_for_release(now, &table, actions);
-        }
-        self.probe_hot(now, &table, actions);
-        self.probe_idle(now, &table, actions);
+        self.prober.tick(now, &table, &self.gate, actions);
     }
 
     /// Time between two calls of [`Router::tick`].
@@ -259,7 +230,7 @@
         let heat = !std::mem::replace(&mut member.hot, true);
         drop(member);
         if heat {
-            self.heat(cid.agent);
+            self.prober.heat(cid.agent);
         }
         if dead && self.has_sign(now, entry) {
             return self.reset(now, table, cid.agent, packet, Reason::Dead);
@@ -315,7 +286,7 @@
         let heat = !std::mem::replace(&mut member.hot, true);
         drop(member);
         if heat {
-            self.heat(agent);
+            self.prober.heat(agent);
         }
         Ok((agent, entry.address))
     }
@@ -337,19 +308,7 @@
             });
         }
         if theirs < ours {
-            self.greet(now, from, actions);
-        }
-    }
-
-    fn greet(&self, now: Instant, to: Address, actions: &mut Vec<Action<'_>>) {
-        if !lock(&self.control).has(now, GREETING_BYTES) {
-            return;
-        }
-        if lock(&self.peers).greet(now, to) {
-            lock(&self.control).charge(now, GREETING_BYTES);
-            Counters::count(&self.counters.control_bytes, GREETING_BYTES);
-            let body = Body::Hello;
-            actions.push(Action::Send { to, body });
+            self.prober.greet(now, from, actions);
         }
     }
 
@@ -462,7 +421,7 @@
                 };
                 self.blackboard.announce(now, announcement);
                 if frame.config < self.blackboard.version() {
-                    self.greet(now, from, actions);
+                    self.prober.greet(now, from, actions);
                 }
             }
             Body::Hello if self.trusts(from) => {}
@@ -491,7 +450,7 @@
                     body: returned.inbound(agent),
                 });
             }
-            Err(reason) => self.counters.drop(reason),
+            Err(reason) => self.counters.discard(reason),
         }
     }
 
@@ -511,113 +470,13 @@
         drop(member);
         sender.entry.area.hear(self.micros(now));
         if heat {
-            self.heat(sender.agent);
+            self.prober.heat(sender.agent);
         }
     }
 
-    /// Probes agents used or changed lately: of those in use the changed first, then the most used.
-    fn probe_hot(&self, now: Instant, table: &Table, actions: &mut Vec<Action<'_>>) {
-        let hot = std::mem::take(&mut *lock(&self.hot));
-        let mut due = Vec::new();
-        for agent in hot {
-            let Some(entry) = table.entries.get(&agent) else {
-                continue;
-            };
-            let mut member = entry.member();
-            if member.wants_probe(now) {
-                due.push((member.used > 0, member.changed, member.used, agent));
-            } else {
-                member.hot = false;
-            }
-        }
-        due.sort_unstable_by(|a, b| b.cmp(a));
-        let mut rest = due.into_iter();
-        for (.., agent) in rest.by_ref() {
-            if !self.probe(now, table, agent, actions) {
-                lock(&self.hot).push(agent);
-                break;
-            }
-            if let Some(entry) = table.entries.get(&agent) {
-                entry.member().hot = false;
-            }
-        }
-        lock(&self.hot).extend(rest.map(|(.., agent)| agent));
-    }
-
-    /// Probes the other agents in turn with the bytes that are left.
-    fn probe_idle(&self, now: Instant, table: &Table, actions: &mut Vec<Action<'_>>) {
-        for _ in 0..SCAN.min(table.order.len()) {
-            let agent = self.next_in_turn(table);
-            let wants = |entry: &Entry| entry.area.out.is_none() && entry.member().wants_probe(now);
-            if !table.entries.get(&agent).is_some_and(wants) {
-                continue;
-            }
-            if !self.probe(now, table, agent, actions) {
-                self.cursor.fetch_sub(1, Ordering::Relaxed);
-                return;
-            }
-        }
-    }
-
-    /// Asks some agents whether they know a newer configuration, whatever the budget.
-    fn probe_for_release(&self, now: Instant, table: &Table, actions: &mut Vec<Action<'_>>) {
-        if !self.gate.asks(now) {
-            return;
-        }
-        for _ in 0..HOLD_PROBES.min(table.order.len()) {
-            let agent = self.next_in_turn(table);
-            lock(&self.control).charge(now, PROBE_ROUND_BYTES / 2);
-            self.send_probe(now, table, agent, actions);
-        }
-    }
-
-    fn next_in_turn(&self, table: &Table) -> AgentId {
-        let turn = self.cursor.fetch_add(1, Ordering::Relaxed);
-        table.order[turn % table.order.len()]
-    }
-
-    /// Probes an agent if the budget allows it.
-    fn probe(
-        &self,
-        now: Instant,
-        table: &Table,
-        agent: AgentId,
-        actions: &mut Vec<Action<'_>>,
-    ) -> bool {
-        let mut control = lock(&self.control);
-        if !control.has(now, PROBE_ROUND_BYTES) {
-            return false;
-        }
-        control.charge(now, PROBE_ROUND_BYTES / 2);
-        drop(control);
-        self.send_probe(now, table, agent, actions);
-        true
-    }
-
-    fn send_probe(
-        &self,
-        now: Instant,
-        table: &Table,
-        agent: AgentId,
-        actions: &mut Vec<Action<'_>>,
-    ) {
-        let Some(entry) = table.entries.get(&agent) else {
-            return;
-        };
-        entry.member().probe(now);
-        self.gate.probed();
-        Counters::add(&self.counters.probes);
-        Counters::count(&self.counters.control_bytes, PROBE_ROUND_BYTES / 2);
-        let nonce = self.nonce.fetch_add(1, Ordering::Relaxed);
-        actions.push(Action::Send {
-            to: entry.address,
-            body: Body::Probe { nonce, agent },
-        });
-    }
-
     /// Holds forwarding; silence so far is not the agents' fault.
     fn hold(&self, now: Instant) {
-        if self.gate.hold(now, self.nonce.load(Ordering::Relaxed)) {
+        if self.gate.hold(now, self.prober.next_nonce()) {
             Counters::add(&self.counters.holds);
         }
         if let Some(table) = self.table(now) {
@@ -634,16 +493,6 @@
         entry.area.heard() > 0 && Duration::from_micros(age) <= ZONE_SIGN
     }
 
-    fn charge(&self, now: Instant, bytes: usize) {
-        let bytes = bytes as u32 + HEADER_BYTES;
-        Counters::count(&self.counters.control_bytes, bytes);
-        lock(&self.control).charge(now, bytes);
-    }
-
-    fn heat(&self, agent: AgentId) {
-        lock(&self.hot).push(agent);
-    }
-
     fn trusts(&self, from: Address) -> bool {
         self.trusted
             .read()
--- a/crates/core/tests/balancer/liveness.rs
+++ b/crates/core/tests/balancer/liveness.rs
@@ -51,6 +51,23 @@
     assert!(fleet.forwards(1) && fleet.forwards(4) && fleet.forwards(7));
 }
 
+#[test]
+fn agents_of_an_out_zone_are_not_probed_even_during_a_hold() {
+    let mut fleet = Fleet::ready();
+    for agent in 1..=10 {
+        assert!(fleet.forwards(agent));
+    }
+    fleet.change(|document| document.zones.get_mut("b").unwrap().out = true);
+    let answer = |agent: u32| {
+        assert_ne!(agent % 3, 1, "agent {agent} is in the zone that is out");
+        Some(2)
+    };
+    fleet.pass(Duration::from_secs(5), answer);
+    fleet.now += Duration::from_secs(2);
+    fleet.pass(Duration::from_secs(5), answer);
+    assert!(fleet.forwards(2));
+}
+
 #[test]
 fn ten_agents_are_heard_about_twice_a_second_within_the_budget() {
     let mut fleet = Fleet::ready();
