feat(balancer): a balancer that stops withdraws its registration at once

Before, the others listed it until its lease of 15 s ended (the test waited 5 s in vain); now it gives the lease up, waiting at most 1 s for the store, and then forwards 2 s more.

--- a/crates/daemon/src/app/balancer.rs
+++ b/crates/daemon/src/app/balancer.rs
@@ -73,8 +73,12 @@
     terminate.recv().await;
     log::info!("balancer: told to stop, forwards for {LINGER:?} more");
     edge.journal().record(timeline::Kind::Draining);
+    let leave = async {
+        control.config.leave().await;
+        tokio::time::sleep(LINGER).await;
+    };
     tokio::select! {
-        () = tokio::time::sleep(LINGER) => {}
+        () = leave => {}
         _ = terminate.recv() => log::info!("balancer: told to stop at once"),
     }
     edge.journal().record(timeline::Kind::Stopped);
--- a/crates/daemon/src/config/registrar.rs
+++ b/crates/daemon/src/config/registrar.rs
@@ -1,9 +1,13 @@
 //! A balancer's registration under a lease, and the list of live balancers.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use sassafrasmast_core::{config::Registration, timeline::Kind};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::{jitter::jittered, key};
 use crate::{
@@ -17,6 +21,9 @@
 /// Keep-alives in one lifetime of the lease.
 const KEEP_ALIVES: u32 = 3;
 
+/// Longest wait for the store when a balancer that stops gives its lease up.
+const LEAVE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -26,6 +33,7 @@
     store: Arc<dyn Store>,
     recorder: Recorder,
     own: Registration,
+    lease: Arc<Mutex<Option<LeaseId>>>,
 }
 
 impl Registrar {
@@ -35,6 +43,7 @@
             store,
             recorder,
             own,
+            lease: Arc::default(),
         }
     }
 
@@ -44,7 +53,9 @@
         loop {
             match self.grant().await {
                 Ok(lease) => {
+                    self.remember(Some(lease));
                     self.keep(lease).await;
+                    self.remember(None);
                     log::warn!("config: the lease of this balancer's registration is lost.");
                     self.recorder.record(Kind::LeaseLost);
                 }
@@ -56,6 +67,25 @@
         }
     }
 
+    /// Gives the lease up, so that the others need not wait for its end. To be called after the
+    /// task of [`Registrar::register`] was stopped.
+    pub async fn leave(&self) {
+        let Some(lease) = self.remember(None) else {
+            return;
+        };
+        match timeout(LEAVE_LIMIT, self.store.revoke(lease)).await {
+            Ok(Ok(())) => log::info!("config: the registration is withdrawn."),
+            Ok(Err(error)) => log::warn!("config: cannot withdraw the registration: {error}."),
+            Err(_) => log::warn!("config: the store is slow, the registration will lapse."),
+        }
+    }
+
+    /// Replaces the remembered lease and gives back the one before.
+    fn remember(&self, lease: Option<LeaseId>) -> Option<LeaseId> {
+        let mut slot = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *slot, lease)
+    }
+
     async fn grant(&self) -> Result<LeaseId, Error> {
         let lease = self.store.grant(LEASE_TTL).await?;
         let value = serde_json::to_vec(&self.own).map_err(|e| Error::Malformed(e.to_string()))?;
