--- a/crates/daemon/tests/agent/document.rs
+++ b/crates/daemon/tests/agent/document.rs
@@ -47,6 +47,8 @@
         draining: false,
     };
     document.upstreams.insert(1, admitted);
+    document.next_service = 2;
+    document.next_agent = 3;
     document
 }
 
