--- a/crates/daemon/src/app/agent/desk.rs
+++ b/crates/daemon/src/app/agent/desk.rs
@@ -93,6 +93,11 @@
         inner.sweep();
     }
 
+    /// Requests that wait for decisions.
+    pub fn waiting(&self) -> usize {
+        self.lock().handlers.len()
+    }
+
     /// Ticks the core until the task is dropped.
     pub async fn run(&self) {
         loop {
--- a/crates/daemon/src/app/agent/exchange.rs
+++ b/crates/daemon/src/app/agent/exchange.rs
@@ -361,3 +361,17 @@
         }
     }
 }
+
+impl Drop for Exchange {
+    /// Gives back what the request occupies if its task ended before its time.
+    fn drop(&mut self) {
+        let (desk, id) = (&self.attempt.server.desk, self.attempt.id);
+        if desk.look(|agent, _| agent.is_open(id)) {
+            self.decide(agent::Agent::cancelled);
+            self.decide(|agent, now, id| agent.finished(now, id, Finish::Cut));
+        }
+        if !self.answered {
+            desk.answered(id);
+        }
+    }
+}
--- a/crates/daemon/tests/agent/main.rs
+++ b/crates/daemon/tests/agent/main.rs
@@ -14,4 +14,5 @@
 mod once;
 mod relay;
 mod site;
+mod storm;
 mod upstream;
