--- a/crates/daemon/benches/flows.rs
+++ b/crates/daemon/benches/flows.rs
@@ -17,26 +17,20 @@
 mod balancer;
 #[path = "../tests/agent/caller.rs"]
 mod caller;
+#[path = "../tests/agent/child.rs"]
+mod child;
 #[path = "../tests/agent/document.rs"]
 mod document;
 #[path = "../tests/agent/upstream.rs"]
 mod upstream;
 
-use std::{
-    fs,
-    net::SocketAddr,
-    process::{Child, Command},
-    sync::Arc,
-    time::Duration,
-};
+use std::time::Duration;
 
-use sassafrasmast_core::{Blackboard, config::Snapshot};
-use sassafrasmastd::peer;
 use tokio::time::sleep;
 
 use self::{
-    balancer::Balancer,
     caller::{Caller, Stream, get},
+    child::Child,
 };
 
 /// Flows held when a reading is taken.
@@ -48,47 +42,9 @@
 /// Time over which processor time is read.
 const WINDOW: Duration = Duration::from_secs(5);
 
-/// Processor time is counted in hundredths of a second.
-const TICKS_PER_S: f64 = 100.0;
-
 /// One reading: flows, resident KiB, processor seconds a second.
 type Reading = (usize, f64, f64);
 
-struct Agent(Child);
-
-impl Drop for Agent {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Agent {
-    fn resident_kib(&self) -> f64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.0.id())).unwrap();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        line.unwrap()
-            .split_whitespace()
-            .nth(1)
-            .unwrap()
-            .parse()
-            .unwrap()
-    }
-
-    fn processor_s(&self) -> f64 {
-        let stat = fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap();
-        let fields: Vec<_> = stat
-            .rsplit(')')
-            .next()
-            .unwrap()
-            .split_whitespace()
-            .collect();
-        let ticks = |at: usize| fields[at].parse::<f64>().unwrap();
-        (ticks(11) + ticks(12)) / TICKS_PER_S
-    }
-}
-
 fn main() {
     let runtime = tokio::runtime::Runtime::new().unwrap();
     for feeds in [false, true] {
@@ -98,34 +54,12 @@
 }
 
 async fn measure(feeds: bool) -> Vec<Reading> {
-    let ip = document::ip();
-    let listen = SocketAddr::new(ip, 4_433);
-    let blackboard = Arc::new(Blackboard::new(100));
-    let (upstream, _) = upstream::start(ip).await;
-    let balancer = Balancer::start(ip, (1, listen), blackboard.clone()).await;
-    let (certificate, chain, key) = document::certificate(ip);
-    let document = document::document(listen, upstream);
-    assert!(blackboard.install(Snapshot::new(document).unwrap()));
-    let server = peer::Server::bind(balancer.back).await.unwrap();
-    let common = peer::Common::balancer(blackboard);
-    tokio::spawn(server.run(Arc::new(common)));
-    let settings = chain.with_file_name("agent.toml");
-    let text = format!(
-        "name = \"agent\"\nzone = \"a\"\nlisten = \"{listen}\"\nlog = \"warn\"\nevents = 1000\n\
-         [role.agent]\nservice = \"bookings\"\nupstream = \"{upstream}\"\nslots = 5\n\
-         connections = 2000\nentries = [\"{}\"]\ncertificate = {chain:?}\nkey = {key:?}\n",
-        balancer.back
-    );
-    fs::write(&settings, text).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_sassafrasmastd"));
-    let agent = Agent(command.arg("--settings").arg(settings).spawn().unwrap());
-    // Lets it pull its configuration.
-    sleep(SETTLE).await;
+    let child = Child::start().await;
     let mut held: Vec<(Caller, Option<Stream>)> = Vec::new();
     let mut readings = Vec::new();
     for size in SIZES {
         while held.len() < size {
-            let mut caller = Caller::connect(&certificate, balancer.front).await.unwrap();
+            let mut caller = child.caller().await;
             let stream = match feeds {
                 true => Some(feed(&mut caller).await),
                 false => None,
@@ -133,10 +67,10 @@
             held.push((caller, stream));
         }
         sleep(SETTLE).await;
-        let before = agent.processor_s();
+        let before = child.processor_s();
         sleep(WINDOW).await;
-        let share = (agent.processor_s() - before) / WINDOW.as_secs_f64();
-        readings.push((size, agent.resident_kib(), share));
+        let share = (child.processor_s() - before) / WINDOW.as_secs_f64();
+        readings.push((size, child.resident_kib(), share));
     }
     readings
 }
--- /dev/null
+++ b/crates/daemon/benches/latency.rs
@@ -0,0 +1,101 @@
+//! Latency that an agent and a forwarding fake of a balancer add to a request.
+//!
+//! One caller asks one request after another through the daemon, and directly in HTTP/1.1 with a
+//! kept connection:
+//!
+//! ```text
+//! cargo bench -p sassafrasmastd --bench latency
+//! ```
+
+#![allow(
+    clippy::unwrap_used,
+    dead_code,
+    reason = "a failed step ends the measurement; the fakes are shared with the tests"
+)]
+
+#[path = "../tests/agent/balancer.rs"]
+mod balancer;
+#[path = "../tests/agent/caller.rs"]
+mod caller;
+#[path = "../tests/agent/child.rs"]
+mod child;
+#[path = "../tests/agent/document.rs"]
+mod document;
+#[path = "../tests/agent/upstream.rs"]
+mod upstream;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use self::{caller::Caller, child::Child};
+
+/// Requests timed each way.
+const REQUESTS: usize = 5_000;
+
+/// Requests before the timing.
+const WARM_UP: usize = 500;
+
+fn main() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let child = Child::start().await;
+        report("direct", direct(child.upstream).await);
+        let mut caller = child.caller().await;
+        let before = child.processor_s();
+        report("through the agent", through(&mut caller).await);
+        let each = (child.processor_s() - before) / (REQUESTS + WARM_UP) as f64;
+        println!(
+            "processor time of the agent for each request: {:.0} us",
+            each * 1e6
+        );
+    });
+}
+
+async fn through(caller: &mut Caller) -> Vec<Duration> {
+    let mut times = Vec::new();
+    for _ in 0..WARM_UP + REQUESTS {
+        let since = Instant::now();
+        assert_eq!(caller.post("/echo", b"booking").await.unwrap().status, 200);
+        times.push(since.elapsed());
+    }
+    times.split_off(WARM_UP)
+}
+
+async fn direct(upstream: SocketAddr) -> Vec<Duration> {
+    let stream = TcpStream::connect(upstream).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    let mut times = Vec::new();
+    for _ in 0..WARM_UP + REQUESTS {
+        let since = Instant::now();
+        let body = Full::new(Bytes::from_static(b"booking"));
+        let request = Request::post("/echo")
+            .header("host", "localhost")
+            .body(body);
+        sender.ready().await.unwrap();
+        let response = sender.send_request(request.unwrap()).await.unwrap();
+        response.into_body().collect().await.unwrap();
+        times.push(since.elapsed());
+    }
+    times.split_off(WARM_UP)
+}
+
+fn report(title: &str, mut times: Vec<Duration>) {
+    times.sort();
+    let at = |share: usize| times[times.len() * share / 100].as_micros();
+    println!(
+        "{title}: median {} us, 99th percentile {} us",
+        at(50),
+        at(99)
+    );
+}
