--- a/crates/daemon/tests/agent/relay.rs
+++ b/crates/daemon/tests/agent/relay.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use h3::error::Code;
+
 use super::site::Site;
 
 fn started(site: &Site) -> u64 {
@@ -65,3 +67,22 @@
     assert_eq!(long.await.unwrap().outcome(), "ran");
     assert_eq!(started(&site), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_request_is_cancelled_at_the_peer() {
+    let (one, two) = Site::pair().await;
+    let caller = one.caller().await;
+    caller.clone().post("/slow/100", b"").await.unwrap();
+    let mut busy = caller.clone();
+    let long = tokio::spawn(async move { busy.post("/slow/3000", b"").await.unwrap() });
+    one.wait_until(|one| started(one) == 2).await;
+    let request = super::caller::post("/slow/60000").body(()).unwrap();
+    let mut stream = caller.clone().open(request).await.unwrap();
+    stream.finish().await.unwrap();
+    two.wait_until(|two| started(two) == 1).await;
+    stream.stop_sending(Code::H3_REQUEST_CANCELLED);
+    drop(stream);
+    two.wait_until(|two| two.counts.cancelled.load(Ordering::Relaxed) == 1)
+        .await;
+    assert_eq!(long.await.unwrap().outcome(), "ran");
+}
