--- a/crates/daemon/src/app/agent.rs
+++ b/crates/daemon/src/app/agent.rs
@@ -6,6 +6,7 @@
 pub mod desk;
 pub mod driver;
 pub mod exchange;
+pub mod facts;
 pub mod flow;
 pub mod host;
 pub mod inflow;
@@ -30,6 +31,7 @@
     claims::Claims,
     desk::{Actions, Desk},
     driver::Driver,
+    facts::Facts,
     host::Host,
     inflow::{Cut, Inflow, Piece},
     lifecycle::Lifecycle,
--- a/crates/daemon/src/app/agent/exchange.rs
+++ b/crates/daemon/src/app/agent/exchange.rs
@@ -8,14 +8,13 @@
 
 use http::{Request, StatusCode};
 use sassafrasmast_core::{
-    agent::{self, Action, Class, Finish, Key, Relay, Reply},
+    agent::{self, Action, Class, Finish, Relay, Reply},
     error::{Kind, Outcome},
     timeline::{self, FlowId, RequestId},
 };
-use tokio::time::timeout_at;
 
 use super::{
-    Actions, Answer, Server, Sink, Source,
+    Actions, Answer, Facts, Server, Sink,
     attempt::{self, Attempt, Step},
     intake,
     source::Origin,
@@ -44,14 +43,6 @@
     pub left: Option<Duration>,
 }
 
-/// What was found out about a request before anything is decided.
-struct Facts {
-    class: Class,
-    key: Option<Key>,
-    source: Source,
-    deadline: Instant,
-}
-
 /// A request on its way to its final answer.
 struct Exchange {
     attempt: Attempt,
@@ -85,7 +76,7 @@
         return deliver(&server, flow, id, sink, ticket_answer(&server)).await;
     }
     let facts = tokio::select! {
-        facts = examine(&server, &request, origin, left) => facts,
+        facts = Facts::find(&server, &request, origin, left) => facts,
         _ = &mut cancel => return,
     };
     let facts = match facts {
@@ -140,33 +131,6 @@
     }
 }
 
-/// Looks at a request and reads the beginning of its body.
-async fn examine(
-    server: &Server,
-    request: &Request<()>,
-    origin: Origin,
-    left: Option<Duration>,
-) -> Result<Facts, Kind> {
-    let arrived = Instant::now();
-    let _room = server.reading.try_acquire().map_err(|_| Kind::Overloaded)?;
-    let (service, snapshot) = server.service().ok_or(Kind::NotReady)?;
-    let headers = request.headers();
-    let limit = match left {
-        Some(left) => left.min(Duration::from_millis(service.deadline_ms)),
-        None => intake::time_limit(&service, headers)?,
-    };
-    let deadline = arrived + limit;
-    let key = intake::key(&snapshot.keys, headers)?;
-    let reading = Source::read(origin, headers, service.max_body_bytes);
-    let source = timeout_at(deadline.into(), reading).await;
-    Ok(Facts {
-        class: intake::class(&service, request),
-        key,
-        source: source.map_err(|_| Kind::DeadlinePassed)??,
-        deadline,
-    })
-}
-
 /// Gives the caller a final answer whose body is all here.
 async fn deliver(
     server: &Server,
--- a/crates/daemon/src/quic.rs
+++ b/crates/daemon/src/quic.rs
@@ -7,10 +7,12 @@
 mod endpoint;
 mod generator;
 mod identity;
+mod inbound;
 mod link;
 mod poller;
 mod queue;
 mod socket;
+mod status;
 
 pub use self::{
     endpoint::{Certificate, endpoint},
--- a/crates/daemon/src/quic/socket.rs
+++ b/crates/daemon/src/quic/socket.rs
@@ -14,9 +14,7 @@
     udp::{RecvMeta, Transmit, UdpSocketState},
 };
 use sassafrasmast_core::Blackboard;
-use sassafrasmast_wire::{
-    AgentId, Body, ConfigVersion, Frame, Incarnation, Load, ServiceId, State, cid,
-};
+use sassafrasmast_wire::{AgentId, Body, ConfigVersion, Frame, Incarnation, Load};
 use socket2::{Domain, Protocol, Type};
 use tokio::{
     io::Interest,
@@ -24,7 +22,12 @@
     sync::{mpsc, watch},
 };
 
-use super::{Identity, Link, Queue, poller::Poller};
+use super::{
+    Identity, Link, Queue,
+    inbound::{Inbound, Verdict},
+    poller::Poller,
+    status::Status,
+};
 
 /// Kernel buffer asked for in each direction, in bytes.
 const BUFFER_BYTES: usize = 4 * 1_024 * 1_024;
@@ -44,12 +47,6 @@
 /// Reports of peers that may wait; more are dropped.
 const MAX_REPORTS: usize = 64;
 
-/// Bit of a QUIC datagram's first byte that tells a long header.
-const LONG_HEADER: u8 = 0x80;
-
-/// Low bits of an incarnation that connection ids carry.
-const INCARNATION_MASK: Incarnation = (1 << cid::INCARNATION_BITS) - 1;
-
 /// Receives and sends frames; quinn uses it as its UDP socket.
 ///
 /// Lock order: `status`, then `link`. Neither is held while sending.
@@ -70,25 +67,6 @@
 /// Load that an agent at an address reports.
 pub type Report = (SocketAddr, AgentId, Load);
 
-/// What the socket says about its agent.
-#[derive(Debug, Clone, Copy, Default)]
-struct Status {
-    identity: Option<Identity>,
-    load: Load,
-    max_flows: u32,
-}
-
-/// The part of an inbound frame that the checks look at.
-#[derive(Debug, Clone, Copy)]
-struct Inbound<'a> {
-    service: ServiceId,
-    agent: AgentId,
-    incarnation: Option<Incarnation>,
-    attempt: u8,
-    caller: SocketAddr,
-    payload: &'a [u8],
-}
-
 impl Socket {
     /// Binds the socket at `listen` with large kernel buffers.
     ///
@@ -213,7 +191,7 @@
         let mut buffer = Vec::new();
         let frame = Frame::new(self.blackboard.version(), body);
         if frame.encode(&mut buffer).is_ok() && self.io.try_send_to(&buffer, to).is_err() {
-            metrics::counter!("sassafrasmast_agent_frames_unsent_total").increment(1);
+            dropped("unsent");
         }
     }
 
@@ -222,8 +200,7 @@
         let frame = match Frame::decode(datagram) {
             Ok(frame) => frame,
             Err(_) => {
-                metrics::counter!("sassafrasmast_agent_frames_malformed_total").increment(1);
-                return;
+                return dropped("malformed");
             }
         };
         if frame.config > self.blackboard.version() {
@@ -281,45 +258,18 @@
         );
     }
 
-    /// Checks a caller's datagram and hands it to quinn, hands it back or drops it.
+    /// Hands a caller's datagram to quinn, hands it back or drops it.
     fn inbound(&self, from: SocketAddr, inbound: Inbound<'_>, now: Instant) {
         let status = *lock(&self.status);
-        if status.load.state == State::Out {
-            return;
+        match status.judge(self.incarnation, &inbound) {
+            Verdict::Deliver => {}
+            Verdict::HandBack => return self.hand_back(from, inbound, status.load),
+            Verdict::Drop(reason) => return dropped(reason),
         }
-        let Some(identity) = status.identity else {
-            if inbound.incarnation.is_none() {
-                self.hand_back(from, inbound, status.load);
-            }
-            return;
-        };
-        if inbound.service != identity.service || inbound.agent != identity.agent {
-            metrics::counter!("sassafrasmast_agent_frames_foreign_total").increment(1);
-            return;
+        let known = lock(&self.link).arrived(inbound.caller, from, now);
+        if !known || !self.queue.push(inbound.caller, inbound.payload) {
+            dropped("overflow");
         }
-        let long = inbound
-            .payload
-            .first()
-            .is_some_and(|b| b & LONG_HEADER != 0);
-        match inbound.incarnation {
-            None if !long => return,
-            None if !status.takes_flows() => return self.hand_back(from, inbound, status.load),
-            // Only a datagram of an established flow makes quinn send a stateless reset.
-            Some(other) if !self.is_mine(other) && long => {
-                metrics::counter!("sassafrasmast_agent_frames_stale_total").increment(1);
-                return;
-            }
-            _ => {}
-        }
-        if !lock(&self.link).arrived(inbound.caller, from, now)
-            || !self.queue.push(inbound.caller, inbound.payload)
-        {
-            metrics::counter!("sassafrasmast_agent_frames_overflow_total").increment(1);
-        }
-    }
-
-    fn is_mine(&self, incarnation: Incarnation) -> bool {
-        incarnation & INCARNATION_MASK == self.incarnation & INCARNATION_MASK
     }
 
     /// Returns a first datagram to its balancer, which places it elsewhere.
@@ -340,12 +290,6 @@
     }
 }
 
-impl Status {
-    fn takes_flows(&self) -> bool {
-        self.load.state.takes_work() && self.load.flows < self.max_flows
-    }
-}
-
 impl AsyncUdpSocket for Socket {
     fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
         Box::pin(Poller::new(self))
@@ -358,7 +302,7 @@
         };
         let balancer = lock(&self.link).route(transmit.destination, Instant::now());
         let Some(balancer) = balancer else {
-            metrics::counter!("sassafrasmast_agent_frames_pathless_total").increment(1);
+            dropped("pathless");
             return Ok(());
         };
         let body = Body::Outbound {
@@ -419,3 +363,8 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// Counts a frame or datagram that was dropped.
+fn dropped(reason: &'static str) {
+    metrics::counter!("sassafrasmast_agent_dropped_total", "reason" => reason).increment(1);
+}
