--- a/crates/cli/src/confirm.rs
+++ b/crates/cli/src/confirm.rs
@@ -125,9 +125,9 @@
         "after {} s these processes do not report it:",
         wait.as_secs()
     );
-    for (process, version) in &progress.behind {
-        let (role, address) = (process.role, process.address);
-        eprintln!("  {role} {address} has version {version}");
+    for behind in &progress.behind {
+        let (role, address) = (behind.process.role, behind.process.address);
+        eprintln!("  {role} {address} has version {}", behind.version);
     }
     for process in &progress.silent {
         eprintln!("  {} {} does not answer", process.role, process.address);
--- a/crates/daemon/src/api.rs
+++ b/crates/daemon/src/api.rs
@@ -12,8 +12,8 @@
     context::{Context, Loads},
     error::Error,
     model::{
-        Announced, Confirm, Confirmed, Events, Health, Numbered, Overview, Process, Progress, Role,
-        ServiceStatus, Status, UpstreamStatus, Wish,
+        Announced, Behind, Confirm, Confirmed, Events, Health, Numbered, Overview, Process,
+        Progress, Role, ServiceStatus, Status, UpstreamStatus, Wish,
     },
     server::{Server, openapi},
 };
--- a/crates/daemon/src/api/collect.rs
+++ b/crates/daemon/src/api/collect.rs
@@ -6,7 +6,7 @@
 use sassafrasmast_wire::ConfigVersion;
 use tokio::{sync::Semaphore, task::JoinSet};
 
-use super::{Context, Error, Events, Numbered, Process, Progress, status::processes};
+use super::{Behind, Context, Error, Events, Numbered, Process, Progress, status::processes};
 use crate::peer::{self, Call, Reply};
 
 /// Processes asked at once.
@@ -89,7 +89,10 @@
     };
     while let Some(Ok((process, found))) = tasks.join_next().await {
         match found {
-            Some(found) if found < version => progress.behind.push((process, found)),
+            Some(found) if found < version => progress.behind.push(Behind {
+                process,
+                version: found,
+            }),
             Some(_) => {}
             None => progress.silent.push(process),
         }
--- a/crates/daemon/src/api/model.rs
+++ b/crates/daemon/src/api/model.rs
@@ -187,12 +187,21 @@
 pub struct Progress {
     /// Processes asked.
     pub asked: usize,
-    /// Processes with a lower version, and the version they have.
-    pub behind: Vec<(Process, ConfigVersion)>,
+    /// Processes with a lower version.
+    pub behind: Vec<Behind>,
     /// Processes that did not answer.
     pub silent: Vec<Process>,
 }
 
+/// A process that has a lower version than asked about.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Behind {
+    /// The process.
+    pub process: Process,
+    /// The version it has in force.
+    pub version: ConfigVersion,
+}
+
 /// A part of one process's time line.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Events {
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -3,9 +3,12 @@
 mod agent;
 mod arguments;
 mod balancer;
+mod check;
+mod problem;
 mod role;
 mod settings;
 
 pub use self::{
-    agent::Agent, arguments::Arguments, balancer::Balancer, role::Role, settings::Settings,
+    agent::Agent, arguments::Arguments, balancer::Balancer, problem::Problem, role::Role,
+    settings::Settings,
 };
--- a/crates/daemon/src/options/arguments.rs
+++ b/crates/daemon/src/options/arguments.rs
@@ -10,11 +10,13 @@
 
 USAGE:
     sassafrasmastd --settings FILE [--log LEVEL] [--check-settings]
+    sassafrasmastd --openapi
 
 OPTIONS:
     --settings FILE     settings file (TOML); its role table decides what this process is
     --log LEVEL         overrides the log level of the settings (error, warn, info, debug, trace)
     --check-settings    checks the settings file and exits
+    --openapi           prints the OpenAPI description of the operators' API
     --version           prints the version
     --help              prints this text
 
@@ -34,7 +36,7 @@
 }
 
 impl Arguments {
-    /// Parses the process's arguments. `None` means that help or version was printed.
+    /// Parses the process's arguments. `None` means that a text was printed instead.
     ///
     /// # Errors
     ///
@@ -57,6 +59,10 @@
             println!("sassafrasmastd {}", env!("CARGO_PKG_VERSION"));
             return Ok(None);
         }
+        if given.contains("--openapi") {
+            print!("{}", crate::api::openapi()?);
+            return Ok(None);
+        }
         let arguments = Self {
             settings: given.value_from_str("--settings").context("see --help")?,
             log: given.opt_value_from_str("--log")?,
--- a/crates/daemon/src/options/settings.rs
+++ b/crates/daemon/src/options/settings.rs
@@ -2,10 +2,10 @@
 
 use std::{fs, net::SocketAddr, path::Path};
 
-use anyhow::Context;
+use anyhow::{Context, anyhow};
 use serde::Deserialize;
 
-use super::{Arguments, Role};
+use super::{Arguments, Problem, Role};
 
 /// Worker threads of the runtime.
 const DEFAULT_WORKERS: usize = 2;
@@ -69,9 +69,32 @@
     ///
     /// # Errors
     ///
-    /// Names the file, the key and the reason.
+    /// Names the file, and for each fault the key and the reason.
     pub fn read(path: &Path) -> anyhow::Result<Self> {
-        let text = fs::read_to_string(path).with_context(|| format!("{}", path.display()))?;
-        toml::from_str(&text).with_context(|| format!("{}", path.display()))
+        let file = path.display();
+        let text = fs::read_to_string(path).with_context(|| format!("{file}"))?;
+        let settings = Self::parse(&text).map_err(|problem| anyhow!("{file}: {problem}"))?;
+        let problems = settings.problems();
+        if problems.is_empty() {
+            return Ok(settings);
+        }
+        let lines: Vec<_> = problems.iter().map(|p| format!("{file}: {p}")).collect();
+        Err(anyhow!(lines.join("\n")))
+    }
+
+    /// Parses the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The first fault of the text: a syntax error, an unknown or a missing key, or a value of
+    /// the wrong type.
+    ///
+    /// ```
+    /// use sassafrasmastd::options::Settings;
+    /// let problem = Settings::parse("name = 7").unwrap_err();
+    /// assert_eq!(problem.key, "name");
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Problem> {
+        toml::from_str(text).map_err(|error| Problem::of_toml(text, &error))
     }
 }
