--- /dev/null
+++ b/crates/daemon/tests/config/outage.rs
@@ -0,0 +1,200 @@
+//! The store is down, slow to come back, forgetful or behind.
+
+use std::{sync::Arc, time::Duration};
+
+use sassafrasmast_core::config::{Change, Document, Verdict};
+use tokio::time::{Instant, sleep};
+
+use super::{
+    fake::Fake,
+    node::{FEW_SECONDS, add_zone, address, admission, agent, balancer},
+};
+
+const CURRENT: &str = "sassafrasmast/config/current";
+
+#[tokio::test]
+async fn a_lost_reply_is_settled_by_reading_back() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    store.lose_reply(false);
+    assert_eq!(one.change(vec![add_zone("pocitos")]).await, 2);
+    assert_eq!(one.versions(), [1, 2]);
+}
+
+#[tokio::test]
+async fn a_confirm_during_an_outage_writes_nothing_and_says_so() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let plan = one.plan(vec![add_zone("pocitos")]);
+    store.set_down(true);
+    let verdict = one.parts.executor.confirm(plan.clone(), "op").await;
+    assert_eq!(verdict, Verdict::NotConfirmed);
+    store.set_down(false);
+    let verdict = one.parts.executor.confirm(plan, "op").await;
+    assert!(
+        matches!(verdict, Verdict::Confirmed { version: 2, .. }),
+        "{verdict:?}"
+    );
+}
+
+#[tokio::test]
+async fn an_unsettled_confirm_is_settled_by_the_same_operation_at_any_balancer() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    let two = balancer(store.clone(), &[one.listen]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    two.reaches(1, FEW_SECONDS).await;
+    let plan = one.plan(vec![add_zone("pocitos")]);
+    let rival = two.plan(vec![add_zone("centro")]);
+    store.lose_reply(true);
+    let verdict = one.parts.executor.confirm(plan.clone(), "op").await;
+    assert_eq!(verdict, Verdict::Unsettled);
+    store.set_down(false);
+    let verdict = two.parts.executor.confirm(rival, "rival").await;
+    assert_eq!(
+        verdict,
+        Verdict::Conflict {
+            base: 1,
+            current: 2
+        }
+    );
+    let verdict = two.parts.executor.confirm(plan, "op").await;
+    assert!(
+        matches!(verdict, Verdict::Confirmed { version: 2, .. }),
+        "{verdict:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_zone_out_spreads_while_the_store_is_down_directly_after_the_confirm() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    let two = balancer(store.clone(), &[one.listen]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let listen = address();
+    // This agent knows the other balancer only.
+    let beside = agent(listen, &[two.listen]).await;
+    let version = one.change(admission(&[listen])).await;
+    beside.reaches(version, FEW_SECONDS).await;
+    two.reaches(version, FEW_SECONDS).await;
+    let zone = "pocitos".to_owned();
+    let plan = one.plan(vec![Change::ZoneOut { zone }]);
+    // The reply arrives, but the store is down before any watch is told.
+    store.mute();
+    let verdict = one.parts.executor.confirm(plan, "out").await;
+    store.set_down(true);
+    let Verdict::Confirmed { version, .. } = verdict else {
+        panic!("{verdict:?}");
+    };
+    beside.reaches(version, FEW_SECONDS).await;
+    two.reaches(version, FEW_SECONDS).await;
+}
+
+#[tokio::test]
+async fn a_balancer_that_missed_a_change_in_an_outage_gets_it_from_a_peer() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let version = one.change(vec![add_zone("pocitos")]).await;
+    store.set_down(true);
+    let late = balancer(store.clone(), &[one.listen]).await;
+    late.reaches(version, FEW_SECONDS).await;
+    // When the store is back, it goes on from there without a refusal.
+    store.set_down(false);
+    let version = one.change(vec![add_zone("centro")]).await;
+    late.reaches(version, FEW_SECONDS).await;
+    assert!(!late.has_refused());
+}
+
+#[tokio::test]
+async fn a_boot_in_an_outage_without_peers_is_not_ready() {
+    let store = Arc::new(Fake::default());
+    store.set_down(true);
+    let alone = balancer(store.clone(), &[]).await;
+    let beside = agent(address(), &[alone.listen]).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(alone.board.version(), 0);
+    assert_eq!(beside.board.version(), 0);
+    store.set_down(false);
+    alone.reaches(1, Duration::from_secs(15)).await;
+}
+
+#[tokio::test]
+async fn a_store_that_comes_back_with_an_old_version_reverts_nothing() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    let two = balancer(store.clone(), &[one.listen]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let old = store.dump();
+    one.change(vec![add_zone("pocitos")]).await;
+    let version = one.change(vec![add_zone("centro")]).await;
+    two.reaches(version, FEW_SECONDS).await;
+    store.set_down(true);
+    store.restore(old);
+    store.set_down(false);
+    let start = Instant::now();
+    loop {
+        let stored: Document = serde_json::from_slice(&store.value(CURRENT).unwrap()).unwrap();
+        assert!(one.board.version() >= version);
+        assert!(two.board.version() >= version);
+        if stored.version >= version {
+            assert!(stored.zones.contains_key("centro"));
+            break;
+        }
+        assert!(start.elapsed() < Duration::from_secs(15), "not put back");
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(one.has_refused() || two.has_refused());
+    let version = two.change(vec![add_zone("carrasco")]).await;
+    one.reaches(version, FEW_SECONDS).await;
+    let fresh = balancer(store, &[]).await;
+    fresh.reaches(version, FEW_SECONDS).await;
+    for node in [&one, &two, &fresh] {
+        assert!(
+            node.versions().is_sorted_by(|a, b| a < b),
+            "{:?}",
+            node.versions()
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_store_that_lost_everything_gets_the_configuration_back() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let version = one.change(vec![add_zone("pocitos")]).await;
+    store.set_down(true);
+    store.restore(Vec::new());
+    store.set_down(false);
+    // A balancer that starts now asks its peers before it creates a first document.
+    let fresh = balancer(store.clone(), &[one.listen]).await;
+    fresh.reaches(version, Duration::from_secs(15)).await;
+    assert_eq!(fresh.versions(), [version]);
+}
+
+#[tokio::test]
+async fn a_document_that_does_not_parse_or_breaks_a_rule_is_refused() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let mut document = one.board.config().unwrap().document.clone();
+    document.version = 9;
+    document.secrets.sealing = 77;
+    let broken = serde_json::to_vec(&document).unwrap();
+    for value in [b"{\"version\":".to_vec(), broken] {
+        store.set_down(true);
+        store.restore(vec![(CURRENT.to_owned(), value)]);
+        store.set_down(false);
+        let fresh = balancer(store.clone(), &[]).await;
+        let start = Instant::now();
+        while !fresh.has_refused() {
+            assert!(start.elapsed() < FEW_SECONDS);
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(fresh.board.version(), 0);
+    }
+    assert_eq!(one.board.version(), 1);
+}
--- /dev/null
+++ b/crates/daemon/tests/config/peer.rs
@@ -0,0 +1,69 @@
+//! Peer calls from strangers and with bad bytes.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use sassafrasmastd::peer::{Call, Reply, call};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use super::{
+    fake::Fake,
+    node::{FEW_SECONDS, address, admission, balancer},
+};
+
+/// Sends raw bytes and waits until the peer closes the connection.
+async fn send(to: SocketAddr, bytes: &[u8]) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(to).await?;
+    stream.write_all(bytes).await?;
+    stream.shutdown().await?;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    assert_eq!(answer, b"");
+    Ok(())
+}
+
+#[tokio::test]
+async fn bad_bytes_end_their_connection_and_nothing_else() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store, &[]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let bad: [&[u8]; 6] = [
+        b"",
+        b"\0\0",
+        b"\0\0\0\x05\xff\xff\xff\xff\xff",
+        b"\0\0\0\x09\0",
+        b"\xff\xff\xff\xff",
+        b"GET / HTTP/1.1\r\n\r\n",
+    ];
+    for bytes in bad {
+        send(one.listen, bytes).await.unwrap();
+    }
+    let reply = call(address().ip(), one.listen, &Call::Version).await;
+    assert_eq!(reply.unwrap(), Reply::Version(1));
+}
+
+#[tokio::test]
+async fn an_agent_gets_its_own_part_from_its_own_address_only() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store, &[]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let (admitted, stranger) = (address(), address());
+    let version = one.change(admission(&[admitted])).await;
+    let listen = one.listen;
+    let ask = |from: SocketAddr, agent: SocketAddr| async move {
+        let call_it = Call::Config {
+            have: 0,
+            agent: Some(agent),
+        };
+        call(from.ip(), listen, &call_it).await.unwrap()
+    };
+    assert_eq!(ask(stranger, stranger).await, Reply::NotAdmitted(version));
+    assert!(matches!(ask(stranger, admitted).await, Reply::Refused(_)));
+    let Reply::Config(part) = ask(admitted, admitted).await else {
+        panic!("no configuration");
+    };
+    assert_eq!(part.upstreams.len(), 1);
+    assert!(part.operations.is_empty());
+}
--- /dev/null
+++ b/crates/daemon/tests/config/spread.rs
@@ -0,0 +1,92 @@
+//! A confirmed change reaches everyone.
+
+use std::sync::Arc;
+
+use sassafrasmast_core::config::Change;
+
+use super::{
+    fake::Fake,
+    node::{FEW_SECONDS, add_zone, address, admission, agent, balancer},
+};
+
+#[tokio::test]
+async fn balancers_create_one_document_and_know_each_other() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    let two = balancer(store.clone(), &[one.listen]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    two.reaches(1, FEW_SECONDS).await;
+    let document = |node: &super::node::Node<_>| node.board.config().map(|c| c.document.digest());
+    assert_eq!(document(&one), document(&two));
+    let start = tokio::time::Instant::now();
+    while one.board.balancers().len() < 2 {
+        assert!(start.elapsed() < FEW_SECONDS);
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_confirm_is_in_force_at_balancers_and_agents_within_seconds() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    let two = balancer(store.clone(), &[one.listen]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let agents = [address(), address()];
+    let first = agent(agents[0], &[one.listen]).await;
+    let second = agent(agents[1], &[two.listen]).await;
+    assert_eq!(first.board.version(), 0);
+    let version = one.change(admission(&agents)).await;
+    for node in [&first, &second] {
+        node.reaches(version, FEW_SECONDS).await;
+    }
+    two.reaches(version, FEW_SECONDS).await;
+    let zone = "pocitos".to_owned();
+    let version = two.change(vec![Change::ZoneOut { zone }]).await;
+    for node in [&first, &second] {
+        node.reaches(version, FEW_SECONDS).await;
+        let config = node.board.config().unwrap();
+        assert!(config.document.zones["pocitos"].out);
+    }
+    one.reaches(version, FEW_SECONDS).await;
+}
+
+#[tokio::test]
+async fn a_removed_agent_learns_that_it_is_not_admitted() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store, &[]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let listen = address();
+    let removed = agent(listen, &[one.listen]).await;
+    let version = one.change(admission(&[listen])).await;
+    removed.reaches(version, FEW_SECONDS).await;
+    let version = one.change(vec![Change::RemoveUpstream { agent: 1 }]).await;
+    removed.reaches(version, FEW_SECONDS).await;
+    assert!(
+        removed
+            .board
+            .config()
+            .unwrap()
+            .document
+            .upstreams
+            .is_empty()
+    );
+}
+
+#[tokio::test]
+async fn many_changes_in_a_row_come_in_order() {
+    let store = Arc::new(Fake::default());
+    let one = balancer(store.clone(), &[]).await;
+    let two = balancer(store.clone(), &[one.listen]).await;
+    one.reaches(1, FEW_SECONDS).await;
+    let mut version = 1;
+    for zone in 0..100 {
+        version = one.change(vec![add_zone(&format!("zone-{zone}"))]).await;
+    }
+    two.reaches(version, FEW_SECONDS).await;
+    let versions = two.versions();
+    assert!(versions.is_sorted_by(|a, b| a < b), "{versions:?}");
+    // Only the records of the last versions are kept.
+    let records = store.dump().into_iter();
+    let records = records.filter(|(key, _)| key.contains("/change/"));
+    assert_eq!(records.count(), 64);
+}
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -69,10 +69,7 @@
 
 #[test]
 fn valid_settings_have_no_faults() {
-    check(
-        &[(BALANCER, "", ""), (AGENT, "", "")],
-        &expect![""],
-    );
+    check(&[(BALANCER, "", ""), (AGENT, "", "")], &expect![""]);
 }
 
 #[test]
