--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -61,7 +61,7 @@
                 Self::Unreachable
             }
             api::Error::Unsettled => Self::Unsettled,
-            api::Error::Altered => Self::Usage,
+            api::Error::Altered | api::Error::BadOperation => Self::Usage,
             _ => Self::Failed,
         }
     }
--- a/crates/daemon/tests/config.rs
+++ b/crates/daemon/tests/config.rs
@@ -1,5 +1,7 @@
 //! Configuration over a faulty store: spread, outages, lost replies, boot, no way back.
 
+#[path = "config/api.rs"]
+mod api;
 #[path = "config/fake.rs"]
 mod fake;
 #[path = "config/node.rs"]
