--- a/crates/daemon/tests/config/api.rs
+++ b/crates/daemon/tests/config/api.rs
@@ -127,7 +127,7 @@
         1: there is no zone nowhere
         1: the plan has no changes
         2: the plan is not the one that its digest names: plan anew
-        1: an operation id has 1 to 64 letters, digits, '-' or '_'
+        2: an operation id has 1 to 64 letters, digits, '-' or '_'
         3: the plan was made for version 1, but version 2 is in force: plan anew
         1: no process of the fleet listens on 127.0.0.1:1
         1: the balancer answered 404 Not Found
