fix(agent): false signs about the upstream

A streamed answer reported a latency of zero, which pulled the learnt service time down; it now reports the time to its head. A body that can't be sent a second time was reported as an unreachable upstream, which the limiter takes for a collapse; it is now an end of its own that says nothing about it. The random schedules also check that no tick leaves overdue work behind.

--- a/crates/core/src/agent/finish.rs
+++ b/crates/core/src/agent/finish.rs
@@ -22,6 +22,8 @@
     Refused,
     /// No connection could be made; nothing was sent.
     Unreachable,
+    /// Nothing was sent for a reason that lies here, such as a body that can't be sent again.
+    Unsent,
     /// The upstream did not answer before the deadline; the request may have run.
     Timeout,
 }
--- a/crates/core/src/agent/input.rs
+++ b/crates/core/src/agent/input.rs
@@ -68,6 +68,8 @@
     Refused,
     /// No connection to the upstream could be made.
     Unreachable,
+    /// Nothing was sent, and the upstream is not the cause.
+    Unsent,
     /// The upstream did not answer in time.
     Timeout,
     /// The caller cancelled the request.
@@ -173,6 +175,7 @@
             Finish::Cut => Self::Cut,
             Finish::Refused => Self::Refused,
             Finish::Unreachable => Self::Unreachable,
+            Finish::Unsent => Self::Unsent,
             Finish::Timeout => Self::Timeout,
         }
     }
@@ -224,6 +227,7 @@
             Self::Cut => Finish::Cut,
             Self::Refused => Finish::Refused,
             Self::Unreachable => Finish::Unreachable,
+            Self::Unsent => Finish::Unsent,
             Self::Timeout => Finish::Timeout,
             _ => return None,
         })
--- a/crates/core/src/agent/running.rs
+++ b/crates/core/src/agent/running.rs
@@ -77,7 +77,9 @@
             _ => None,
         };
         let since = running.filter(|_| self.slots.holds(id)).unwrap_or(now);
-        self.observe(now, since, id, sign(&finish, now - since));
+        if let Some(sign) = sign(&finish, now - since) {
+            self.observe(now, since, id, sign);
+        }
         self.vacate(id);
         self.stage(id, Stage::New);
         match finish {
@@ -85,7 +87,9 @@
             Finish::Cut => self.broke(now, id, Kind::UpstreamCut),
             Finish::Timeout => self.broke(now, id, Kind::UpstreamTimeout),
             Finish::Refused => self.retry_or_refuse(now, id, Kind::UpstreamRefused),
-            Finish::Unreachable => self.retry_or_refuse(now, id, Kind::UpstreamUnreachable),
+            Finish::Unreachable | Finish::Unsent => {
+                self.retry_or_refuse(now, id, Kind::UpstreamUnreachable)
+            }
         }
         self.pump(now);
     }
@@ -232,13 +236,13 @@
 }
 
 /// What an end, so long after the start, says about the upstream.
-fn sign(finish: &Finish, elapsed: Duration) -> Sign {
+fn sign(finish: &Finish, elapsed: Duration) -> Option<Sign> {
     match finish {
-        Finish::Whole { failed: true, .. } => Sign::Failure,
-        Finish::Whole { latency, .. } => Sign::Answer(*latency),
-        Finish::Refused => Sign::Refusal,
-        Finish::Timeout => Sign::Timeout(elapsed),
-        Finish::Unreachable => Sign::Unreachable,
-        Finish::Cut => Sign::Failure,
+        Finish::Whole { failed: true, .. } | Finish::Cut => Some(Sign::Failure),
+        Finish::Whole { latency, .. } => Some(Sign::Answer(*latency)),
+        Finish::Refused => Some(Sign::Refusal),
+        Finish::Timeout => Some(Sign::Timeout(elapsed)),
+        Finish::Unreachable => Some(Sign::Unreachable),
+        Finish::Unsent => None,
     }
 }
--- a/crates/core/tests/agent/basics.rs
+++ b/crates/core/tests/agent/basics.rs
@@ -75,3 +75,16 @@
     rig.booking(16, None);
     assert!(rig.started(16));
 }
+
+#[test]
+fn a_body_that_is_spent_says_nothing_about_the_upstream() {
+    let mut rig = Rig::new(5);
+    rig.warm(10);
+    rig.booking(1, None);
+    rig.finish(1, Finish::Unsent);
+    rig.assert_error(1, Kind::UpstreamUnreachable, Outcome::NotRun);
+    assert_eq!(rig.agent.load(rig.now).limit, 5);
+    rig.booking(2, None);
+    rig.finish(2, Finish::Unreachable);
+    assert_eq!(rig.agent.load(rig.now).limit, 0);
+}
--- a/crates/core/tests/agent/world.rs
+++ b/crates/core/tests/agent/world.rs
@@ -350,6 +350,8 @@
             Event::Tick(agent) => {
                 let now = self.now;
                 self.with(agent, |agent| agent.tick(now));
+                let wake = self.agents[&agent].1.wake();
+                assert!(wake.is_none_or(|at| at > now), "a tick that left work");
             }
             Event::Restart(agent) => self.restart(agent),
             Event::Drain(agent) => {
--- a/crates/daemon/src/app/agent/attempt.rs
+++ b/crates/daemon/src/app/agent/attempt.rs
@@ -77,7 +77,7 @@
             return Step::Finished(Finish::Unreachable, None);
         };
         let Some((body, pump)) = self.body() else {
-            return Step::Finished(Finish::Unreachable, None);
+            return Step::Finished(Finish::Unsent, None);
         };
         let Ok(request) = self.outgoing(body) else {
             return Step::Faulty(Kind::BadRequest);
--- a/crates/daemon/src/app/agent/exchange.rs
+++ b/crates/daemon/src/app/agent/exchange.rs
@@ -63,8 +63,8 @@
     relaying: bool,
     /// What was wrong with the request's own body.
     fault: Option<Kind>,
-    /// The head of a streamed answer is gone out.
-    streamed: bool,
+    /// The head of a streamed answer is gone out; it took this long to come.
+    streamed: Option<Duration>,
     answered: bool,
 }
 
@@ -121,7 +121,7 @@
         held: None,
         relaying: false,
         fault: None,
-        streamed: false,
+        streamed: None,
         answered: false,
     };
     let actions = server.desk.arrive(arrived);
@@ -287,7 +287,7 @@
                 if self.attempt.class == Class::Feed {
                     self.decide(|agent, now, id| agent.opened(now, id, latency));
                 }
-                self.streamed = true;
+                self.streamed = Some(latency);
                 let (status, outcome) = (answer.status, answer.outcome);
                 self.held = Some(Answer::ran(status, Default::default(), Default::default()));
                 if let Some(held) = &mut self.held {
@@ -320,7 +320,7 @@
             (false, true) => {
                 let finish = Finish::Whole {
                     answer: None,
-                    latency: Duration::ZERO,
+                    latency: self.streamed.unwrap_or_default(),
                     failed: status.is_some_and(|status| status.is_server_error()),
                 };
                 self.decide(|agent, now, id| agent.finished(now, id, finish));
@@ -331,7 +331,7 @@
     /// Gives the caller the final answer, or ends the one that is being streamed.
     async fn answer(&mut self, reply: Reply) {
         let (server, id) = (Arc::clone(&self.attempt.server), self.attempt.id);
-        if self.streamed {
+        if self.streamed.is_some() {
             return self.end_stream(&server, reply).await;
         }
         let answer = match reply {
