fix(core): the requests of one collapse count once

Cause: a request that could not connect was dated by its end, so five of one outage counted as five collapses and the pause grew to 2 s instead of 100 ms; likewise each feed cut by a restart. They are now dated by their start. A collapse also moves what waits to peers at once, not at the next tick (at most 50 ms later).

--- a/crates/core/src/agent/running.rs
+++ b/crates/core/src/agent/running.rs
@@ -72,14 +72,12 @@
         if !flight.started() {
             return;
         }
-        let running = match flight.stage {
-            Stage::Running(since) => Some(since),
-            _ => None,
+        let since = match flight.stage {
+            Stage::Running(since) => since,
+            _ => self.slots.since(id).unwrap_or(now),
         };
-        let since = running.filter(|_| self.slots.holds(id)).unwrap_or(now);
-        if let Some(sign) = sign(&finish, now - since) {
-            self.observe(now, since, id, sign);
-        }
+        let sign = sign(&finish, now - since);
+        let collapsed = sign.is_some_and(|sign| self.observe(now, since, id, sign));
         self.vacate(id);
         self.stage(id, Stage::New);
         match finish {
@@ -91,6 +89,9 @@
                 self.retry_or_refuse(now, id, Kind::UpstreamUnreachable)
             }
         }
+        if collapsed {
+            self.rebalance(now);
+        }
         self.pump(now);
     }
 
@@ -165,15 +166,21 @@
         }
     }
 
-    /// Learns from a run, once.
-    pub(super) fn observe(&mut self, now: Instant, since: Instant, id: RequestId, sign: Sign) {
+    /// Learns from a run, once. Returns whether it shows a collapse.
+    pub(super) fn observe(
+        &mut self,
+        now: Instant,
+        since: Instant,
+        id: RequestId,
+        sign: Sign,
+    ) -> bool {
         let Some(flight) = self.flights.get_mut(&id) else {
-            return;
+            return false;
         };
         let opened = flight.request.class == Class::Feed && !self.slots.holds(id);
         let ended = matches!(sign, Sign::Answer(_) | Sign::Timeout(_));
         if flight.judged || (opened && ended) {
-            return;
+            return false;
         }
         flight.judged = flight.request.class != Class::Feed;
         let weight = flight.weight;
@@ -181,9 +188,11 @@
             self.predictor.observe(weight, latency);
         }
         let running = self.slots.used();
-        if self.limiter.observe(now, since, weight, running, sign) {
+        let collapsed = self.limiter.observe(now, since, weight, running, sign);
+        if collapsed {
             self.actions.push_back(Action::Collapsed);
         }
+        collapsed
     }
 
     pub(super) fn tell_limit(&mut self, now: Instant) {
--- a/crates/core/src/agent/slots.rs
+++ b/crates/core/src/agent/slots.rs
@@ -32,6 +32,11 @@
         self.used.contains_key(&id)
     }
 
+    /// When a request took its slot.
+    pub fn since(&self, id: RequestId) -> Option<Instant> {
+        self.used.get(&id).map(|(_, since)| *since)
+    }
+
     /// Slots in use.
     pub fn used(&self) -> u16 {
         u16::try_from(self.used.len()).unwrap_or(u16::MAX)
--- a/crates/core/tests/agent/basics.rs
+++ b/crates/core/tests/agent/basics.rs
@@ -88,3 +88,35 @@
     rig.finish(2, Finish::Unreachable);
     assert_eq!(rig.agent.load(rig.now).limit, 0);
 }
+
+#[test]
+fn requests_of_one_collapse_count_once() {
+    let mut rig = Rig::new(5);
+    rig.warm(10);
+    for id in 1..=5 {
+        rig.booking(id, None);
+    }
+    for id in 1..=5 {
+        rig.pass(1);
+        rig.finish(id, Finish::Unreachable);
+    }
+    rig.booking(6, None);
+    assert!(!rig.started(6));
+    rig.tick(100);
+    assert!(rig.started(6));
+}
+
+#[test]
+fn a_collapse_moves_what_waits_to_peers_at_once() {
+    let mut rig = Rig::new(5);
+    rig.warm(10);
+    for id in 1..=9 {
+        rig.booking(id, None);
+    }
+    let ticket = rig.ticket();
+    rig.booking(10, Some(ticket));
+    rig.peer(2, 5, 10);
+    rig.finish(1, Finish::Unreachable);
+    let relayed: Vec<_> = (2..=10).filter(|id| rig.relay(*id).is_some()).collect();
+    assert_eq!(relayed, [6, 7, 8, 9]);
+}
