fix(core): nothing starts after the grace of a drain

Cause: a request whose connection or claim came late could still be handed over after the grace, up to 2 s later with a slow store. may_start() and the claim's reply now check the same end. Seen in a test that failed first.

--- a/crates/core/src/agent/arrival.rs
+++ b/crates/core/src/agent/arrival.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Why nothing is started any more, if so: a drain lets what waits start for its grace.
+    pub(super) fn stopped(&self, now: Instant) -> Option<Kind> {
+        let end = self.drained.map(|since| since + self.settings.drain_grace);
+        let in_grace = end.is_some_and(|end| now < end);
+        self.closed()
+            .filter(|kind| *kind != Kind::Draining || !in_grace)
+    }
+
     fn ticketed(&mut self, now: Instant, id: RequestId, ticket: Ticket) {
         let Some(member) = &self.member else {
             return self.refuse(now, id, Kind::NotReady);
--- a/crates/core/src/agent/claiming.rs
+++ b/crates/core/src/agent/claiming.rs
@@ -68,9 +68,9 @@
         };
         let entry = flight.key().and_then(|key| self.registry.get(key));
         flight.claimed = entry.and_then(|entry| entry.claim).map(|(_, at)| at);
-        match self.closed() {
-            Some(kind) if kind != Kind::Draining => self.refuse(now, id, kind),
-            _ => self.enqueue(id),
+        match self.stopped(now) {
+            Some(kind) => self.refuse(now, id, kind),
+            None => self.enqueue(id),
         }
     }
 }
--- a/crates/core/src/agent/clock.rs
+++ b/crates/core/src/agent/clock.rs
@@ -65,8 +65,7 @@
 
     /// After the grace of a drain, what still waits is refused.
     fn end_drain(&mut self, now: Instant) {
-        let grace = self.settings.drain_grace;
-        if self.drained.is_none_or(|since| now < since + grace) {
+        if self.stopped(now) != Some(Kind::Draining) {
             return;
         }
         for id in self.queue.ids() {
--- a/crates/core/src/agent/running.rs
+++ b/crates/core/src/agent/running.rs
@@ -152,7 +152,7 @@
 
     /// Why a request may not be handed over any more.
     fn forbidden(&self, now: Instant, flight: &Flight) -> Option<Kind> {
-        if let Some(kind) = self.closed().filter(|kind| *kind != Kind::Draining) {
+        if let Some(kind) = self.stopped(now) {
             return Some(kind);
         }
         if now >= flight.request.deadline {
--- a/crates/core/tests/agent/relays.rs
+++ b/crates/core/tests/agent/relays.rs
@@ -260,3 +260,22 @@
             .all(|action| !matches!(action, Action::Claim { .. }))
     );
 }
+
+#[test]
+fn nothing_starts_after_the_grace_of_a_drain() {
+    let mut rig = Rig::new(5);
+    rig.warm(10);
+    let ticket = rig.ticket();
+    rig.booking(1, Some(ticket.clone()));
+    rig.booking(2, Some(Key::Minted("order-1".into())));
+    rig.agent.drain(rig.now);
+    rig.pass(3_000);
+    assert!(!rig.hand_over(1));
+    rig.agent.claimed(rig.now, 2, Claim::Ours);
+    rig.take();
+    assert!(!rig.started(2));
+    rig.assert_error(1, Kind::Draining, Outcome::NotRun);
+    rig.assert_error(2, Kind::Draining, Outcome::NotRun);
+    rig.booking(3, Some(ticket));
+    rig.assert_error(3, Kind::Draining, Outcome::NotRun);
+}
