--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -179,7 +179,7 @@
     pub fn load(&self, now: Instant) -> Load {
         let wait = self.expected(now, Weight::Small);
         Load {
-            state: self.state(),
+            state: self.state(now),
             running: self.slots.used(),
             queued: u16::try_from(self.queue.len() + self.claiming).unwrap_or(u16::MAX),
             limit: self.limiter.limit(now),
@@ -192,7 +192,7 @@
     pub fn ticket(&mut self, now: Instant) -> Option<Ticket> {
         self.note(now, None, || Input::Ticket);
         let member = self.member.as_ref()?;
-        if !self.state().takes_work() {
+        if !self.state(now).takes_work() {
             return None;
         }
         self.ticket_count += 1;
@@ -238,10 +238,10 @@
         self.registry.len()
     }
 
-    fn state(&self) -> State {
+    fn state(&self, now: Instant) -> State {
         match &self.member {
             Some(member) if member.out => State::Out,
-            Some(_) if self.drained.is_none() && self.limiter.cold() => State::Cold,
+            Some(_) if self.drained.is_none() && self.limiter.cold(now) => State::Cold,
             Some(_) if self.drained.is_none() => State::Ready,
             _ => State::Draining,
         }
--- a/crates/core/src/agent/limiter.rs
+++ b/crates/core/src/agent/limiter.rs
@@ -116,9 +116,9 @@
         self.paused_until = self.paused_until.filter(|until| now < *until);
     }
 
-    /// Whether the limit is still far below the slots.
-    pub fn cold(&self) -> bool {
-        self.limit * 2 < self.slots
+    /// Whether the limit is still far below the slots, or nothing is started at all.
+    pub fn cold(&self, now: Instant) -> bool {
+        u32::from(self.limit(now)) * 2 < u32::from(self.slots)
     }
 
     /// Takes over another number of slots.
@@ -182,7 +182,7 @@
     fn progress(&mut self, running: u16) {
         self.troubles = 0;
         self.pause = PAUSE;
-        if self.limit >= self.slots || running * 2 < self.limit {
+        if self.limit >= self.slots || running < self.limit.div_ceil(2) {
             return;
         }
         self.progress += 1;
--- a/crates/core/tests/agent/basics.rs
+++ b/crates/core/tests/agent/basics.rs
@@ -4,6 +4,7 @@
     agent::{Action, Agent, Class, Finish, Reply, Settings},
     error::{Kind, Outcome},
 };
+use sassafrasmast_wire::State;
 
 use crate::rig::{Rig, whole};
 
@@ -120,3 +121,24 @@
     let relayed: Vec<_> = (2..=10).filter(|id| rig.relay(*id).is_some()).collect();
     assert_eq!(relayed, [6, 7, 8, 9]);
 }
+
+#[test]
+fn a_paused_upstream_counts_as_cold() {
+    let mut rig = Rig::new(1);
+    rig.booking(1, None);
+    assert_eq!(rig.agent.load(rig.now).state, State::Ready);
+    rig.finish(1, Finish::Unreachable);
+    assert_eq!(rig.agent.load(rig.now).state, State::Cold);
+    rig.tick(100);
+    assert_eq!(rig.agent.load(rig.now).state, State::Ready);
+}
+
+#[test]
+fn any_number_of_slots_is_borne() {
+    for slots in [0, 1, u16::MAX] {
+        let mut rig = Rig::new(slots);
+        rig.booking(1, None);
+        rig.tick(6_000);
+        assert_eq!(rig.replies(1).len(), 1);
+    }
+}
