--- a/crates/experiments/src/load.rs
+++ b/crates/experiments/src/load.rs
@@ -91,8 +91,9 @@
             Ok(submission) => (submission.fate, submission.is_success()),
             Err(_) => (Fate::Unknown, false),
         };
+        let mut measure = measure.lock().unwrap_or_else(PoisonError::into_inner);
+        measure.sent += result.map_or(1, |submission| u64::from(submission.attempts));
         if let Some(since) = begun.checked_duration_since(measured) {
-            let mut measure = measure.lock().unwrap_or_else(PoisonError::into_inner);
             measure.count(
                 since,
                 self.manifest.is_some(),
@@ -101,6 +102,7 @@
                 begun.elapsed(),
             );
         }
+        drop(measure);
         idle.lock()
             .unwrap_or_else(PoisonError::into_inner)
             .push((client, used + 1));
--- a/crates/experiments/src/measure.rs
+++ b/crates/experiments/src/measure.rs
@@ -35,7 +35,9 @@
     pub doubled: u64,
     /// Collapses of upstreams.
     pub collapses: u64,
-    /// Requests that upstreams saw, as a multiple of those that callers made.
+    /// Requests that callers made, the warm-up and their own retries included.
+    pub sent: u64,
+    /// Requests that upstreams saw, as a multiple of those that callers sent.
     pub offered_ratio: f64,
     /// Highest over mean running work over upstreams of the first service, a value a second.
     pub imbalance: Vec<f64>,
@@ -56,6 +58,7 @@
             given_up_feeds: 0,
             doubled: 0,
             collapses: 0,
+            sent: 0,
             offered_ratio: 0.0,
             imbalance: Vec::new(),
             overall_imbalance: 0.0,
--- a/crates/experiments/src/report.rs
+++ b/crates/experiments/src/report.rs
@@ -31,7 +31,7 @@
     writeln!(
         text,
         "| policy | made | answered | not run | unknown | doubled | broken feeds | given up feeds | \
-         collapses | max/mean | variation | p50 ms | p99 ms | offered/made |\n\
+         collapses | max/mean | variation | p50 ms | p99 ms | offered/sent |\n\
          |---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
     )?;
     for Trial {
--- a/crates/experiments/src/trial.rs
+++ b/crates/experiments/src/trial.rs
@@ -162,7 +162,6 @@
         }
     }
     measure.doubled = runs.values().filter(|&&count| count > 1).count() as u64;
-    let made = measure.total().made.max(1);
-    measure.offered_ratio = offered as f64 / made as f64;
+    measure.offered_ratio = offered as f64 / measure.sent.max(1) as f64;
     Ok(())
 }
