test: planned changes and failures of machines under load

Zone-out with a paused balancer and the store down at once after the confirm, a zone that returns cold, a drained upstream, a rolling restart of the balancers, a paused agent, an agent gone for good, shedding upstreams, a reused address.

--- /dev/null
+++ b/crates/standins/tests/changes.rs
@@ -0,0 +1,303 @@
+//! Planned changes and failures of machines under load, over the whole path.
+
+use std::{
+    fs,
+    time::{Duration, Instant},
+};
+
+use nix::sys::signal::Signal;
+use sassafrasmast_core::config::Change;
+use sassafrasmast_standins::{
+    caller::{Client, Error, Fate, Settings as Caller},
+    deployment::{Deployment, Settings, until},
+    scenario::{Bookings, Feeds},
+    store, upstream,
+};
+use sassafrasmastd::api::Health;
+
+/// "A few seconds" of the promises.
+const FEW_SECONDS: Duration = Duration::from_secs(5);
+
+/// Silence after which an agent counts as gone for good rather than paused or cut off. Feeds
+/// survive shorter ones, so their callers are told only then.
+const GONE: Duration = Duration::from_secs(20);
+
+/// Idle time of callers that learn of a loss only by being told.
+const PATIENT: Duration = Duration::from_secs(60);
+
+async fn start(upstream: &[&str]) -> Deployment {
+    let upstream = upstream.iter().map(|&text| text.to_owned());
+    let settings = Settings {
+        upstream: upstream.collect(),
+        ..Settings::default()
+    };
+    Deployment::start(settings)
+        .await
+        .expect("the deployment starts")
+}
+
+fn from_now(time: Duration) -> Instant {
+    Instant::now() + time
+}
+
+/// Upstreams of the first service in a zone.
+fn inside(deployment: &Deployment, zone: &str) -> Vec<usize> {
+    let upstreams = deployment.upstreams().into_iter();
+    let inside = upstreams.filter(|(_, service, number)| {
+        service == "dispatch" && deployment.settings.zone(*number) == zone
+    });
+    inside.map(|(index, _, _)| index).collect()
+}
+
+/// Work offered to some upstreams so far, and feeds open there.
+async fn load(deployment: &Deployment, upstreams: &[usize]) -> (u64, usize) {
+    let (mut offered, mut feeds) = (0, 0);
+    for &index in upstreams {
+        let counts = deployment.counts(index).await.expect("counts");
+        offered += counts.offered + counts.feeds_opened;
+        feeds += counts.feeds;
+    }
+    (offered, feeds)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_out_holds_though_a_balancer_is_paused_and_the_store_goes_down() {
+    let mut deployment = start(&[]).await;
+    let zone = deployment.settings.zone(1).to_owned();
+    let upstreams = inside(&deployment, &zone);
+    let feeds = Feeds::open(&deployment, 30).await.unwrap();
+    let reading = tokio::spawn(feeds.read(from_now(Duration::from_secs(14))));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.signal("balancer-2", Signal::SIGSTOP).unwrap();
+    deployment.operator(0).zone_out(&zone).await.unwrap();
+    let down = store::Fault {
+        down: true,
+        ..store::Fault::default()
+    };
+    deployment.fault_store(&down).await.unwrap();
+    tokio::time::sleep(FEW_SECONDS).await;
+    let (before, open) = load(&deployment, &upstreams).await;
+    assert_eq!(open, 0);
+    // The paused balancer goes on with the old configuration.
+    deployment.signal("balancer-2", Signal::SIGCONT).unwrap();
+    let bookings = Bookings::make(&deployment, "out", 24).await.unwrap();
+    bookings.check(&deployment.executions().await).unwrap();
+    assert_eq!(bookings.count(Fate::Ran), 24, "{bookings:?}");
+    let feeds = reading.await.unwrap();
+    let (after, open) = load(&deployment, &upstreams).await;
+    assert_eq!((after, open), (before, 0));
+    for (upstream, error) in &feeds.broken {
+        assert_eq!(deployment.zone_of(upstream).unwrap(), zone, "{error}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_that_comes_back_cold_collapses_nowhere() {
+    let deployment = start(&[]).await;
+    let zone = deployment.settings.zone(0).to_owned();
+    let upstreams = inside(&deployment, &zone);
+    let operator = deployment.operator(0);
+    let warm = Bookings::make(&deployment, "warm", 60).await.unwrap();
+    warm.check(&deployment.executions().await).unwrap();
+    operator.zone_out(&zone).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let cold = upstream::Fault {
+        cold: true,
+        ..upstream::Fault::default()
+    };
+    for &index in &upstreams {
+        deployment.fault_upstream(index, &cold).await.unwrap();
+    }
+    let version = operator.zone_in(&zone).await.unwrap();
+    deployment.in_force(version, FEW_SECONDS).await.unwrap();
+    let back = Bookings::make(&deployment, "back", 60).await.unwrap();
+    back.check(&deployment.executions().await).unwrap();
+    for index in upstreams {
+        let counts = deployment.counts(index).await.unwrap();
+        assert_eq!(counts.collapses, 0, "{counts:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drained_upstream_gets_no_new_work_and_finishes_the_old() {
+    let deployment = start(&["--booking-ms", "200"]).await;
+    let operator = deployment.operator(0);
+    let status = operator.status().await.unwrap();
+    let address = deployment.network.upstream(0);
+    let leaving = status.upstreams.iter();
+    let mut leaving = leaving.filter(|u| u.upstream.upstream == address);
+    let agent = leaving.next().unwrap().agent;
+    let feeds = Feeds::open(&deployment, 15).await.unwrap();
+    let reading = tokio::spawn(feeds.read(from_now(Duration::from_secs(9))));
+    let drain = operator.change(vec![Change::Drain { agent }]);
+    let (during, drained) = tokio::join!(Bookings::make(&deployment, "during", 20), drain);
+    drained.unwrap();
+    let during = during.unwrap();
+    during.check(&deployment.executions().await).unwrap();
+    assert_eq!(during.count(Fate::Ran), 20, "{during:?}");
+    tokio::time::sleep(FEW_SECONDS).await;
+    let (before, _) = load(&deployment, &[0]).await;
+    let after = Bookings::make(&deployment, "after", 20).await.unwrap();
+    after.check(&deployment.executions().await).unwrap();
+    assert_eq!(after.count(Fate::Ran), 20, "{after:?}");
+    assert_eq!(load(&deployment, &[0]).await.0, before);
+    let feeds = reading.await.unwrap();
+    assert!(feeds.broken.is_empty(), "{:?}", feeds.broken);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rolling_restart_of_all_balancers_breaks_no_feed_and_no_booking() {
+    let mut deployment = start(&[]).await;
+    let feeds = Feeds::open(&deployment, 40).await.unwrap();
+    let reading = tokio::spawn(feeds.read(from_now(Duration::from_secs(16))));
+    for restarted in 0..3 {
+        let name = format!("balancer-{restarted}");
+        let left: Vec<_> = (0..3).filter(|&index| index != restarted).collect();
+        deployment.signal(&name, Signal::SIGTERM).unwrap();
+        deployment.spray_to(&left).await.unwrap();
+        let prefix = format!("roll-{restarted}");
+        let bookings = Bookings::make(&deployment, &prefix, 6).await.unwrap();
+        bookings.check(&deployment.executions().await).unwrap();
+        assert_eq!(bookings.count(Fate::Ran), 6, "{bookings:?}");
+        let process = deployment.process(&name).unwrap();
+        let status = process.wait(FEW_SECONDS).await;
+        assert!(status.is_some_and(|status| status.success()), "{status:?}");
+        process.restart().unwrap();
+        let operator = deployment.operator(restarted);
+        until(&name, FEW_SECONDS, || async {
+            let upstreams = operator.status().await?.upstreams;
+            let known = upstreams.iter().all(|u| u.health != Health::Unknown);
+            anyhow::ensure!(known && !upstreams.is_empty(), "{upstreams:?}");
+            Ok(())
+        })
+        .await
+        .unwrap();
+        deployment.spray_to(&[0, 1, 2]).await.unwrap();
+    }
+    let feeds = reading.await.unwrap();
+    assert!(feeds.broken.is_empty(), "{:?}", feeds.broken);
+    assert_eq!(feeds.whole.len(), 40);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bookings_run_at_most_once_while_an_agent_is_paused() {
+    let mut deployment = start(&["--booking-ms", "200"]).await;
+    let agent = deployment.process("agent-dispatch-0").unwrap().id();
+    let pause = async {
+        use sassafrasmast_standins::process::send;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        send(agent, Signal::SIGSTOP).expect("a signal");
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        send(agent, Signal::SIGCONT).expect("a signal");
+    };
+    let (bookings, ()) = tokio::join!(Bookings::make(&deployment, "paused", 20), pause);
+    let bookings = bookings.unwrap();
+    // What was told stays true when the agent has gone on for a while.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    bookings.check(&deployment.executions().await).unwrap();
+    let after = Bookings::make(&deployment, "resumed", 6).await.unwrap();
+    after.check(&deployment.executions().await).unwrap();
+    assert_eq!(after.count(Fate::Ran), 6, "{after:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn feed_of_an_agent_that_dies_for_good_is_told_seconds_after_it_counts_as_gone() {
+    let mut deployment = start(&[]).await;
+    let settings = Caller {
+        idle: PATIENT,
+        ..deployment.caller(0).unwrap()
+    };
+    let mut feed = loop {
+        let client = Client::new(settings.clone()).unwrap();
+        let mut feed = client.feed("/feed").await.unwrap();
+        feed.line(FEW_SECONDS).await.unwrap();
+        if feed.upstream == "upstream-dispatch-0" {
+            break feed;
+        }
+    };
+    deployment.process("agent-dispatch-0").unwrap().kill();
+    let killed = Instant::now();
+    let bound = GONE + FEW_SECONDS;
+    let error = loop {
+        let left = bound.saturating_sub(killed.elapsed());
+        if let Err(error) = feed.line(left).await {
+            break error;
+        }
+    };
+    assert!(matches!(error, Error::Lost(_)), "{error}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shedding_upstreams_are_offered_hardly_more_than_callers_ask_for() {
+    let deployment = start(&[]).await;
+    let shed = upstream::Fault {
+        drain: true,
+        ..upstream::Fault::default()
+    };
+    for index in 0..3 {
+        deployment.fault_upstream(index, &shed).await.unwrap();
+    }
+    let bookings = Bookings::make(&deployment, "shed", 40).await.unwrap();
+    bookings.check(&deployment.executions().await).unwrap();
+    assert_eq!(bookings.count(Fate::Ran), 0, "{bookings:?}");
+    let submissions = bookings.submissions.values();
+    let asked: u32 = submissions.map(|submission| submission.attempts).sum();
+    let (offered, _) = load(&deployment, &[0, 1, 2]).await;
+    assert!(
+        offered as f64 <= f64::from(asked) * 1.1,
+        "{offered} of {asked}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn address_reused_by_an_agent_of_another_service_gets_nothing_foreign() {
+    let mut deployment = start(&[]).await;
+    let operator = deployment.operator(0);
+    let (reused, address) = (3, deployment.network.agent(3));
+    let status = operator.status().await.unwrap();
+    let old = status
+        .upstreams
+        .iter()
+        .find(|u| u.upstream.agent == address);
+    let agent = old.unwrap().agent;
+    // A flow of the second service that lives at the address.
+    let mut feed = loop {
+        let mut feed = deployment.client(1).unwrap().feed("/feed").await.unwrap();
+        feed.line(FEW_SECONDS).await.unwrap();
+        if feed.upstream == "upstream-manifests-0" {
+            break feed;
+        }
+    };
+    deployment.process("agent-manifests-0").unwrap().kill();
+    operator
+        .change(vec![Change::RemoveUpstream { agent }])
+        .await
+        .unwrap();
+    let path = deployment.directory().join("agent-manifests-0.toml");
+    let settings = fs::read_to_string(&path).unwrap();
+    let settings = settings.replace("service = \"manifests\"", "service = \"dispatch\"");
+    fs::write(&path, settings).unwrap();
+    let process = deployment.process("agent-manifests-0").unwrap();
+    process.restart().unwrap();
+    deployment.admit_announced(1).await.unwrap();
+    let fed = deployment.counts(reused).await.unwrap().feeds_opened;
+    let error = loop {
+        if let Err(error) = feed.line(FEW_SECONDS).await {
+            break error;
+        }
+    };
+    assert!(!matches!(error, Error::Gap { .. }), "{error}");
+    // Callers of the second service never reach the reused address again.
+    let mut client = deployment.client(1).unwrap();
+    for number in 0..10 {
+        let submission = client.book(&format!("foreign-{number}")).await.unwrap();
+        assert_eq!(submission.fate, Fate::Ran, "{submission:?}");
+    }
+    let counts = deployment.counts(reused).await.unwrap();
+    let foreign = counts
+        .bookings
+        .keys()
+        .filter(|id| id.starts_with("foreign"));
+    assert_eq!(foreign.count(), 0);
+    assert_eq!(counts.feeds_opened, fed);
+}
