--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`caller`]: an HTTP/3 client that follows the ticket protocol and checks what it gets.
 //! - [`deployment`]: starts all of it with the daemons, as child processes.
 //! - [`certificate`]: a development certificate.
+//! - [`measure`]: measurements of the whole path.
 //! - [`process`]: child processes.
 //! - [`quickstart`]: a tour of the product.
 //! - [`scenario`]: steps that tests of the whole path share.
@@ -15,6 +16,7 @@
 pub mod deployment;
 pub mod fabric;
 pub mod http;
+pub mod measure;
 pub mod process;
 pub mod quickstart;
 pub mod scenario;
--- /dev/null
+++ b/crates/standins/src/measure.rs
@@ -0,0 +1,202 @@
+//! Measurements of the whole path over separate processes.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+
+use crate::{
+    caller::Load,
+    deployment::{Deployment, Settings},
+    http,
+    scenario::Feeds,
+};
+
+/// Time for which feeds are read between two changes.
+const BETWEEN: Duration = Duration::from_secs(3);
+
+/// Time in which the fabric learns of a dead balancer.
+const FABRIC_LAG: Duration = Duration::from_millis(500);
+
+/// Clock ticks a second in the accounts of the system.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Requests that an upstream runs at once.
+const SLOTS: u64 = 5;
+
+/// Bookings that warm each upstream up.
+const WARM_UP: u64 = 100;
+
+/// Holds `count` feeds while each balancer is killed and joins again, and tells how many broke.
+///
+/// # Errors
+///
+/// If the deployment does not start or a feed does not open.
+pub async fn feeds(count: usize) -> anyhow::Result<Value> {
+    let mut deployment = Deployment::start(settings(&["--feed-ms", "1000"])).await?;
+    let opening = Instant::now();
+    let feeds = Feeds::open(&deployment, count).await?;
+    let opened = opening.elapsed();
+    let balancers = deployment.settings.balancers;
+    let time = BETWEEN * 3 * u32::try_from(balancers)? + BETWEEN;
+    let reading = tokio::spawn(feeds.read(Instant::now() + time));
+    for killed in 0..balancers {
+        tokio::time::sleep(BETWEEN).await;
+        let name = format!("balancer-{killed}");
+        deployment.signal(&name, Signal::SIGKILL)?;
+        tokio::time::sleep(FABRIC_LAG).await;
+        let left: Vec<_> = (0..balancers).filter(|&index| index != killed).collect();
+        deployment.spray_to(&left).await?;
+        deployment.process(&name)?.restart()?;
+        tokio::time::sleep(BETWEEN).await;
+        deployment
+            .spray_to(&(0..balancers).collect::<Vec<_>>())
+            .await?;
+    }
+    let feeds = reading.await?;
+    let mut homes: BTreeMap<&str, u64> = BTreeMap::new();
+    for feed in &feeds.whole {
+        *homes.entry(&feed.upstream).or_default() += 1;
+    }
+    Ok(json!({
+        "feeds": count,
+        "opened_in_s": opened.as_secs_f64(),
+        "held_for_s": time.as_secs_f64(),
+        "broken": feeds.broken.len(),
+        "why": feeds.broken.iter().map(|(_, error)| error.to_string()).collect::<Vec<_>>(),
+        "lines": feeds.whole.iter().map(|feed| feed.lines()).sum::<u64>(),
+        "feeds_per_upstream": homes,
+    }))
+}
+
+/// Times the opening of `count` connections, `concurrency` at once, in microseconds.
+///
+/// # Errors
+///
+/// If the deployment does not start.
+pub async fn connects(count: usize, concurrency: usize) -> anyhow::Result<Value> {
+    let deployment = Deployment::start(settings(&[])).await?;
+    let mut histogram = Histogram::<u64>::new(3)?;
+    let (mut failed, mut started) = (0, 0);
+    let mut opening = JoinSet::new();
+    while started < count || !opening.is_empty() {
+        while started < count && opening.len() < concurrency {
+            let client = deployment.client(0)?;
+            started += 1;
+            opening.spawn(async move {
+                let begun = Instant::now();
+                let opened = client.connect().await.is_ok();
+                opened.then(|| begun.elapsed())
+            });
+        }
+        match opening.join_next().await.transpose()?.flatten() {
+            Some(elapsed) => histogram.record(u64::try_from(elapsed.as_micros())?)?,
+            None => failed += 1,
+        }
+    }
+    Ok(json!({
+        "connects": count,
+        "concurrency": concurrency,
+        "failed": failed,
+        "p50_us": histogram.value_at_quantile(0.5),
+        "p99_us": histogram.value_at_quantile(0.99),
+        "max_us": histogram.max(),
+    }))
+}
+
+/// Makes `count` bookings straight to one upstream and through the whole path, `concurrency` at
+/// once (straight at most its slots), with upstreams that answer at once.
+///
+/// # Errors
+///
+/// If the deployment does not start or a caller has no socket.
+pub async fn path(count: u64, concurrency: u64) -> anyhow::Result<Value> {
+    let deployment = Deployment::start(settings(&["--booking-ms", "0"])).await?;
+    let caller = Load {
+        settings: deployment.caller(0)?,
+        concurrency: 1,
+        bookings: WARM_UP * 7,
+        prefix: "warm".to_owned(),
+        ..Load::default()
+    };
+    caller.run().await?;
+    let whole = Load {
+        concurrency,
+        bookings: count,
+        prefix: "whole".to_owned(),
+        ..caller.clone()
+    };
+    let direct = Load {
+        direct: Some(deployment.network.upstream(0)),
+        // One upstream fails whatever goes beyond its slots.
+        concurrency: concurrency.min(SLOTS),
+        prefix: "direct".to_owned(),
+        ..whole.clone()
+    };
+    let direct = direct.run().await?;
+    let (before, packets) = (cpu(&deployment), packets(&deployment).await?);
+    let whole = whole.run().await?;
+    let (after, all) = (cpu(&deployment), self::packets(&deployment).await?);
+    let packets = all - packets;
+    let used = |role: &str| (after[role] - before[role]) / packets * 1e6;
+    let ratio = |name: &str| {
+        let latency = |load: &Value| load["bookings"]["latencies"][name].as_f64();
+        latency(&whole).unwrap_or(0.0) / latency(&direct).unwrap_or(0.0)
+    };
+    Ok(json!({
+        "concurrency": concurrency,
+        "direct": direct["bookings"],
+        "whole": whole["bookings"],
+        "ratio_p50": ratio("p50_us"),
+        "ratio_p99": ratio("p99_us"),
+        "packets_of_callers_both_ways": packets,
+        "cpu_us_per_packet": { "balancers": used("balancer"), "agents": used("agent") },
+    }))
+}
+
+/// The sizes of Reciclumen with further arguments for the upstreams.
+fn settings(upstream: &[&str]) -> Settings {
+    Settings {
+        upstream: upstream.iter().map(|&text| text.to_owned()).collect(),
+        log: "warn".to_owned(),
+        ..Settings::reciclumen()
+    }
+}
+
+/// Processor time used so far by all balancers and by all agents, in seconds.
+fn cpu(deployment: &Deployment) -> BTreeMap<&'static str, f64> {
+    let mut used = BTreeMap::from([("agent", 0.0), ("balancer", 0.0)]);
+    for (name, process) in &deployment.processes {
+        for (role, sum) in &mut used {
+            if name.starts_with(role) {
+                *sum += seconds(process.id()).unwrap_or(0.0);
+            }
+        }
+    }
+    used
+}
+
+/// Processor time used so far by a process, in seconds.
+fn seconds(id: u32) -> Option<f64> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    // The name before the last parenthesis may hold spaces; user and system time come 12th and
+    // 13th after it.
+    let (_, fields) = stat.rsplit_once(')')?;
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    let ticks: f64 = ticks.filter_map(|text| text.parse::<f64>().ok()).sum();
+    Some(ticks / TICKS_PER_SECOND)
+}
+
+/// Datagrams between callers and balancers so far, both ways.
+async fn packets(deployment: &Deployment) -> anyhow::Result<f64> {
+    let fabric = deployment.network.fabric();
+    let counts: Value = http::exchange(fabric, "GET", "/standin/counts", None).await?;
+    let count = |name: &str| counts[name].as_f64().unwrap_or(0.0);
+    Ok(count("inward") + count("outward"))
+}
