perf(standins): the fabric's sockets hold a burst of datagrams

Seen: 50 connects at once had 1.03 s at the 99th percentile. Cause: the fabric's service socket overflowed its default buffer (drops of that socket grew in /proc/net/udp; a lost first packet costs a probe timeout of 1 s). Ruled out: the balancers' and agents' sockets, which had no drops.

--- a/crates/standins/src/fabric/spray.rs
+++ b/crates/standins/src/fabric/spray.rs
@@ -3,13 +3,14 @@
 use std::{
     collections::BTreeMap,
     io,
-    net::{IpAddr, SocketAddr},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use hyper::{Method, Request, StatusCode, body::Incoming};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::json;
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, UdpSocket},
     task::JoinHandle,
@@ -21,6 +22,9 @@
 /// Largest datagram in bytes.
 const MAX_DATAGRAM: usize = 65_536;
 
+/// Bytes that may wait at a socket. The system grants less if its limit is lower.
+const RECEIVE_BUFFER: usize = 4 * 1024 * 1024;
+
 /// Callers known at once. Datagrams of further ones are lost.
 const MAX_CALLERS: usize = 20_000;
 
@@ -78,7 +82,7 @@
             }),
         });
         for (service, _) in settings.services {
-            let inside = Arc::new(UdpSocket::bind(service).await?);
+            let inside = Arc::new(bind(service)?);
             tokio::spawn(Arc::clone(&spray).receive(service, inside));
         }
         let listener = TcpListener::bind(settings.api).await?;
@@ -145,7 +149,7 @@
         if state.callers.len() >= MAX_CALLERS {
             return Err(io::ErrorKind::QuotaExceeded.into());
         }
-        let socket = Arc::new(bind(service.ip())?);
+        let socket = Arc::new(bind(SocketAddr::new(service.ip(), 0))?);
         let returning = Arc::clone(self).give_back(caller, Arc::clone(inside), Arc::clone(&socket));
         let reader = tokio::spawn(returning);
         let outside = Outside {
@@ -221,9 +225,10 @@
     }
 }
 
-/// A socket on any port of `ip`.
-fn bind(ip: IpAddr) -> io::Result<UdpSocket> {
-    let socket = std::net::UdpSocket::bind(SocketAddr::new(ip, 0))?;
+/// A socket that holds a burst of datagrams.
+fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address)?;
     socket.set_nonblocking(true)?;
+    SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER)?;
     UdpSocket::from_std(socket)
 }
