--- a/crates/core/src/agent/arrival.rs
+++ b/crates/core/src/agent/arrival.rs
@@ -18,7 +18,7 @@
 const RETRY_SHARE: f64 = 0.1;
 
 /// Time after its expiry for which it stays known what became of a ticket.
-const TICKET_MEMORY: Duration = Duration::from_secs(600);
+const TICKET_MEMORY: Duration = Duration::from_secs(120);
 
 /// Repeats that wait for the same run at most.
 const TWINS: usize = 16;
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Why nothing is started any more, if so: a drain lets what waits start for its grace.
+    pub(super) fn stopped(&self, now: Instant) -> Option<Kind> {
+        let end = self.drained.map(|since| since + self.settings.drain_grace);
+        let in_grace = end.is_some_and(|end| now < end);
+        self.closed()
+            .filter(|kind| *kind != Kind::Draining || !in_grace)
+    }
+
     fn ticketed(&mut self, now: Instant, id: RequestId, ticket: Ticket) {
         let Some(member) = &self.member else {
             return self.refuse(now, id, Kind::NotReady);
@@ -97,14 +105,15 @@
         }
     }
 
-    /// A ticket of this incarnation that has no record. It never ran: records outlive tickets.
+    /// A ticket of this incarnation that has no record. Before its expiry it never ran, as records
+    /// outlive tickets.
     fn first_use(&mut self, now: Instant, id: RequestId, ticket: Ticket) {
         let expires = self.started + ticket.expiry;
-        if now >= expires + TICKET_MEMORY {
-            return self.error(id, Kind::TicketForgotten, Outcome::Unknown);
-        }
         if now >= expires {
-            return self.error(id, Kind::TicketExpired, Outcome::NotRun);
+            return match self.registry.was_used(ticket.nonce) {
+                Some(false) => self.error(id, Kind::TicketExpired, Outcome::NotRun),
+                _ => self.error(id, Kind::TicketForgotten, Outcome::Unknown),
+            };
         }
         if ticket.nonce > self.ticket_count {
             return self.error(id, Kind::TicketInvalid, Outcome::Unknown);
@@ -148,7 +157,8 @@
     fn repeated(&mut self, now: Instant, id: RequestId, key: &Key, entry: &Entry) {
         let digest = self.flights.get(&id).map(|flight| flight.request.digest);
         if digest != Some(entry.digest) {
-            let outcome = self.vouch_for_reuse(now, entry);
+            let outcome = self.vouch_for_reuse(now, key, entry);
+            self.registry.reuse(key);
             return self.error(id, Kind::KeyReused, outcome);
         }
         match &entry.record {
@@ -156,7 +166,7 @@
             Record::Ran(Some(answer)) => self.conclude(id, Reply::Kept(answer.clone())),
             Record::Ran(None) => self.error(id, Kind::AnswerDropped, Outcome::Ran),
             Record::NotRun(kind) => {
-                let outcome = self.vouch_for_reuse(now, entry);
+                let outcome = self.vouch_for_reuse(now, key, entry);
                 self.error(id, *kind, outcome);
             }
             Record::Unknown(kind) => self.error(id, *kind, Outcome::Unknown),
@@ -167,15 +177,14 @@
         }
     }
 
-    /// "Not run" for a known key: for ever with a ticket, as long as the claim surely holds with
-    /// a minted key, and never while the claim is unsettled.
-    fn vouch_for_reuse(&self, now: Instant, entry: &Entry) -> Outcome {
-        let settled = entry.record != Record::Unsettled;
-        let holds = entry.claim.is_none_or(|(_, at)| claim::holds(now, at));
-        if settled && holds {
-            Outcome::NotRun
-        } else {
-            Outcome::Unknown
+    /// Whether a request that this agent refuses because of a known key never runs: for ever with
+    /// a ticket of ours, as long as the claim surely holds with a minted key that is ours.
+    fn vouch_for_reuse(&self, now: Instant, key: &Key, entry: &Entry) -> Outcome {
+        let claimed = entry.claim.is_some_and(|(_, at)| claim::holds(now, at));
+        match key {
+            Key::Ticket(_) => Outcome::NotRun,
+            Key::Minted(_) if entry.ours && claimed => Outcome::NotRun,
+            Key::Minted(_) => Outcome::Unknown,
         }
     }
 
--- a/crates/core/tests/agent/basics.rs
+++ b/crates/core/tests/agent/basics.rs
@@ -4,6 +4,7 @@
     agent::{Action, Agent, Class, Finish, Reply, Settings},
     error::{Kind, Outcome},
 };
+use sassafrasmast_wire::State;
 
 use crate::rig::{Rig, whole};
 
@@ -75,3 +76,69 @@
     rig.booking(16, None);
     assert!(rig.started(16));
 }
+
+#[test]
+fn a_body_that_is_spent_says_nothing_about_the_upstream() {
+    let mut rig = Rig::new(5);
+    rig.warm(10);
+    rig.booking(1, None);
+    rig.finish(1, Finish::Unsent);
+    rig.assert_error(1, Kind::UpstreamUnreachable, Outcome::NotRun);
+    assert_eq!(rig.agent.load(rig.now).limit, 5);
+    rig.booking(2, None);
+    rig.finish(2, Finish::Unreachable);
+    assert_eq!(rig.agent.load(rig.now).limit, 0);
+}
+
+#[test]
+fn requests_of_one_collapse_count_once() {
+    let mut rig = Rig::new(5);
+    rig.warm(10);
+    for id in 1..=5 {
+        rig.booking(id, None);
+    }
+    for id in 1..=5 {
+        rig.pass(1);
+        rig.finish(id, Finish::Unreachable);
+    }
+    rig.booking(6, None);
+    assert!(!rig.started(6));
+    rig.tick(100);
+    assert!(rig.started(6));
+}
+
+#[test]
+fn a_collapse_moves_what_waits_to_peers_at_once() {
+    let mut rig = Rig::new(5);
+    rig.warm(10);
+    for id in 1..=9 {
+        rig.booking(id, None);
+    }
+    let ticket = rig.ticket();
+    rig.booking(10, Some(ticket));
+    rig.peer(2, 5, 10);
+    rig.finish(1, Finish::Unreachable);
+    let relayed: Vec<_> = (2..=10).filter(|id| rig.relay(*id).is_some()).collect();
+    assert_eq!(relayed, [6, 7, 8, 9]);
+}
+
+#[test]
+fn a_paused_upstream_counts_as_cold() {
+    let mut rig = Rig::new(1);
+    rig.booking(1, None);
+    assert_eq!(rig.agent.load(rig.now).state, State::Ready);
+    rig.finish(1, Finish::Unreachable);
+    assert_eq!(rig.agent.load(rig.now).state, State::Cold);
+    rig.tick(100);
+    assert_eq!(rig.agent.load(rig.now).state, State::Ready);
+}
+
+#[test]
+fn any_number_of_slots_is_borne() {
+    for slots in [0, 1, u16::MAX] {
+        let mut rig = Rig::new(slots);
+        rig.booking(1, None);
+        rig.tick(6_000);
+        assert_eq!(rig.replies(1).len(), 1);
+    }
+}
--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     env, fs,
     future::Future,
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     time::{Duration, Instant},
 };
@@ -52,6 +52,8 @@
     /// `upstream-dispatch-0` and so on.
     pub processes: BTreeMap<String, Process>,
     directory: PathBuf,
+    /// Held while the network is in use.
+    _reserved: TcpListener,
     /// Whether settings and logs outlive it.
     keep: bool,
     _running: SemaphorePermit<'static>,
@@ -112,7 +114,7 @@
     /// If a file cannot be written.
     pub async fn prepare(settings: Settings) -> anyhow::Result<Self> {
         let _running = RUNNING.acquire().await?;
-        let network = Network::unique();
+        let (network, reserved) = Network::reserve()?;
         let name = format!("sassafrasmast-{}", network.store().ip());
         let directory = env::temp_dir().join(name);
         fs::create_dir_all(&directory)?;
@@ -123,6 +125,7 @@
             processes: BTreeMap::new(),
             directory,
             keep: false,
+            _reserved: reserved,
             _running,
         })
     }
@@ -181,10 +184,12 @@
         let peers = (0..self.settings.balancers).filter(|&other| other != index);
         let peers: Vec<_> = peers.map(|other| network.balancer(other)).collect();
         text += &format!(
-            "[role.balancer]\napi = \"{}\"\nstore = {}\npeers = {}\n[role.balancer.bind]\n",
+            "[role.balancer]\napi = \"{}\"\nstore = {}\npeers = {}\npolicy = \"{}\"\n\
+             [role.balancer.bind]\n",
             network.api(index),
             list(&[network.store()]),
             list(&peers),
+            self.settings.policy,
         );
         for service in 0..self.settings.services.len() {
             let bound = network.bound(index, service);
--- a/crates/standins/src/deployment/network.rs
+++ b/crates/standins/src/deployment/network.rs
@@ -1,7 +1,7 @@
 //! The loopback addresses of a deployment.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     process,
     sync::atomic::{AtomicU32, Ordering},
 };
@@ -15,6 +15,12 @@
 /// Deployments of one process whose networks surely differ.
 const PER_PROCESS: u32 = 8;
 
+/// Last byte of the address whose port is held while a network is in use.
+const RESERVED: usize = 254;
+
+/// The port that is held.
+const RESERVED_PORT: u16 = 7_999;
+
 /// Last byte of the first balancer's address.
 const BALANCERS: usize = 10;
 
@@ -28,15 +34,25 @@
 }
 
 impl Network {
-    /// A network that no other deployment of this process, and hardly one of another, uses.
-    pub fn unique() -> Self {
+    /// A network that no other deployment on this machine uses while the listener is held.
+    ///
+    /// # Errors
+    ///
+    /// If all networks are taken.
+    pub fn reserve() -> anyhow::Result<(Self, TcpListener)> {
         static COUNTER: AtomicU32 = AtomicU32::new(0);
-        let count = COUNTER.fetch_add(1, Ordering::Relaxed);
-        let number = process::id().wrapping_mul(PER_PROCESS).wrapping_add(count) % NETWORKS;
-        let [_, _, high, low] = (number + (FIRST << 8)).to_be_bytes();
-        Self {
-            bytes: [127, high, low],
+        for _ in 0..NETWORKS {
+            let count = COUNTER.fetch_add(1, Ordering::Relaxed);
+            let number = process::id().wrapping_mul(PER_PROCESS).wrapping_add(count) % NETWORKS;
+            let [_, _, high, low] = (number + (FIRST << 8)).to_be_bytes();
+            let network = Self {
+                bytes: [127, high, low],
+            };
+            if let Ok(listener) = TcpListener::bind(network.address(RESERVED, RESERVED_PORT)) {
+                return Ok((network, listener));
+            }
         }
+        anyhow::bail!("all loopback networks are taken")
     }
 
     /// Address of the platform's store.
