--- a/crates/standins/tests/balancers.rs
+++ b/crates/standins/tests/balancers.rs
@@ -1,9 +1,10 @@
 //! Balancers that come and go, as separate processes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 use sassafrasmast_standins::deployment::{Deployment, ServiceSettings, Settings, until};
+use tokio::task::JoinSet;
 
 /// "A few seconds" of the promises.
 const FEW_SECONDS: Duration = Duration::from_secs(5);
@@ -51,3 +52,35 @@
     balancer.restart().expect("it starts again");
     listed(&deployment, count, BOOT).await;
 }
+
+/// Callers that all open a flow at the same moment.
+const CALLERS: usize = 150;
+
+/// Longest time in which a flow opens on an idle deployment: no first datagram waits for the
+/// caller's retransmission, which comes after a second.
+const OPEN: Duration = Duration::from_millis(900);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn flows_that_open_at_once_wait_for_no_retransmission() {
+    let settings = Settings {
+        services: vec![ServiceSettings::new("dispatch", 7)],
+        ..Settings::default()
+    };
+    let deployment = Deployment::start(settings).await.expect("it serves");
+    let mut opening = JoinSet::new();
+    for _ in 0..CALLERS {
+        let client = deployment.client(0).expect("a socket");
+        opening.spawn(async move {
+            let began = Instant::now();
+            let connection = client.connect().await.expect("a flow opens");
+            (began.elapsed(), connection)
+        });
+    }
+    let mut open = opening.join_all().await;
+    open.sort_by_key(|(time, _)| *time);
+    let times: Vec<_> = open.iter().map(|(time, _)| *time).collect();
+    let late = times.iter().filter(|&&time| time >= OPEN).count();
+    let (median, longest) = (times[CALLERS / 2], times[CALLERS - 1]);
+    println!("{CALLERS} at once: median {median:?}, longest {longest:?}, {late} late");
+    assert_eq!(late, 0, "median {median:?}, longest {longest:?}");
+}
