test(balancer): a resumed balancer places nothing in a zone taken out meanwhile

Separate processes: one balancer stopped by a signal, the zone taken out, 40 first datagrams waiting in its sockets, then resumed.

--- a/crates/standins/src/deployment/operator.rs
+++ b/crates/standins/src/deployment/operator.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use sassafrasmast_core::config::{Change, Plan};
 use sassafrasmast_wire::ConfigVersion;
-use sassafrasmastd::api::{Confirm, Confirmed, Progress, Status, Wish};
+use sassafrasmastd::api::{Confirm, Confirmed, Events, Progress, Status, Wish};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::timeout;
 
@@ -98,6 +98,15 @@
         self.change(vec![Change::ZoneIn { zone }]).await
     }
 
+    /// Time line of the asked balancer itself.
+    ///
+    /// # Errors
+    ///
+    /// If the balancer does not answer or refuses.
+    pub async fn events(&self, after: u64) -> anyhow::Result<Events> {
+        self.get(&format!("/events?after={after}")).await
+    }
+
     async fn get<T: DeserializeOwned>(&self, path: &str) -> anyhow::Result<T> {
         timeout(CALL_TIMEOUT, http::exchange(self.api, "GET", path, None)).await?
     }
--- a/crates/standins/tests/balancers.rs
+++ b/crates/standins/tests/balancers.rs
@@ -1,9 +1,14 @@
 //! Balancers that come and go, as separate processes.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use nix::sys::signal::Signal;
-use sassafrasmast_standins::deployment::{Deployment, ServiceSettings, Settings, until};
+use sassafrasmast_core::timeline::Kind;
+use sassafrasmast_standins::{
+    caller::{self, Client},
+    deployment::{Deployment, Operator, ServiceSettings, Settings, until},
+};
+use sassafrasmast_wire::AgentId;
 use tokio::task::JoinSet;
 
 /// "A few seconds" of the promises.
@@ -84,3 +89,76 @@
     println!("{CALLERS} at once: median {median:?}, longest {longest:?}, {late} late");
     assert_eq!(late, 0, "median {median:?}, longest {longest:?}");
 }
+
+/// Callers that try to open a flow through the paused balancer.
+const WAITING: usize = 40;
+
+/// Agents on which a balancer placed flows since a moment on the wall clock.
+async fn placed_since(operator: &Operator, moment: Duration) -> Vec<AgentId> {
+    let events = operator.events(0).await.expect("a time line").events;
+    events
+        .into_iter()
+        .filter(|numbered| u128::from(numbered.event.at_ns) >= moment.as_nanos())
+        .filter_map(|numbered| match numbered.event.kind {
+            Kind::FlowPlaced { agent, .. } => Some(agent),
+            _ => None,
+        })
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_resumed_balancer_places_nothing_in_a_zone_taken_out_meanwhile() {
+    let settings = Settings {
+        services: vec![ServiceSettings::new("dispatch", 6)],
+        ..Settings::default()
+    };
+    let zone = settings.zone(0).to_owned();
+    let mut deployment = Deployment::start(settings).await.expect("it serves");
+    deployment.spray_to(&[2]).await.expect("the fabric answers");
+    let paused = deployment.process("balancer-2").expect("a known name");
+    paused.signal(Signal::SIGSTOP).expect("it runs");
+    let mut opening = JoinSet::new();
+    for _ in 0..WAITING {
+        let patient = caller::Settings {
+            connect: BOOT,
+            ..deployment.caller(0).expect("a certificate")
+        };
+        let client = Client::new(patient).expect("a socket");
+        opening.spawn(async move { client.connect().await.is_ok() });
+    }
+    let operator = deployment.operator(0);
+    operator.zone_out(&zone).await.expect("confirmed");
+    tokio::time::sleep(FEW_SECONDS / 2).await;
+    let resumed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("after 1970");
+    let paused = deployment.process("balancer-2").expect("a known name");
+    paused.signal(Signal::SIGCONT).expect("it runs");
+    let opened = opening
+        .join_all()
+        .await
+        .into_iter()
+        .filter(|opened| *opened)
+        .count();
+
+    let status = operator.status().await.expect("a status");
+    let out = |agent| {
+        let found = status
+            .upstreams
+            .iter()
+            .find(|upstream| upstream.agent == agent);
+        found.is_some_and(|upstream| upstream.upstream.zone == zone)
+    };
+    let placed = placed_since(&deployment.operator(2), resumed).await;
+    let wrong = placed.iter().filter(|&&agent| out(agent)).count();
+    println!(
+        "{opened} of {WAITING} opened, {} placed, {wrong} in zone {zone}",
+        placed.len()
+    );
+    assert_eq!(wrong, 0, "of {} placed", placed.len());
+    assert!(
+        opened > 0 && !placed.is_empty(),
+        "{opened} opened, {} placed",
+        placed.len()
+    );
+}
