--- a/crates/core/src/agent/registry.rs
+++ b/crates/core/src/agent/registry.rs
@@ -8,7 +8,7 @@
 
 use crate::{error::Kind, timeline::RequestId};
 
-use super::{Digest, Kept, Key, Nonce};
+use super::{Digest, Kept, Key, Nonce, Used};
 
 /// What is known about one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,6 +34,10 @@
     pub record: Record,
     /// Nonce of the claim and when it was first asked for; minted keys only.
     pub claim: Option<(Nonce, Instant)>,
+    /// Whether the claim is known to be ours.
+    pub ours: bool,
+    /// Another request was told that it never runs, as it came with this key.
+    reused: bool,
     expires: Instant,
     /// Place in the order of kept answers.
     kept: Option<u64>,
@@ -54,6 +58,7 @@
     kept_bytes: usize,
     kept_most: usize,
     floor: Option<u64>,
+    used: Used,
 }
 
 impl Registry {
@@ -68,6 +73,7 @@
             kept_bytes: 0,
             kept_most,
             floor: None,
+            used: Used::default(),
         }
     }
 
@@ -101,6 +107,11 @@
         self.floor = self.floor.max(Some(nonce));
     }
 
+    /// Whether a ticket with this nonce was ever held; `None` if that is no longer known.
+    pub fn was_used(&self, nonce: u64) -> Option<bool> {
+        self.used.get(nonce)
+    }
+
     /// Records that a request holds a key that has no entry. Returns `false` if the table is
     /// full.
     pub fn hold(&mut self, key: Key, digest: Digest, run: RequestId, expires: Instant) -> bool {
@@ -111,9 +122,14 @@
             digest,
             record: Record::Live(run),
             claim: None,
+            ours: false,
+            reused: false,
             expires,
             kept: None,
         };
+        if let Key::Ticket(ticket) = &key {
+            self.used.insert(ticket.nonce);
+        }
         self.expiries.insert((expires, key.clone()));
         self.entries.insert(key, entry);
         true
@@ -146,8 +162,31 @@
         }
     }
 
-    /// Removes the entry of a key of which nothing needs to be remembered.
-    pub fn release(&mut self, key: &Key) {
+    /// Notes that the claim of a key is ours.
+    pub fn own(&mut self, key: &Key) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.ours = true;
+        }
+    }
+
+    /// Notes that another request with this key is refused for good.
+    pub fn reuse(&mut self, key: &Key) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.reused = true;
+        }
+    }
+
+    /// Gives back a key whose request ended before it could run. It may be used again, unless
+    /// another request was refused for good because of it.
+    pub fn give_back(&mut self, key: &Key, kind: Kind) {
+        match self.entries.get(key) {
+            Some(entry) if entry.reused => self.set(key, Record::NotRun(kind)),
+            _ => self.release(key),
+        }
+    }
+
+    /// Removes the entry of a key.
+    fn release(&mut self, key: &Key) {
         if let Some(entry) = self.entries.remove(key) {
             self.kept_bytes -= entry.record.bytes();
             self.expiries.remove(&(entry.expires, key.clone()));
--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     env, fs,
     future::Future,
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     time::{Duration, Instant},
 };
@@ -13,7 +13,7 @@
 use nix::sys::signal::Signal;
 use sassafrasmast_core::config::{Change, Service};
 use sassafrasmast_wire::ConfigVersion;
-use sassafrasmastd::api::Announced;
+use sassafrasmastd::api::{Announced, Health};
 use serde_json::Value;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
@@ -52,6 +52,8 @@
     /// `upstream-dispatch-0` and so on.
     pub processes: BTreeMap<String, Process>,
     directory: PathBuf,
+    /// Held while the network is in use.
+    _reserved: TcpListener,
     /// Whether settings and logs outlive it.
     keep: bool,
     _running: SemaphorePermit<'static>,
@@ -112,7 +114,7 @@
     /// If a file cannot be written.
     pub async fn prepare(settings: Settings) -> anyhow::Result<Self> {
         let _running = RUNNING.acquire().await?;
-        let network = Network::unique();
+        let (network, reserved) = Network::reserve()?;
         let name = format!("sassafrasmast-{}", network.store().ip());
         let directory = env::temp_dir().join(name);
         fs::create_dir_all(&directory)?;
@@ -123,6 +125,7 @@
             processes: BTreeMap::new(),
             directory,
             keep: false,
+            _reserved: reserved,
             _running,
         })
     }
@@ -181,10 +184,12 @@
         let peers = (0..self.settings.balancers).filter(|&other| other != index);
         let peers: Vec<_> = peers.map(|other| network.balancer(other)).collect();
         text += &format!(
-            "[role.balancer]\napi = \"{}\"\nstore = {}\npeers = {}\n[role.balancer.bind]\n",
+            "[role.balancer]\napi = \"{}\"\nstore = {}\npeers = {}\npolicy = \"{}\"\n\
+             [role.balancer.bind]\n",
             network.api(index),
             list(&[network.store()]),
             list(&peers),
+            self.settings.policy,
         );
         for service in 0..self.settings.services.len() {
             let bound = network.bound(index, service);
@@ -219,9 +224,10 @@
         let mut text = self.common(&name, number, network.agent(index));
         text += &format!(
             "[role.agent]\nservice = \"{service}\"\nupstream = \"{}\"\nslots = 5\n\
-             connections = 2000\nentries = {}\ncertificate = \"{}\"\nkey = \"{}\"\n",
+             connections = 2000\nentries = {}\nstore = {}\ncertificate = \"{}\"\nkey = \"{}\"\n",
             network.upstream(index),
             list(&entries.collect::<Vec<_>>()),
+            list(&[network.store()]),
             self.directory.join("certificate.pem").display(),
             self.directory.join("key.pem").display(),
         );
@@ -235,8 +241,16 @@
     /// If no balancer gets ready, an upstream does not announce itself or a plan is refused.
     pub async fn admit(&self) -> anyhow::Result<()> {
         self.create().await?;
+        self.admit_announced(self.upstreams().len()).await
+    }
+
+    /// Admits all announced upstreams once there are `wanted` of them.
+    ///
+    /// # Errors
+    ///
+    /// If an upstream does not announce itself or the plan is refused.
+    pub async fn admit_announced(&self, wanted: usize) -> anyhow::Result<()> {
         let operator = self.operator(0);
-        let wanted = self.upstreams().len();
         until("all announcements", START_LIMIT, || async {
             let announced = operator.status().await?.announced.len();
             anyhow::ensure!(announced == wanted, "{announced} of {wanted}");
@@ -278,7 +292,8 @@
         Ok(())
     }
 
-    /// Waits until all processes have one configuration and each service answers a caller.
+    /// Waits until all processes have one configuration, all balancers have heard all agents and
+    /// each service answers a caller.
     ///
     /// # Errors
     ///
@@ -286,6 +301,17 @@
     pub async fn ready(&self) -> anyhow::Result<()> {
         let version = self.operator(0).status().await?.version;
         self.in_force(version, START_LIMIT).await?;
+        for balancer in 0..self.settings.balancers {
+            let operator = self.operator(balancer);
+            until("all agents", START_LIMIT, || async {
+                let upstreams = operator.status().await?.upstreams;
+                let unknown = upstreams.iter().filter(|u| u.health == Health::Unknown);
+                let unknown = unknown.count();
+                anyhow::ensure!(unknown == 0, "balancer-{balancer} never heard {unknown}");
+                Ok(())
+            })
+            .await?;
+        }
         for (service, settings) in self.settings.services.iter().enumerate() {
             let client = self.client(service)?;
             until(&settings.name, START_LIMIT, || async {
