feat(balancer): telling of a new version counts against the control bytes

Frames that spread a configuration were outside the budget: up to 2.5 KB at once and 2 KB/s on top of 2.4 KB/s of probes. They are noted on the blackboard and probes make way: with 2,000 bytes a second spent elsewhere the whole stays under 3,000 a second over 20 s and agents are still probed.

--- a/crates/core/src/balancer/prober.rs
+++ b/crates/core/src/balancer/prober.rs
@@ -18,7 +18,7 @@
 };
 
 /// Bytes of IP and UDP headers, counted on top of each control frame.
-const HEADER_BYTES: u32 = 28;
+pub(super) const HEADER_BYTES: u64 = 28;
 
 /// Bytes of a probe, headers included.
 const PROBE_BYTES: u32 = 60;
@@ -27,7 +27,7 @@
 const PROBE_ROUND_BYTES: u32 = 2 * PROBE_BYTES;
 
 /// Bytes of a greeting, headers included.
-const GREETING_BYTES: u32 = HEADER_BYTES + 12;
+const GREETING_BYTES: u32 = HEADER_BYTES as u32 + 12;
 
 /// Agents looked at in one tick beside those used lately.
 const SCAN: usize = 64;
@@ -70,9 +70,9 @@
         lock(&self.hot).push(agent);
     }
 
-    /// Counts a control frame of `bytes` that came in.
-    pub(super) fn charge(&self, now: Instant, bytes: usize) {
-        let bytes = bytes as u32 + HEADER_BYTES;
+    /// Counts control bytes that were spent without asking, headers included.
+    pub(super) fn charge(&self, now: Instant, bytes: u64) {
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
         Counters::count(&self.counters.control_bytes, bytes);
         lock(&self.control).charge(now, bytes);
     }
--- a/crates/core/src/balancer/router.rs
+++ b/crates/core/src/balancer/router.rs
@@ -20,7 +20,7 @@
     gate::Gate,
     peers::Peers,
     placement::Placement,
-    prober::Prober,
+    prober::{HEADER_BYTES, Prober},
     table::{Entry, Table},
 };
 
@@ -137,7 +137,10 @@
         let sender = table.as_deref().and_then(|table| Sender::of(table, from));
         match frame.body {
             Body::Outbound { .. } | Body::Handback { .. } | Body::Inbound { .. } => {}
-            _ => self.prober.charge(now, datagram.len()),
+            _ => {
+                let bytes = datagram.len() as u64 + HEADER_BYTES;
+                self.prober.charge(now, bytes);
+            }
         }
         if sender.is_some() || self.trusts(from) {
             self.compare(now, from, frame.config, actions);
@@ -162,6 +165,7 @@
             return;
         };
         self.gate.release(now, table.snapshot.document.version);
+        self.prober.charge(now, self.blackboard.take_spent());
         self.prober.tick(now, &table, &self.gate, actions);
     }
 
--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -5,7 +5,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError, RwLock},
+    sync::{
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Instant,
 };
 
@@ -25,6 +28,7 @@
     balancers: RwLock<Arc<Vec<Registration>>>,
     announcements: Mutex<BTreeMap<Address, Announcement>>,
     timeline: Mutex<Ring>,
+    spent: AtomicU64,
 }
 
 impl Blackboard {
@@ -35,6 +39,7 @@
             balancers: RwLock::new(Arc::default()),
             announcements: Mutex::new(BTreeMap::new()),
             timeline: Mutex::new(Ring::new(events)),
+            spent: AtomicU64::new(0),
         }
     }
 
@@ -121,6 +126,17 @@
             .collect()
     }
 
+    /// Notes control bytes that were sent, headers included, so that whoever has a choice sends
+    /// less.
+    pub fn spend(&self, bytes: u64) {
+        self.spent.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Control bytes noted since the last call.
+    pub fn take_spent(&self) -> u64 {
+        self.spent.swap(0, Ordering::Relaxed)
+    }
+
     /// Appends an event to the time line.
     pub fn record(&self, event: Event) {
         self.timeline
--- a/crates/core/tests/balancer/liveness.rs
+++ b/crates/core/tests/balancer/liveness.rs
@@ -107,6 +107,26 @@
     assert!(bytes <= 3_000 * 20, "{bytes} control bytes in 20 s");
 }
 
+#[test]
+fn probes_make_way_for_control_bytes_of_other_parts() {
+    let mut fleet = Fleet::ready();
+    let seconds = 20;
+    for _ in 0..seconds {
+        fleet.blackboard.spend(2_000);
+        let probes = fleet.pass(Duration::from_secs(1), |_| Some(1));
+        assert!(probes > 0);
+    }
+    let bytes = control_bytes(&fleet);
+    assert!(
+        bytes >= 2_000 * seconds,
+        "{bytes} control bytes in {seconds} s"
+    );
+    assert!(
+        bytes <= 3_000 * seconds,
+        "{bytes} control bytes in {seconds} s"
+    );
+}
+
 fn control_bytes(fleet: &Fleet) -> u64 {
     let counters = fleet.router.counters();
     counters
--- a/crates/daemon/src/config/spread.rs
+++ b/crates/daemon/src/config/spread.rs
@@ -20,6 +20,9 @@
 /// Balancers that tell the same agent when there are more agents than [`BURST`].
 const SHARE: usize = 3;
 
+/// Bytes of IP and UDP headers.
+const HEADER_BYTES: u64 = 28;
+
 /// Rounds of telling, in case that frames are lost.
 const ROUNDS: usize = 3;
 
@@ -103,6 +106,8 @@
                 }
                 // A lost frame is told again in the next round, and data frames tell as well.
                 let _ = timeout(PACE, self.socket.send_to(&buffer, target)).await;
+                let bytes = buffer.len() as u64 + HEADER_BYTES;
+                self.installer.board().spend(bytes);
             }
             sleep(ROUND_PAUSE).await;
         }
