--- a/crates/daemon/benches/latency.rs
+++ b/crates/daemon/benches/latency.rs
@@ -1,7 +1,7 @@
 //! Latency that an agent and a forwarding fake of a balancer add to a request.
 //!
-//! One caller asks one request after another through the daemon, and directly in HTTP/1.1 with a
-//! kept connection:
+//! One caller asks one request after another through the daemon, and directly in HTTP/1.1 over a
+//! kept connection and over a new one each time:
 //!
 //! ```text
 //! cargo bench -p sassafrasmastd --bench latency
@@ -48,7 +48,11 @@
     let runtime = tokio::runtime::Runtime::new().unwrap();
     runtime.block_on(async {
         let child = Child::start().await;
-        report("direct", direct(child.upstream).await);
+        report("direct", direct(child.upstream, true).await);
+        report(
+            "direct, new connections",
+            direct(child.upstream, false).await,
+        );
         let mut caller = child.caller().await;
         let before = child.processor_s();
         report("through the agent", through(&mut caller).await);
@@ -70,14 +74,25 @@
     times.split_off(WARM_UP)
 }
 
-async fn direct(upstream: SocketAddr) -> Vec<Duration> {
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+async fn connect(upstream: SocketAddr) -> Sender {
     let stream = TcpStream::connect(upstream).await.unwrap();
     stream.set_nodelay(true).unwrap();
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
     tokio::spawn(connection);
+    sender
+}
+
+/// Asks the upstream over one connection, or over a new one each time.
+async fn direct(upstream: SocketAddr, kept: bool) -> Vec<Duration> {
+    let mut sender = connect(upstream).await;
     let mut times = Vec::new();
     for _ in 0..WARM_UP + REQUESTS {
         let since = Instant::now();
+        if !kept {
+            sender = connect(upstream).await;
+        }
         let body = Full::new(Bytes::from_static(b"booking"));
         let request = Request::post("/echo")
             .header("host", "localhost")
