--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -35,6 +35,7 @@
 mod running;
 mod settings;
 mod slots;
+mod used;
 mod weight;
 
 use std::{
@@ -66,6 +67,7 @@
     reply::Reply,
     request::{Digest, Request},
     settings::Settings,
+    used::Used,
     weight::Weight,
 };
 
@@ -177,7 +179,7 @@
     pub fn load(&self, now: Instant) -> Load {
         let wait = self.expected(now, Weight::Small);
         Load {
-            state: self.state(),
+            state: self.state(now),
             running: self.slots.used(),
             queued: u16::try_from(self.queue.len() + self.claiming).unwrap_or(u16::MAX),
             limit: self.limiter.limit(now),
@@ -190,7 +192,7 @@
     pub fn ticket(&mut self, now: Instant) -> Option<Ticket> {
         self.note(now, None, || Input::Ticket);
         let member = self.member.as_ref()?;
-        if !self.state().takes_work() {
+        if !self.state(now).takes_work() {
             return None;
         }
         self.ticket_count += 1;
@@ -236,10 +238,10 @@
         self.registry.len()
     }
 
-    fn state(&self) -> State {
+    fn state(&self, now: Instant) -> State {
         match &self.member {
             Some(member) if member.out => State::Out,
-            Some(_) if self.drained.is_none() && self.limiter.cold() => State::Cold,
+            Some(_) if self.drained.is_none() && self.limiter.cold(now) => State::Cold,
             Some(_) if self.drained.is_none() => State::Ready,
             _ => State::Draining,
         }
