--- a/crates/daemon/src/app/agent/facts.rs
+++ b/crates/daemon/src/app/agent/facts.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use http::Request;
+use http::{Method, Request};
 use sassafrasmast_core::{
     agent::{Class, Key},
     error::Kind,
@@ -39,6 +39,9 @@
         let arrived = Instant::now();
         let _room = server.reading.try_acquire().map_err(|_| Kind::Overloaded)?;
         let (service, snapshot) = server.service().ok_or(Kind::NotReady)?;
+        if request.method() == Method::CONNECT {
+            return Err(Kind::BadRequest);
+        }
         let headers = request.headers();
         let limit = match left {
             Some(left) => left.min(Duration::from_millis(service.deadline_ms)),
