--- a/crates/core/src/agent/running.rs
+++ b/crates/core/src/agent/running.rs
@@ -75,12 +75,12 @@
         if !flight.started() {
             return;
         }
-        let running = match flight.stage {
-            Stage::Running(since) => Some(since),
-            _ => None,
+        let since = match flight.stage {
+            Stage::Running(since) => since,
+            _ => self.slots.since(id).unwrap_or(now),
         };
-        let since = running.filter(|_| self.slots.holds(id)).unwrap_or(now);
-        self.observe(now, since, id, sign(&finish, now - since));
+        let sign = sign(&finish, now - since);
+        let collapsed = sign.is_some_and(|sign| self.observe(now, since, id, sign));
         self.vacate(id);
         self.stage(id, Stage::New);
         match finish {
@@ -88,7 +88,12 @@
             Finish::Cut => self.broke(now, id, Kind::UpstreamCut),
             Finish::Timeout => self.broke(now, id, Kind::UpstreamTimeout),
             Finish::Refused => self.retry_or_refuse(now, id, Kind::UpstreamRefused),
-            Finish::Unreachable => self.retry_or_refuse(now, id, Kind::UpstreamUnreachable),
+            Finish::Unreachable | Finish::Unsent => {
+                self.retry_or_refuse(now, id, Kind::UpstreamUnreachable)
+            }
+        }
+        if collapsed {
+            self.rebalance(now);
         }
         self.pump(now);
     }
@@ -147,7 +152,7 @@
 
     /// Why a request may not be handed over any more.
     fn forbidden(&self, now: Instant, flight: &Flight) -> Option<Kind> {
-        if let Some(kind) = self.closed().filter(|kind| *kind != Kind::Draining) {
+        if let Some(kind) = self.stopped(now) {
             return Some(kind);
         }
         if now >= flight.request.deadline {
@@ -164,25 +169,39 @@
         }
     }
 
-    /// Learns from a run, once.
-    pub(super) fn observe(&mut self, now: Instant, since: Instant, id: RequestId, sign: Sign) {
+    /// Learns from a run, once. Returns whether it shows a collapse.
+    pub(super) fn observe(
+        &mut self,
+        now: Instant,
+        since: Instant,
+        id: RequestId,
+        sign: Sign,
+    ) -> bool {
         let Some(flight) = self.flights.get_mut(&id) else {
-            return;
+            return false;
         };
-        let opened = flight.request.class == Class::Feed && !self.slots.holds(id);
-        let ended = matches!(sign, Sign::Answer(_) | Sign::Timeout(_));
-        if flight.judged || (opened && ended) {
-            return;
+        let feed = flight.request.class == Class::Feed;
+        // An opened feed is no finished work: it tells nothing of what the slots bear.
+        let idle = feed && !self.slots.holds(id);
+        let says_nothing = match sign {
+            Sign::Answer(_) => feed,
+            Sign::Timeout(_) => idle,
+            _ => false,
+        };
+        if flight.judged || says_nothing {
+            return false;
         }
-        flight.judged = flight.request.class != Class::Feed;
+        flight.judged = !feed;
         let weight = flight.weight;
         if let Sign::Answer(latency) = sign {
             self.predictor.observe(weight, latency);
         }
         let running = self.slots.used();
-        if self.limiter.observe(now, since, weight, running, sign) {
+        let collapsed = self.limiter.observe(now, since, weight, running, sign);
+        if collapsed {
             self.actions.push_back(Action::Collapsed);
         }
+        collapsed
     }
 
     pub(super) fn tell_limit(&mut self, now: Instant) {
@@ -235,13 +254,13 @@
 }
 
 /// What an end, so long after the start, says about the upstream.
-fn sign(finish: &Finish, elapsed: Duration) -> Sign {
+fn sign(finish: &Finish, elapsed: Duration) -> Option<Sign> {
     match finish {
-        Finish::Whole { failed: true, .. } => Sign::Failure,
-        Finish::Whole { latency, .. } => Sign::Answer(*latency),
-        Finish::Refused => Sign::Refusal,
-        Finish::Timeout => Sign::Timeout(elapsed),
-        Finish::Unreachable => Sign::Unreachable,
-        Finish::Cut => Sign::Failure,
+        Finish::Whole { failed: true, .. } | Finish::Cut => Some(Sign::Failure),
+        Finish::Whole { latency, .. } => Some(Sign::Answer(*latency)),
+        Finish::Refused => Some(Sign::Refusal),
+        Finish::Timeout => Some(Sign::Timeout(elapsed)),
+        Finish::Unreachable => Some(Sign::Unreachable),
+        Finish::Unsent => None,
     }
 }
--- a/crates/daemon/src/app/agent/exchange.rs
+++ b/crates/daemon/src/app/agent/exchange.rs
@@ -8,14 +8,13 @@
 
 use http::{Request, StatusCode};
 use sassafrasmast_core::{
-    agent::{self, Action, Class, Finish, Key, Relay, Reply},
+    agent::{self, Action, Class, Finish, Relay, Reply},
     error::{Kind, Outcome},
     timeline::{self, FlowId, RequestId},
 };
-use tokio::time::timeout_at;
 
 use super::{
-    Actions, Answer, Server, Sink, Source,
+    Actions, Answer, Facts, Server, Sink,
     attempt::{self, Attempt, Step},
     intake,
     source::Origin,
@@ -44,14 +43,6 @@
     pub left: Option<Duration>,
 }
 
-/// What was found out about a request before anything is decided.
-struct Facts {
-    class: Class,
-    key: Option<Key>,
-    source: Source,
-    deadline: Instant,
-}
-
 /// A request on its way to its final answer.
 struct Exchange {
     attempt: Attempt,
@@ -63,8 +54,8 @@
     relaying: bool,
     /// What was wrong with the request's own body.
     fault: Option<Kind>,
-    /// The head of a streamed answer is gone out.
-    streamed: bool,
+    /// The head of a streamed answer is gone out; it took this long to come.
+    streamed: Option<Duration>,
     answered: bool,
 }
 
@@ -85,7 +76,7 @@
         return deliver(&server, flow, id, sink, ticket_answer(&server)).await;
     }
     let facts = tokio::select! {
-        facts = examine(&server, &request, origin, left) => facts,
+        facts = Facts::find(&server, &request, origin, left) => facts,
         _ = &mut cancel => return,
     };
     let facts = match facts {
@@ -121,7 +112,7 @@
         held: None,
         relaying: false,
         fault: None,
-        streamed: false,
+        streamed: None,
         answered: false,
     };
     let actions = server.desk.arrive(arrived);
@@ -140,33 +131,6 @@
     }
 }
 
-/// Looks at a request and reads the beginning of its body.
-async fn examine(
-    server: &Server,
-    request: &Request<()>,
-    origin: Origin,
-    left: Option<Duration>,
-) -> Result<Facts, Kind> {
-    let arrived = Instant::now();
-    let _room = server.reading.try_acquire().map_err(|_| Kind::Overloaded)?;
-    let (service, snapshot) = server.service().ok_or(Kind::NotReady)?;
-    let headers = request.headers();
-    let limit = match left {
-        Some(left) => left.min(Duration::from_millis(service.deadline_ms)),
-        None => intake::time_limit(&service, headers)?,
-    };
-    let deadline = arrived + limit;
-    let key = intake::key(&snapshot.keys, headers)?;
-    let reading = Source::read(origin, headers, service.max_body_bytes);
-    let source = timeout_at(deadline.into(), reading).await;
-    Ok(Facts {
-        class: intake::class(&service, request),
-        key,
-        source: source.map_err(|_| Kind::DeadlinePassed)??,
-        deadline,
-    })
-}
-
 /// Gives the caller a final answer whose body is all here.
 async fn deliver(
     server: &Server,
@@ -287,7 +251,7 @@
                 if self.attempt.class == Class::Feed {
                     self.decide(|agent, now, id| agent.opened(now, id, latency));
                 }
-                self.streamed = true;
+                self.streamed = Some(latency);
                 let (status, outcome) = (answer.status, answer.outcome);
                 self.held = Some(Answer::ran(status, Default::default(), Default::default()));
                 if let Some(held) = &mut self.held {
@@ -320,7 +284,7 @@
             (false, true) => {
                 let finish = Finish::Whole {
                     answer: None,
-                    latency: Duration::ZERO,
+                    latency: self.streamed.unwrap_or_default(),
                     failed: status.is_some_and(|status| status.is_server_error()),
                 };
                 self.decide(|agent, now, id| agent.finished(now, id, finish));
@@ -331,7 +295,7 @@
     /// Gives the caller the final answer, or ends the one that is being streamed.
     async fn answer(&mut self, reply: Reply) {
         let (server, id) = (Arc::clone(&self.attempt.server), self.attempt.id);
-        if self.streamed {
+        if self.streamed.is_some() {
             return self.end_stream(&server, reply).await;
         }
         let answer = match reply {
@@ -361,3 +325,17 @@
         }
     }
 }
+
+impl Drop for Exchange {
+    /// Gives back what the request occupies if its task ended before its time.
+    fn drop(&mut self) {
+        let (desk, id) = (&self.attempt.server.desk, self.attempt.id);
+        if desk.look(|agent, _| agent.is_open(id)) {
+            self.decide(agent::Agent::cancelled);
+            self.decide(|agent, now, id| agent.finished(now, id, Finish::Cut));
+        }
+        if !self.answered {
+            desk.answered(id);
+        }
+    }
+}
--- a/crates/daemon/src/config/balancer.rs
+++ b/crates/daemon/src/config/balancer.rs
@@ -68,8 +68,7 @@
         })
     }
 
-    /// Ends the registration, so that others learn at once that this balancer leaves. All else
-    /// goes on.
+    /// Withdraws the registration; the other tasks go on.
     pub async fn leave(&self) {
         self.registration.abort();
         self.registrar.leave().await;
--- a/crates/daemon/src/config/registrar.rs
+++ b/crates/daemon/src/config/registrar.rs
@@ -7,7 +7,7 @@
 };
 
 use sassafrasmast_core::{config::Registration, timeline::Kind};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::{jitter::jittered, key};
 use crate::{
@@ -21,6 +21,9 @@
 /// Keep-alives in one lifetime of the lease.
 const KEEP_ALIVES: u32 = 3;
 
+/// Longest wait for the store when a balancer that stops gives its lease up.
+const LEAVE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -44,30 +47,15 @@
         }
     }
 
-    /// Ends the registration, so that others need not wait for the lease to lapse.
-    pub async fn leave(&self) {
-        let lease = self.set_lease(None);
-        if let Some(lease) = lease
-            && let Err(error) = self.store.revoke(lease).await
-        {
-            log::debug!("config: cannot end the registration: {error}.");
-        }
-    }
-
-    fn set_lease(&self, lease: Option<LeaseId>) -> Option<LeaseId> {
-        let mut held = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::replace(&mut *held, lease)
-    }
-
     /// Keeps the registration alive until the task is dropped. A lost lease is recorded and a
     /// new one is taken.
     pub async fn register(self) {
         loop {
             match self.grant().await {
                 Ok(lease) => {
-                    self.set_lease(Some(lease));
+                    self.remember(Some(lease));
                     self.keep(lease).await;
-                    self.set_lease(None);
+                    self.remember(None);
                     log::warn!("config: the lease of this balancer's registration is lost.");
                     self.recorder.record(Kind::LeaseLost);
                 }
@@ -79,6 +67,25 @@
         }
     }
 
+    /// Gives the lease up, so that the others need not wait for its end. To be called after the
+    /// task of [`Registrar::register`] was stopped.
+    pub async fn leave(&self) {
+        let Some(lease) = self.remember(None) else {
+            return;
+        };
+        match timeout(LEAVE_LIMIT, self.store.revoke(lease)).await {
+            Ok(Ok(())) => log::info!("config: the registration is withdrawn."),
+            Ok(Err(error)) => log::warn!("config: cannot withdraw the registration: {error}."),
+            Err(_) => log::warn!("config: the store is slow, the registration will lapse."),
+        }
+    }
+
+    /// Replaces the remembered lease and gives back the one before.
+    fn remember(&self, lease: Option<LeaseId>) -> Option<LeaseId> {
+        let mut slot = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *slot, lease)
+    }
+
     async fn grant(&self) -> Result<LeaseId, Error> {
         let lease = self.store.grant(LEASE_TTL).await?;
         let value = serde_json::to_vec(&self.own).map_err(|e| Error::Malformed(e.to_string()))?;
