fix(config): a store that loses versions unnoticed is put right at its next change

Cause: a record of a lower version was taken for an old one, so a store that came back behind, without a break of the watch, kept a second line of versions until the next periodic look. Ruled out: reading the whole document for each old record, which races between a confirm here and the watch cause all the time; the record of the version in force is read instead. A refusal repeated in a row is recorded once.

--- a/crates/daemon/src/config/installer.rs
+++ b/crates/daemon/src/config/installer.rs
@@ -1,6 +1,9 @@
 //! The one way a document comes in force in a process.
 
-use std::{fmt, sync::Arc};
+use std::{
+    fmt,
+    sync::{Arc, Mutex, PoisonError},
+};
 
 use sassafrasmast_core::{
     Blackboard,
@@ -38,13 +41,18 @@
 pub struct Installer {
     recorder: Recorder,
     version: Arc<watch::Sender<ConfigVersion>>,
+    refused: Arc<Mutex<Option<(ConfigVersion, Origin)>>>,
 }
 
 impl Installer {
     /// An installer for the process of `recorder`.
     pub fn new(recorder: Recorder) -> Self {
         let version = Arc::new(watch::Sender::new(recorder.board().version()));
-        Self { recorder, version }
+        Self {
+            recorder,
+            version,
+            refused: Arc::default(),
+        }
     }
 
     /// The blackboard on which documents come in force.
@@ -96,8 +104,14 @@
         true
     }
 
-    /// Logs and records that a document was refused.
+    /// Logs and records that a document was refused. The same one is told only once in a row,
+    /// as it may be offered again and again.
     pub fn refuse(&self, version: ConfigVersion, origin: Origin, reason: String) {
+        let mut refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
+        if refused.replace((version, origin)) == Some((version, origin)) {
+            return;
+        }
+        drop(refused);
         log::warn!("config: version {version} from {origin} is refused: {reason}.");
         self.recorder
             .record(Kind::ConfigRefused { version, reason });
--- a/crates/daemon/src/config/watcher.rs
+++ b/crates/daemon/src/config/watcher.rs
@@ -43,6 +43,8 @@
 enum Agreement {
     /// The store continues from the version in force here.
     Follows,
+    /// The store may have lost versions; its record of the version in force tells.
+    Doubtful,
     /// The whole document has to be read.
     Unknown,
 }
@@ -98,6 +100,10 @@
                 },
                 () = sleep(wait) => self.look().await?,
             };
+            let agreement = match agreement {
+                Agreement::Doubtful => self.look().await?,
+                other => other,
+            };
             if agreement == Agreement::Unknown {
                 return Ok(());
             }
@@ -115,7 +121,7 @@
                 revision = revision.min(at);
                 match next.map(|entry| self.take(&entry)) {
                     None => return Ok(revision),
-                    Some(Agreement::Follows) => {}
+                    Some(Agreement::Follows | Agreement::Doubtful) => {}
                     Some(Agreement::Unknown) => break,
                 }
             }
@@ -152,16 +158,17 @@
         let Some(config) = self.installer.board().config() else {
             return Agreement::Unknown;
         };
-        if record.version <= config.document.version {
-            let same = record.version < config.document.version
-                || record.digest == config.document.digest();
-            return if same {
-                Agreement::Follows
-            } else {
-                Agreement::Unknown
+        let current = &config.document;
+        if record.version < current.version {
+            return Agreement::Doubtful;
+        }
+        if record.version == current.version {
+            return match record.digest == current.digest() {
+                true => Agreement::Follows,
+                false => Agreement::Unknown,
             };
         }
-        match record.follow(&config.document) {
+        match record.follow(current) {
             Some(document) => {
                 self.installer.install(document, Origin::Store);
                 Agreement::Follows
