--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -21,7 +21,7 @@
     Unreachable,
     /// The plan may or may not be in force: confirm it again.
     Unsettled,
-    /// The plan is in force, but some processes did not report it in time.
+    /// Some processes did not answer, or did not report the confirmed version in time.
     Partial,
 }
 
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -30,7 +30,7 @@
     3  conflict: another plan came first; plan anew
     4  no balancer answers, or the store is down; nothing was changed
     5  unsettled: the plan may or may not be in force; confirm it again to learn which
-    6  in force, but some processes did not report it in time
+    6  partly: some processes did not answer, or do not report the version in time
 ";
 
 /// Help of `plan`.
--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -6,9 +6,13 @@
 use chrono::{DateTime, SecondsFormat};
 use sassafrasmast_core::timeline::Event;
 use sassafrasmastd::api::{Events, Process};
+use tokio::task::JoinSet;
 
 use crate::{client::Client, exit::Exit};
 
+/// Processes asked at once.
+const CONCURRENCY: usize = 16;
+
 /// Collects the events of `processes`, of all known ones if none is named, merges them by time
 /// and prints them.
 ///
@@ -23,10 +27,21 @@
 ) -> anyhow::Result<Exit> {
     let mut exit = Exit::Done;
     let mut merged = Vec::new();
-    for address in addresses(client, processes).await? {
-        match collect(client, address).await {
-            Ok(events) => merged.extend(events),
-            Err(error) => {
+    let mut waiting = addresses(client, processes).await?.into_iter();
+    let mut tasks = JoinSet::new();
+    loop {
+        while tasks.len() < CONCURRENCY
+            && let Some(address) = waiting.next()
+        {
+            let client = client.clone();
+            tasks.spawn(async move { (address, collect(&client, address).await) });
+        }
+        let Some(done) = tasks.join_next().await else {
+            break;
+        };
+        match done? {
+            (_, Ok(events)) => merged.extend(events),
+            (address, Err(error)) => {
                 eprintln!("sassafrasmast: {address} is left out: {error:#}");
                 exit = Exit::Partial;
             }
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -2,6 +2,8 @@
 
 #[path = "config/audience.rs"]
 mod audience;
+#[path = "config/fuzz.rs"]
+mod fuzz;
 #[path = "config/plan.rs"]
 mod plan;
 #[path = "config/race.rs"]
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -5,7 +5,7 @@
 
 mod call;
 mod client;
-pub(crate) mod codec;
+pub mod codec;
 mod common;
 mod error;
 mod reply;
--- a/crates/daemon/src/peer/codec.rs
+++ b/crates/daemon/src/peer/codec.rs
@@ -15,7 +15,11 @@
 const CHUNK_BYTES: u64 = 64 * 1024;
 
 /// Writes one message of at most `limit` bytes.
-pub(crate) async fn write<T: Serialize>(
+///
+/// # Errors
+///
+/// Those of the stream, and [`Error::TooLarge`].
+pub async fn write<T: Serialize>(
     stream: &mut (impl AsyncWrite + Unpin),
     message: &T,
     limit: usize,
@@ -34,7 +38,12 @@
 }
 
 /// Reads one message of at most `limit` bytes.
-pub(crate) async fn read<T: DeserializeOwned>(
+///
+/// # Errors
+///
+/// Those of the stream, [`Error::TooLarge`] before anything is reserved, and
+/// [`Error::Malformed`] for bytes that are no message or are left over.
+pub async fn read<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
     limit: usize,
 ) -> Result<T, Error> {
--- a/crates/daemon/tests/config/peer.rs
+++ b/crates/daemon/tests/config/peer.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use sassafrasmastd::peer::{Call, Reply, call};
+use proptest::prelude::*;
+use sassafrasmastd::peer::{Call, Reply, call, codec};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -67,3 +68,40 @@
     assert_eq!(part.upstreams.len(), 1);
     assert!(part.operations.is_empty());
 }
+
+/// Largest message of the tests in bytes.
+const LIMIT: usize = 4_096;
+
+/// Reads one message from bytes.
+fn read<T: serde::de::DeserializeOwned>(mut bytes: &[u8]) -> bool {
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    let runtime = runtime.expect("a runtime");
+    runtime
+        .block_on(codec::read::<T>(&mut bytes, LIMIT))
+        .is_ok()
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_refused(
+        length in 0_u32..300,
+        body in prop::collection::vec(any::<u8>(), 0..300),
+    ) {
+        let framed = [length.to_be_bytes().to_vec(), body].concat();
+        for bytes in [&framed[..], &framed[4..]] {
+            let _ = read::<Call>(bytes);
+            let _ = read::<Reply>(bytes);
+        }
+    }
+
+    #[test]
+    fn a_cut_or_lengthened_call_is_refused(have: u64, change in -7_i64..7) {
+        let body = postcard::to_stdvec(&Call::Config { have, agent: None }).unwrap();
+        let kept = (body.len() as i64 + change).max(0) as usize;
+        let mut changed = body.clone();
+        changed.resize(kept, 0);
+        let length = u32::try_from(kept).unwrap().to_be_bytes();
+        let framed = [length.to_vec(), changed].concat();
+        prop_assert_eq!(read::<Call>(&framed), kept == body.len());
+    }
+}
