--- a/crates/cli/src/plan.rs
+++ b/crates/cli/src/plan.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, bail, ensure};
 use sassafrasmast_core::config::{Change, Plan};
-use sassafrasmastd::api::{Announced, Status, Wish};
+use sassafrasmastd::api::{Announced, Status, UpstreamStatus, Wish};
 
 use crate::{client::Client, command::Intent, exit::Exit};
 
@@ -26,6 +26,9 @@
         print!("{text}");
     } else {
         println!("{plan}");
+        if let Some(note) = concerned(client, &plan).await {
+            println!("{note}");
+        }
     }
     if let Some(path) = out {
         fs::write(&path, text).with_context(|| format!("{}", path.display()))?;
@@ -36,6 +39,30 @@
     Ok(Exit::Done)
 }
 
+/// How many open flows the plan concerns, as the agents last reported; `None` if it concerns no
+/// upstream or no balancer tells.
+async fn concerned(client: &Client, plan: &Plan) -> Option<String> {
+    let hit = |upstream: &UpstreamStatus| {
+        plan.changes.iter().any(|change| match change {
+            Change::ZoneOut { zone } => upstream.upstream.zone == *zone,
+            Change::Drain { agent } | Change::RemoveUpstream { agent } => upstream.agent == *agent,
+            _ => false,
+        })
+    };
+    let status: Status = client.get("/status").await.ok()?;
+    let concerned: Vec<_> = status.upstreams.iter().filter(|u| hit(u)).collect();
+    if concerned.is_empty() {
+        return None;
+    }
+    let flows: u32 = concerned.iter().map(|upstream| upstream.flows).sum();
+    let silent = concerned.iter().filter(|u| u.age_ms.is_none()).count();
+    Some(format!(
+        "{flows} flows are open at the {} upstreams concerned, as last reported; {silent} of them \
+         did not report",
+        concerned.len()
+    ))
+}
+
 async fn changes(client: &Client, intent: Intent) -> anyhow::Result<Vec<Change>> {
     match intent {
         Intent::Changes(changes) => Ok(changes),
