--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -1,5 +1,9 @@
 //! Plans, rules and confirms of the configuration.
 
+#[path = "config/audience.rs"]
+mod audience;
+#[path = "config/fuzz.rs"]
+mod fuzz;
 #[path = "config/plan.rs"]
 mod plan;
 #[path = "config/race.rs"]
--- a/crates/daemon/src/config/registrar.rs
+++ b/crates/daemon/src/config/registrar.rs
@@ -16,7 +16,7 @@
 };
 
 /// Time after which a silent balancer's registration goes.
-const LEASE_TTL: Duration = Duration::from_secs(15);
+const LEASE_TTL: Duration = Duration::from_secs(30);
 
 /// Keep-alives in one lifetime of the lease.
 const KEEP_ALIVES: u32 = 3;
