--- a/crates/core/src/error/kind.rs
+++ b/crates/core/src/error/kind.rs
@@ -100,7 +100,7 @@
             Self::TicketInvalid | Self::BadRequest => (400, Outcome::NotRun, None),
             Self::KeyReused => (422, Outcome::NotRun, None),
             Self::HomeGone | Self::ClaimedElsewhere => (409, Outcome::Unknown, None),
-            Self::ClaimUnavailable => (503, Outcome::NotRun, RETRY_LATER),
+            Self::ClaimUnavailable => (503, Outcome::Unknown, RETRY_LATER),
             Self::BodyTooLarge => (413, Outcome::NotRun, None),
             Self::AnswerDropped => (409, Outcome::Ran, None),
             Self::Cancelled => (499, Outcome::Unknown, None),
