fix(core): a request still connecting at its deadline was not run

It was told "unknown", as if it had been handed over, though it never could be any more. It now gives its slot back and is refused for good.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Agent`] is a state machine without I/O. The edge reports events with the present time and
 //! then takes the decisions from [`Agent::poll`] until there are none. Each request that arrived
-//! gets exactly one [`Action::Answer`].
+//! gets exactly one [`Action::Answer`]. The methods stand by concern in the private modules
+//! `arrival`, `claiming`, `running`, `relaying`, `ending`, `clock` and `membership`.
 //!
 //! "Not run" is said only where it stays true: by the agent that a ticket names, by the agent
 //! that claimed a minted key, or for a request without a key that was never handed over. In all
--- a/crates/core/src/agent/clock.rs
+++ b/crates/core/src/agent/clock.rs
@@ -56,8 +56,12 @@
                 self.actions.push_back(Action::Abort { id });
             }
             Stage::Starting => {
-                self.answer(id, timeout());
+                let since = self.slots.since(id).unwrap_or(now);
+                self.observe(now, since, id, Sign::Timeout(now - since));
+                self.vacate(id);
+                self.stage(id, Stage::New);
                 self.actions.push_back(Action::Abort { id });
+                self.refuse(now, id, Kind::DeadlinePassed);
             }
             Stage::Relaying(_) | Stage::Attached(_) => self.conclude(id, timeout()),
         }
--- a/crates/core/src/agent/running.rs
+++ b/crates/core/src/agent/running.rs
@@ -43,7 +43,7 @@
             self.pump(now);
             return false;
         }
-        self.slots_restart(now, id);
+        self.retime_slot(now, id);
         self.stage(id, Stage::Running(now));
         true
     }
@@ -213,12 +213,12 @@
     }
 
     /// Gives back slot and connection of a request.
-    fn vacate(&mut self, id: RequestId) {
+    pub(super) fn vacate(&mut self, id: RequestId) {
         self.slots.free(id);
         self.slots.close(id);
     }
 
-    fn slots_restart(&mut self, now: Instant, id: RequestId) {
+    fn retime_slot(&mut self, now: Instant, id: RequestId) {
         if let Some(flight) = self.flights.get(&id) {
             self.slots.take(id, flight.weight, now);
         }
--- a/crates/core/tests/agent/tickets.rs
+++ b/crates/core/tests/agent/tickets.rs
@@ -262,3 +262,19 @@
     rig.arrive(other);
     rig.assert_error(4, Kind::KeyReused, Outcome::NotRun);
 }
+
+#[test]
+fn a_request_that_was_still_connecting_at_its_deadline_was_not_run() {
+    let mut rig = Rig::new(5);
+    let ticket = rig.ticket();
+    rig.booking(1, Some(ticket.clone()));
+    assert!(rig.started(1));
+    rig.tick(5_000);
+    rig.assert_error(1, Kind::DeadlinePassed, Outcome::NotRun);
+    assert!(rig.actions.contains(&Action::Abort { id: 1 }));
+    assert!(!rig.hand_over(1));
+    rig.booking(2, Some(ticket));
+    rig.assert_error(2, Kind::DeadlinePassed, Outcome::NotRun);
+    rig.booking(3, None);
+    assert!(rig.started(3));
+}
