--- a/crates/core/src/agent/limiter.rs
+++ b/crates/core/src/agent/limiter.rs
@@ -49,7 +49,7 @@
 
 /// A concurrency limit learnt from real answers alone.
 ///
-/// It starts low and grows by one with each [`PACE_ANSWERS`] whole answers. When answers show a
+/// It starts low and grows by one with each ten whole answers at first. When answers show a
 /// collapse, it is cut to the start at once, nothing is started for a pause that doubles with
 /// each collapse in a row, and if the collapse came while the limit was growing, it grows at half
 /// the pace from then on.
