--- a/crates/core/tests/agent/basics.rs
+++ b/crates/core/tests/agent/basics.rs
@@ -142,3 +142,16 @@
         assert_eq!(rig.replies(1).len(), 1);
     }
 }
+
+#[test]
+fn an_opened_feed_warms_nothing_up() {
+    let mut rig = Rig::new(5);
+    for id in 1..=12 {
+        rig.arrive(rig.request(id, Class::Feed, None));
+        assert!(rig.hand_over(id));
+        rig.agent
+            .opened(rig.now, id, std::time::Duration::from_millis(1));
+        rig.take();
+    }
+    assert_eq!(rig.agent.load(rig.now).limit, 1);
+}
