--- a/crates/daemon/src/api/collect.rs
+++ b/crates/daemon/src/api/collect.rs
@@ -6,7 +6,7 @@
 use sassafrasmast_wire::ConfigVersion;
 use tokio::{sync::Semaphore, task::JoinSet};
 
-use super::{Behind, Context, Error, Events, Numbered, Process, Progress, status::processes};
+use super::{Behind, Context, Error, Events, Numbered, Progress, status::processes};
 use crate::peer::{self, Call, Reply};
 
 /// Processes asked at once.
@@ -99,8 +99,3 @@
     }
     progress
 }
-
-/// All processes that this balancer knows.
-pub(super) fn known(context: &Context) -> Vec<Process> {
-    processes(context)
-}
--- a/crates/daemon/src/api/endpoint.rs
+++ b/crates/daemon/src/api/endpoint.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Confirm, Confirmed, Context, Error, Events, Overview, Process, Progress, Status, Wish, collect,
+    status,
 };
 
 /// Longest operation id.
@@ -76,7 +77,7 @@
 /// All processes of the fleet that this balancer knows.
 #[endpoint { method = GET, path = "/processes" }]
 async fn get_processes(request: Request) -> Answer<Vec<Process>> {
-    Ok(HttpResponseOk(collect::known(request.context())))
+    Ok(HttpResponseOk(status::processes(request.context())))
 }
 
 /// How far a version has spread: asks all known processes.
--- a/crates/daemon/src/config/agent.rs
+++ b/crates/daemon/src/config/agent.rs
@@ -13,7 +13,7 @@
 };
 
 /// Longest time between two questions for the list of balancers.
-const LIST_INTERVAL: Duration = Duration::from_secs(20);
+const LIST_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Time between questions while no balancer is known.
 const FIRST_LIST_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/daemon/src/peer/common.rs
+++ b/crates/daemon/src/peer/common.rs
@@ -13,7 +13,7 @@
 use super::{Call, Handler, Reply};
 
 /// Balancers named in one reply; a random choice of them if there are more.
-const MAX_BALANCERS: usize = 32;
+const MAX_BALANCERS: usize = 16;
 
 /// Events in one reply; the asker asks again for the rest.
 const MAX_EVENTS: usize = 4_096;
