--- a/crates/experiments/src/fault.rs
+++ b/crates/experiments/src/fault.rs
@@ -7,7 +7,6 @@
 
 /// A fault or an operators' change at a stated time.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Fault {
     /// Seconds after the measured load began.
     pub at_s: f64,
@@ -18,7 +17,7 @@
 
 /// The closed set of things that can happen.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
-#[serde(tag = "event", rename_all = "kebab-case")]
+#[serde(tag = "event", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Event {
     /// Operators take a zone out.
     ZoneOut {
