--- a/crates/core/src/balancer/member.rs
+++ b/crates/core/src/balancer/member.rs
@@ -130,6 +130,11 @@
         self.changed = false;
     }
 
+    /// Marks the agent as used or changed lately. Returns whether it was not marked before.
+    pub(super) fn warm(&mut self) -> bool {
+        !std::mem::replace(&mut self.hot, true)
+    }
+
     /// Notes a packet sent to the agent.
     pub(super) fn touch(&mut self) {
         self.used = self.used.saturating_add(1);
--- a/crates/core/src/balancer/router.rs
+++ b/crates/core/src/balancer/router.rs
@@ -231,7 +231,7 @@
         let mut member = entry.member();
         let dead = member.is_dead(now, self.settings.idle_timeout);
         member.touch();
-        let heat = !std::mem::replace(&mut member.hot, true);
+        let heat = member.warm();
         drop(member);
         if heat {
             self.prober.heat(cid.agent);
@@ -287,7 +287,7 @@
         let entry = table.entries.get(&agent).ok_or(Reason::NoAgent)?;
         let mut member = entry.member();
         member.place(now);
-        let heat = !std::mem::replace(&mut member.hot, true);
+        let heat = member.warm();
         drop(member);
         if heat {
             self.prober.heat(agent);
@@ -470,7 +470,7 @@
     fn report(&self, now: Instant, sender: &Sender<'_>, incarnation: Incarnation, load: Load) {
         let mut member = sender.entry.member();
         member.report(now, incarnation, load);
-        let heat = member.changed && !std::mem::replace(&mut member.hot, true);
+        let heat = member.changed && member.warm();
         drop(member);
         sender.entry.area.hear(self.micros(now));
         if heat {
