fix(test): reserve the loopback addresses of the agent's tests

Cause: the addresses came from the low bits of the process id with one bit dropped, so two runs at the same time could bind the same one (17 of 35 tests failed with 'address already in use' in a workspace run beside another).

--- a/crates/daemon/tests/agent/document.rs
+++ b/crates/daemon/tests/agent/document.rs
@@ -1,21 +1,37 @@
 //! Configuration, certificate and addresses of the tests.
 
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, SocketAddr, TcpListener},
     path::PathBuf,
     process,
-    sync::atomic::{AtomicU8, Ordering},
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 use rustls_pki_types::CertificateDer;
 use sassafrasmast_core::config::{Document, Secrets, Service, Upstream, Zone};
 
-static NEXT: AtomicU8 = AtomicU8::new(1);
+/// Addresses taken by this process.
+static NEXT: AtomicU32 = AtomicU32::new(0);
 
-/// A loopback address of this test alone.
+/// Port whose listener reserves an address for one process.
+const RESERVATION: u16 = 4_999;
+
+/// Addresses between the first ones of two processes with neighbouring ids.
+const STRIDE: u32 = 101;
+
+/// A loopback address that no other test process uses.
 pub fn ip() -> IpAddr {
-    let [.., high, low] = process::id().to_be_bytes();
-    Ipv4Addr::new(127, high | 1, low, NEXT.fetch_add(1, Ordering::Relaxed)).into()
+    let first = process::id().wrapping_mul(STRIDE);
+    loop {
+        let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let [_, high, middle, low] = number.to_be_bytes();
+        let ip = IpAddr::from([127, high | 1, middle, low.max(1)]);
+        if let Ok(listener) = TcpListener::bind((ip, RESERVATION)) {
+            // Held until the process ends.
+            std::mem::forget(listener);
+            return ip;
+        }
+    }
 }
 
 pub fn service() -> Service {
