--- a/crates/daemon/src/app/agent/neighbours.rs
+++ b/crates/daemon/src/app/agent/neighbours.rs
@@ -8,7 +8,7 @@
 
 use super::Server;
 
-/// Time between two rounds of questions. With [`PEERS`] a round and about 110 bytes for question
+/// Time between two rounds of questions. With `PEERS` a round and about 110 bytes for question
 /// and answer, headers included, this costs below 1 KB/s under pressure and nothing without.
 pub const INTERVAL: Duration = Duration::from_millis(250);
 
