fix(balancer): forget an announcement once its agent is admitted

An agent announces until it is admitted, so its last announcement stayed on the blackboard for 10 s. The new test failed before.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -4,7 +4,7 @@
 //! point or while calling into another module that takes a lock.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex, PoisonError, RwLock,
         atomic::{AtomicU64, Ordering},
@@ -58,7 +58,8 @@
     }
 
     /// Puts a configuration in force. Returns `false` and changes nothing unless its version is
-    /// higher than the one in force: a configuration never reverts.
+    /// higher than the one in force: a configuration never reverts. Announcements of agents that
+    /// it admits are forgotten, lest they are shown again when the agent is removed.
     pub fn install(&self, snapshot: Snapshot) -> bool {
         let mut config = self.config.write().unwrap_or_else(PoisonError::into_inner);
         let current = config
@@ -66,6 +67,12 @@
             .map_or(0, |current| current.document.version);
         let newer = snapshot.document.version > current;
         if newer {
+            let upstreams = snapshot.document.upstreams.values();
+            let admitted: BTreeSet<_> = upstreams.map(|upstream| upstream.agent).collect();
+            self.announcements
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .retain(|agent, _| !admitted.contains(agent));
             *config = Some(Arc::new(snapshot));
         }
         newer
--- a/crates/core/tests/balancer/routing.rs
+++ b/crates/core/tests/balancer/routing.rs
@@ -214,3 +214,22 @@
     fleet.receive(address(9_999), 0, announce("dispatch", 9));
     assert_eq!(fleet.blackboard.announcements(fleet.now).len(), 1);
 }
+
+#[test]
+fn an_admitted_agents_announcement_is_not_shown_again_after_its_removal() {
+    let mut fleet = Fleet::ready();
+    let announce = Body::Announce {
+        service: "dispatch",
+        zone: "a",
+        upstream: caller(),
+        incarnation: 9,
+        slots: 5,
+        connections: 2_000,
+    };
+    fleet.receive(address(11), 0, announce);
+    let upstream = super::fixture::upstream(11, DISPATCH);
+    fleet.change(|document| drop(document.upstreams.insert(11, upstream)));
+    fleet.change(|document| drop(document.upstreams.remove(&11)));
+    let waiting = fleet.blackboard.announcements(fleet.now);
+    assert!(waiting.is_empty(), "{waiting:?}");
+}
