fix(agent): take no admission under another service than its own

An agent was matched by its address alone, so an admission meant for the agent before it at the same address made it serve that service's callers before its own upstream. A service's name belongs to one id for good, so it can be compared.

--- a/crates/daemon/src/app/agent/lifecycle.rs
+++ b/crates/daemon/src/app/agent/lifecycle.rs
@@ -265,7 +265,8 @@
     }
 
     fn find(&self, document: &Document) -> Option<Identity> {
-        Identity::find(document, self.server.settings.listen)
+        let Server { settings, role, .. } = &*self.server;
+        Identity::find(document, settings.listen, &role.service)
     }
 
     /// Publishes a change of phase.
--- a/crates/daemon/src/quic/identity.rs
+++ b/crates/daemon/src/quic/identity.rs
@@ -13,10 +13,14 @@
 }
 
 impl Identity {
-    /// Looks up the agent that listens at `listen`.
-    pub fn find(document: &Document, listen: Address) -> Option<Self> {
+    /// Looks up the agent that listens at `listen` before an upstream of the service named
+    /// `service`. An admission under another service is not this agent's: the address may have
+    /// been reused.
+    pub fn find(document: &Document, listen: Address, service: &str) -> Option<Self> {
         let found = document.upstreams.iter().find(|(_, u)| u.agent == listen);
-        found.map(|(&agent, upstream)| Self {
+        let (&agent, upstream) = found?;
+        let named = &document.services.get(&upstream.service)?.name;
+        (named == service).then_some(Self {
             service: upstream.service,
             agent,
         })
