fix(agent): requests that run when their zone is taken out get their answers

Ruled out: balancers (they drop what goes to the zone, answers still leave it) and placement. The new test failed before.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -234,6 +234,12 @@
         self.flights.contains_key(&id)
     }
 
+    /// Whether requests other than feeds are unfinished.
+    pub fn is_busy(&self) -> bool {
+        let mut flights = self.flights.values();
+        flights.any(|flight| flight.request.class != Class::Feed)
+    }
+
     /// Keys that are remembered.
     pub fn keys(&self) -> usize {
         self.registry.len()
--- a/crates/daemon/src/app/agent/flow.rs
+++ b/crates/daemon/src/app/agent/flow.rs
@@ -97,7 +97,7 @@
                     break reason(server, &error);
                 }
             }
-            () = sleep(GRACE), if told && running.is_empty() => {
+            () = sleep(GRACE), if told && running.is_empty() && !server.is_out() => {
                 connection.close(NO_ERROR, b"draining");
                 break "drained".to_owned();
             }
@@ -119,10 +119,10 @@
 
 /// Why a flow ended with an error.
 fn reason(server: &Server, error: &h3::error::ConnectionError) -> String {
-    match *server.phase.borrow() {
-        Phase::Out => "availability zone out".to_owned(),
-        _ => error.to_string(),
+    if server.is_out() {
+        return "availability zone out".to_owned();
     }
+    error.to_string()
 }
 
 /// Serves one request.
--- a/crates/daemon/src/app/agent/lifecycle.rs
+++ b/crates/daemon/src/app/agent/lifecycle.rs
@@ -35,6 +35,13 @@
 /// Time between two sweeps of the ways back.
 const SWEEP: Duration = Duration::from_secs(5);
 
+/// Longest time that requests which run when their zone is taken out get to finish. Balancers
+/// forward nothing to the zone meanwhile; answers still leave it.
+const FINISHING: Duration = Duration::from_millis(1_500);
+
+/// Time in which the last answers leave before their flows are closed.
+const LINGER: Duration = Duration::from_millis(200);
+
 /// Time given to the close messages of a zone that is taken out; then packets are dropped.
 const CLOSING: Duration = Duration::from_secs(1);
 
@@ -61,6 +68,10 @@
     announced: Option<Instant>,
     swept: Option<Instant>,
     probed: Option<Instant>,
+    /// When the zone was taken out while flows were open.
+    out: Option<Instant>,
+    /// Since when no request runs.
+    idle: Option<Instant>,
     /// When the drain that ends in a stop began.
     left: Option<Instant>,
 }
@@ -186,7 +197,9 @@
             self.configure(&mut progress);
             let phase = self.phase();
             self.enter(phase);
-            self.follow(phase, &mut progress.open).await?;
+            if !self.is_finishing(now, phase, &mut progress) {
+                self.follow(phase, &mut progress.open).await?;
+            }
             self.publish(phase);
             self.tell(now, &mut progress);
             if self.is_done(now, &mut progress) {
@@ -284,6 +297,23 @@
         }
     }
 
+    /// Whether the flows of a zone that was taken out stay open for the requests that run. The
+    /// decisions refuse everything else already.
+    fn is_finishing(&self, now: Instant, phase: Phase, progress: &mut Progress) -> bool {
+        if phase != Phase::Out || progress.open.is_none() {
+            (progress.out, progress.idle) = (None, None);
+            return false;
+        }
+        let out = *progress.out.get_or_insert(now);
+        if self.server.desk.look(|agent, _| agent.is_busy()) {
+            progress.idle = None;
+        } else {
+            progress.idle.get_or_insert(now);
+        }
+        let left = progress.idle.is_some_and(|idle| now - idle >= LINGER);
+        now - out < FINISHING && !left
+    }
+
     /// Opens and closes the endpoint as the phase asks.
     async fn follow(&self, phase: Phase, open: &mut Option<Open>) -> anyhow::Result<()> {
         let identity = match phase {
--- a/crates/daemon/src/app/agent/server.rs
+++ b/crates/daemon/src/app/agent/server.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Whether the availability zone is out. All flows are closed together then.
+    pub fn is_out(&self) -> bool {
+        *self.phase.borrow() == Phase::Out
+    }
+
     /// The service and the configuration in force, once the agent is admitted.
     pub fn service(&self) -> Option<(Service, Arc<Snapshot>)> {
         let snapshot = self.blackboard.config()?;
--- a/crates/daemon/tests/agent/flows.rs
+++ b/crates/daemon/tests/agent/flows.rs
@@ -180,6 +180,34 @@
     assert_eq!(site.caller().await.get("/echo").await.unwrap().status, 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn what_runs_when_its_zone_is_taken_out_gets_its_answer_and_what_waits_a_true_refusal() {
+    let site = Site::start().await;
+    let mut caller = site.caller().await;
+    let mut other = caller.clone();
+    let running = tokio::spawn(async move { other.post("/slow/800", b"first").await });
+    site.wait_until(|site| site.counts.started.load(Ordering::Relaxed) == 1)
+        .await;
+    let mut other = caller.clone();
+    let waiting = tokio::spawn(async move { other.post("/slow/800", b"second").await });
+    site.wait_until(|site| site.server().socket.load().queued == 1)
+        .await;
+    site.change(|document| {
+        if let Some(zone) = document.zones.get_mut("a") {
+            zone.out = true;
+        }
+    });
+    let out = Instant::now();
+    let refused = waiting.await.unwrap().unwrap();
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
+    let answer = running.await.unwrap().unwrap();
+    assert_eq!((answer.status, answer.outcome()), (200, "ran"));
+    caller.connection.closed().await;
+    assert!(out.elapsed() < FEW_SECONDS);
+    assert!(caller.get("/echo").await.is_err());
+    assert_eq!(site.counts.started.load(Ordering::Relaxed), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drain_with_a_deadline_ends_then() {
     let site = Site::with(|role| role.drain_deadline_ms = Some(1_000)).await;
