fix(config): the write budget for claims is the fleet's, not each service's

An agent divides the budget by the upstreams it knows, and its part of the document holds those of its own service only, so 1,700 services would have had 1,700 budgets. The part now tells how many upstreams it leaves out.

--- a/crates/core/src/agent/member.rs
+++ b/crates/core/src/agent/member.rs
@@ -41,7 +41,7 @@
             out: !document.admits(agent),
             homes,
             peers,
-            fleet: document.upstreams.len(),
+            fleet: document.fleet(),
         })
     }
 
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -32,6 +32,9 @@
     pub services: BTreeMap<ServiceId, Service>,
     /// Admitted upstreams by the id of their agent.
     pub upstreams: BTreeMap<AgentId, Upstream>,
+    /// Admitted upstreams that this document leaves out; 0 in the whole document.
+    #[serde(default)]
+    pub left_out: usize,
     /// Next unused service id.
     pub next_service: ServiceId,
     /// Next unused agent id.
@@ -49,6 +52,7 @@
             zones: BTreeMap::new(),
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            left_out: 0,
             next_service: 1,
             next_agent: 1,
             secrets,
@@ -62,6 +66,11 @@
             .is_some_and(|upstream| self.zones.get(&upstream.zone).is_some_and(|zone| !zone.out))
     }
 
+    /// Admitted upstreams of the whole fleet.
+    pub fn fleet(&self) -> usize {
+        self.upstreams.len() + self.left_out
+    }
+
     /// Id of the service called `name`.
     pub fn service_id(&self, name: &str) -> Option<ServiceId> {
         self.services
--- a/crates/core/src/config/document/view.rs
+++ b/crates/core/src/config/document/view.rs
@@ -25,6 +25,7 @@
         );
         let peers = self.upstreams.iter().filter(|(_, u)| u.service == service);
         view.upstreams = peers.map(|(&agent, u)| (agent, u.clone())).collect();
+        view.left_out = self.upstreams.len() - view.upstreams.len();
         Some(view)
     }
 
@@ -37,6 +38,7 @@
             zones: self.zones.clone(),
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            left_out: self.upstreams.len(),
             next_service: self.next_service,
             next_agent: self.next_agent,
             secrets: self.secrets.clone(),
--- a/crates/core/tests/config/rules.rs
+++ b/crates/core/tests/config/rules.rs
@@ -87,3 +87,22 @@
     assert_eq!(all.bare().validate(), Ok(()));
     assert!(all.bare().upstreams.is_empty());
 }
+
+#[test]
+fn the_part_of_an_agent_tells_the_size_of_the_fleet() {
+    let mut all = fleet();
+    let own = all.upstreams.len();
+    let mut service = all.services[&1].clone();
+    service.name = "another".to_owned();
+    service.address.set_port(9);
+    all.services.insert(9, service);
+    let mut upstream = all.upstreams[&1].clone();
+    upstream.service = 9;
+    for agent in 100..150 {
+        all.upstreams.insert(agent, upstream.clone());
+    }
+    let part = all.for_agent("127.0.0.2:7000".parse().unwrap()).unwrap();
+    assert_eq!(part.upstreams.len(), own);
+    assert_eq!(part.fleet(), own + 50);
+    assert_eq!(all.fleet(), own + 50);
+}
