fix(agent): running requests of a zone that is taken out get their answers

Cause: the agent closed all flows at once, running requests included. It now keeps them open while a request runs and 200 ms for its answer, at most 1 s; nothing new is taken meanwhile, and the balancers' 2 s cover it.

--- a/crates/daemon/src/app/agent/lifecycle.rs
+++ b/crates/daemon/src/app/agent/lifecycle.rs
@@ -35,6 +35,12 @@
 /// Time between two sweeps of the ways back.
 const SWEEP: Duration = Duration::from_secs(5);
 
+/// Longest time given to running requests of a zone that is taken out, feeds not counted.
+const FINISHING: Duration = Duration::from_secs(1);
+
+/// Time given to the last answers of a zone that is taken out to reach their callers.
+const ANSWERING: Duration = Duration::from_millis(200);
+
 /// Time given to the close messages of a zone that is taken out; then packets are dropped.
 const CLOSING: Duration = Duration::from_secs(1);
 
@@ -63,6 +69,10 @@
     probed: Option<Instant>,
     /// When the drain that ends in a stop began.
     left: Option<Instant>,
+    /// When the zone was taken out.
+    out: Option<Instant>,
+    /// When a request was last seen to run.
+    busy: Option<Instant>,
 }
 
 /// The endpoint of an admitted agent.
@@ -186,7 +196,9 @@
             self.configure(&mut progress);
             let phase = self.phase();
             self.enter(phase);
-            self.follow(phase, &mut progress.open).await?;
+            if !self.is_finishing(now, phase, &mut progress) {
+                self.follow(phase, &mut progress.open).await?;
+            }
             self.publish(phase);
             self.tell(now, &mut progress);
             if self.is_done(now, &mut progress) {
@@ -227,6 +239,21 @@
         }
     }
 
+    /// Whether flows of a zone that was taken out stay open a little longer, so that callers of
+    /// running requests get their answers. Nothing new is taken meanwhile.
+    fn is_finishing(&self, now: Instant, phase: Phase, progress: &mut Progress) -> bool {
+        if self.server.desk.look(agent::Agent::load).running > 0 {
+            progress.busy = Some(now);
+        }
+        if phase != Phase::Out {
+            progress.out = None;
+            return false;
+        }
+        let out = *progress.out.get_or_insert(now);
+        let busy = progress.busy.is_some_and(|at| now - at < ANSWERING);
+        busy && now - out < FINISHING
+    }
+
     /// Whether a drain that ends in a stop is finished.
     fn is_done(&self, now: Instant, progress: &mut Progress) -> bool {
         if !self.leaving.load(Ordering::Relaxed) {
