--- a/crates/daemon/src/app/agent/lifecycle.rs
+++ b/crates/daemon/src/app/agent/lifecycle.rs
@@ -35,11 +35,12 @@
 /// Time between two sweeps of the ways back.
 const SWEEP: Duration = Duration::from_secs(5);
 
-/// Longest time given to running requests of a zone that is taken out, feeds not counted.
-const FINISHING: Duration = Duration::from_secs(1);
+/// Longest time that requests which run when their zone is taken out get to finish. Balancers
+/// forward nothing to the zone meanwhile; answers still leave it.
+const FINISHING: Duration = Duration::from_millis(1_500);
 
-/// Time given to the last answers of a zone that is taken out to reach their callers.
-const ANSWERING: Duration = Duration::from_millis(200);
+/// Time in which the last answers leave before their flows are closed.
+const LINGER: Duration = Duration::from_millis(200);
 
 /// Time given to the close messages of a zone that is taken out; then packets are dropped.
 const CLOSING: Duration = Duration::from_secs(1);
@@ -67,12 +68,12 @@
     announced: Option<Instant>,
     swept: Option<Instant>,
     probed: Option<Instant>,
+    /// When the zone was taken out while flows were open.
+    out: Option<Instant>,
+    /// Since when no request runs.
+    idle: Option<Instant>,
     /// When the drain that ends in a stop began.
     left: Option<Instant>,
-    /// When the zone was taken out.
-    out: Option<Instant>,
-    /// When a request was last seen to run.
-    busy: Option<Instant>,
 }
 
 /// The endpoint of an admitted agent.
@@ -239,21 +240,6 @@
         }
     }
 
-    /// Whether flows of a zone that was taken out stay open a little longer, so that callers of
-    /// running requests get their answers. Nothing new is taken meanwhile.
-    fn is_finishing(&self, now: Instant, phase: Phase, progress: &mut Progress) -> bool {
-        if self.server.desk.look(agent::Agent::load).running > 0 {
-            progress.busy = Some(now);
-        }
-        if phase != Phase::Out {
-            progress.out = None;
-            return false;
-        }
-        let out = *progress.out.get_or_insert(now);
-        let busy = progress.busy.is_some_and(|at| now - at < ANSWERING);
-        busy && now - out < FINISHING
-    }
-
     /// Whether a drain that ends in a stop is finished.
     fn is_done(&self, now: Instant, progress: &mut Progress) -> bool {
         if !self.leaving.load(Ordering::Relaxed) {
@@ -292,7 +278,8 @@
     }
 
     fn find(&self, document: &Document) -> Option<Identity> {
-        Identity::find(document, self.server.settings.listen)
+        let Server { settings, role, .. } = &*self.server;
+        Identity::find(document, settings.listen, &role.service)
     }
 
     /// Publishes a change of phase.
@@ -310,6 +297,23 @@
         }
     }
 
+    /// Whether the flows of a zone that was taken out stay open for the requests that run. The
+    /// decisions refuse everything else already.
+    fn is_finishing(&self, now: Instant, phase: Phase, progress: &mut Progress) -> bool {
+        if phase != Phase::Out || progress.open.is_none() {
+            (progress.out, progress.idle) = (None, None);
+            return false;
+        }
+        let out = *progress.out.get_or_insert(now);
+        if self.server.desk.look(|agent, _| agent.is_busy()) {
+            progress.idle = None;
+        } else {
+            progress.idle.get_or_insert(now);
+        }
+        let left = progress.idle.is_some_and(|idle| now - idle >= LINGER);
+        now - out < FINISHING && !left
+    }
+
     /// Opens and closes the endpoint as the phase asks.
     async fn follow(&self, phase: Phase, open: &mut Option<Open>) -> anyhow::Result<()> {
         let identity = match phase {
--- a/crates/standins/src/scenario.rs
+++ b/crates/standins/src/scenario.rs
@@ -108,6 +108,40 @@
         })
     }
 
+    /// Lets `callers` book one after the other until `end`, each on connections of its own.
+    ///
+    /// # Errors
+    ///
+    /// If a caller has no socket; the future gives the first wrong answer.
+    pub fn until(
+        deployment: &Deployment,
+        prefix: &str,
+        callers: usize,
+        end: Instant,
+    ) -> anyhow::Result<impl Future<Output = anyhow::Result<Self>> + use<>> {
+        let mut booking = JoinSet::new();
+        for caller in 0..callers {
+            let mut client = deployment.client(0)?;
+            let prefix = format!("{prefix}-{caller}");
+            booking.spawn(async move {
+                let mut made = Vec::new();
+                while Instant::now() < end {
+                    let id = format!("{prefix}-{}", made.len());
+                    let submission = client.book(&id).await?;
+                    made.push((id, submission));
+                }
+                anyhow::Ok(made)
+            });
+        }
+        Ok(async move {
+            let mut submissions = BTreeMap::new();
+            for made in booking.join_all().await {
+                submissions.extend(made?);
+            }
+            Ok(Self { submissions })
+        })
+    }
+
     /// Number of bookings with the given fate.
     pub fn count(&self, fate: Fate) -> usize {
         let alike = self.submissions.values().filter(|s| s.fate == fate);
--- a/crates/standins/tests/disorder.rs
+++ b/crates/standins/tests/disorder.rs
@@ -1,20 +1,16 @@
 //! Random faults, one after the other and two at once, under bookings and feeds.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use sassafrasmast_standins::{
-    caller::{Client, Fate, Submission},
+    caller::Fate,
     deployment::{Deployment, Settings},
     fabric,
     scenario::{Bookings, Feeds},
     store, upstream,
 };
-use tokio::task::JoinSet;
 
 /// Faults in one run.
 const FAULTS: usize = 16;
@@ -120,17 +116,6 @@
     }
 }
 
-/// Books until `end`.
-async fn book(mut client: Client, caller: usize, end: Instant) -> Vec<(String, Submission)> {
-    let mut made = Vec::new();
-    while Instant::now() < end {
-        let id = format!("disorder-{caller}-{}", made.len());
-        let submission = client.book(&id).await.expect("its own answer");
-        made.push((id, submission));
-    }
-    made
-}
-
 async fn run(seed: u64) {
     let settings = Settings {
         seed,
@@ -140,11 +125,8 @@
     let feeds = Feeds::open(&deployment, 30).await.expect("feeds open");
     let end = Instant::now() + GAP * (u32::try_from(FAULTS).expect("few") + 2);
     let reading = tokio::spawn(feeds.read(end));
-    let mut booking = JoinSet::new();
-    for caller in 0..CALLERS {
-        let client = deployment.client(0).expect("a caller");
-        booking.spawn(book(client, caller, end));
-    }
+    let booking = Bookings::until(&deployment, "disorder", CALLERS, end).expect("callers");
+    let booking = tokio::spawn(booking);
     let mut random = StdRng::seed_from_u64(seed);
     let mut open: Vec<Fault> = Vec::new();
     let mut history = Vec::new();
@@ -161,8 +143,7 @@
     for fault in open {
         fault.mend(&mut deployment).await.expect("mended");
     }
-    let submissions: BTreeMap<_, _> = booking.join_all().await.into_iter().flatten().collect();
-    let bookings = Bookings { submissions };
+    let bookings = booking.await.expect("bookings").expect("own answers");
     let feeds = reading.await.expect("feeds");
     let told = bookings.check(&deployment.executions().await);
     assert!(told.is_ok(), "seed {seed}, {history:?}: {told:?}");
