--- a/crates/standins/tests/changes.rs
+++ b/crates/standins/tests/changes.rs
@@ -301,3 +301,26 @@
     assert_eq!(foreign.count(), 0);
     assert_eq!(counts.feeds_opened, fed);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_booking_is_lost_while_a_zone_leaves_and_returns() {
+    let deployment = Deployment::refugios().await.unwrap();
+    let zone = deployment.settings.zone(1).to_owned();
+    let end = from_now(Duration::from_secs(14));
+    let booking = Bookings::until(&deployment, "zone", 14, end).unwrap();
+    let booking = tokio::spawn(booking);
+    let operator = deployment.operator(2);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    operator.zone_out(&zone).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    operator.zone_in(&zone).await.unwrap();
+    let bookings = booking.await.unwrap().unwrap();
+    bookings.check(&deployment.executions().await).unwrap();
+    let all = bookings.submissions.len();
+    let (ran, unknown) = (bookings.count(Fate::Ran), bookings.count(Fate::Unknown));
+    let slowest = bookings.submissions.values().map(|s| s.elapsed).max();
+    println!("{ran} of {all} ran, {unknown} are unknown, slowest {slowest:?}");
+    let open = bookings.submissions.iter();
+    let open: Vec<_> = open.filter(|(_, s)| s.fate != Fate::Ran).collect();
+    assert_eq!(ran, all, "{open:?}");
+}
