fix(balancer): packets on their way reach a zone for a second after it was taken out

Cause of the known red test: balancers dropped all packets to the zone the moment they learnt of the change, so a request sent in that moment was neither run nor refused and its caller could only be told "unknown". A balancer that learns of it while forwarding now lets packets of open flows through for 1 s, in which the agent refuses new requests truly and finishes running ones.

--- a/crates/core/src/balancer/router.rs
+++ b/crates/core/src/balancer/router.rs
@@ -33,6 +33,10 @@
 /// Stateless resets a second, and at once.
 const RESET_RATE: u32 = 1_000;
 
+/// Time in which packets that are on their way still reach a zone that was taken out, so that
+/// their callers get an answer or a refusal instead of silence.
+const ZONE_FORWARD: Duration = Duration::from_secs(1);
+
 /// Time in which agents of a zone that was taken out close their flows themselves.
 const ZONE_GRACE: Duration = Duration::from_secs(2);
 
@@ -223,10 +227,13 @@
             return Err(Reason::Held);
         }
         if let Some(out) = entry.area.out {
-            return match now.saturating_duration_since(out) < ZONE_GRACE {
-                true => Err(Reason::ZoneOut),
-                false => self.reset(now, table, cid.agent, packet, Reason::ZoneOut),
-            };
+            let known = now.saturating_duration_since(out);
+            if known >= ZONE_GRACE {
+                return self.reset(now, table, cid.agent, packet, Reason::ZoneOut);
+            }
+            if known >= ZONE_FORWARD || !entry.area.prompt {
+                return Err(Reason::ZoneOut);
+            }
         }
         let mut member = entry.member();
         let dead = member.is_dead(now, self.settings.idle_timeout);
@@ -531,7 +538,13 @@
             Some(table) if table.snapshot.document.version >= config.document.version => table,
             previous => {
                 let zone = &self.settings.zone;
-                Arc::new(Table::new(now, config, previous.as_deref(), zone))
+                Arc::new(Table::new(
+                    now,
+                    config,
+                    previous.as_deref(),
+                    zone,
+                    !self.gate.is_held(),
+                ))
             }
         };
         *slot = Some(Arc::clone(&table));
--- a/crates/core/src/balancer/table.rs
+++ b/crates/core/src/balancer/table.rs
@@ -50,6 +50,8 @@
 pub(super) struct Area {
     /// Since when this process knows that the zone is out.
     pub(super) out: Option<Instant>,
+    /// Whether this process learnt of it while it was forwarding, so probably at once.
+    pub(super) prompt: bool,
     /// When an agent of the zone was last heard, in microseconds since the router's start.
     heard: AtomicU64,
 }
@@ -65,10 +67,11 @@
         self.heard.load(Ordering::Relaxed)
     }
 
-    fn next(previous: Option<&Arc<Self>>, zone: &Zone, now: Instant) -> Arc<Self> {
+    fn next(previous: Option<&Arc<Self>>, zone: &Zone, now: Instant, prompt: bool) -> Arc<Self> {
         let out = previous.and_then(|area| area.out);
         Arc::new(Self {
             out: zone.out.then(|| out.unwrap_or(now)),
+            prompt: previous.is_some_and(|area| area.out.map_or(prompt, |_| area.prompt)),
             heard: AtomicU64::new(previous.map_or(0, |area| area.heard())),
         })
     }
@@ -82,12 +85,13 @@
 }
 
 impl Table {
-    /// Makes the view that follows `previous`.
+    /// Makes the view that follows `previous`. `prompt` tells whether datagrams are forwarded now.
     pub(super) fn new(
         now: Instant,
         snapshot: Arc<Snapshot>,
         previous: Option<&Self>,
         local: &ZoneName,
+        prompt: bool,
     ) -> Self {
         let document = &snapshot.document;
         let mut table = Self {
@@ -100,7 +104,7 @@
         };
         for (name, zone) in &document.zones {
             let area = previous.and_then(|previous| previous.zones.get(name));
-            let area = Area::next(area, zone, now);
+            let area = Area::next(area, zone, now, prompt);
             table.zones.insert(name.clone(), area);
         }
         for (&agent, upstream) in &document.upstreams {
--- a/crates/core/tests/balancer/routing.rs
+++ b/crates/core/tests/balancer/routing.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use sassafrasmast_core::balancer::{Reason, Route};
+use sassafrasmast_core::balancer::{Reason, Route, Settings};
 use sassafrasmast_wire::{Body, Keys, Load, State};
 
-use super::fixture::{DISPATCH, Fleet, INCARNATION, MANIFESTS, address, caller, initial, ready};
+use super::fixture::{
+    DISPATCH, Fleet, INCARNATION, MANIFESTS, address, caller, document, initial, ready,
+};
 
 #[test]
 fn an_open_flow_is_routed_by_its_id_alone() {
@@ -108,6 +110,11 @@
     let mut fleet = Fleet::ready();
     let packet = fleet.short(1, DISPATCH);
     fleet.change(|document| document.zones.get_mut("b").unwrap().out = true);
+    assert!(
+        fleet.forwards(1),
+        "what is on its way gets its answer or refusal"
+    );
+    fleet.pass(Duration::from_secs(1), |_| Some(2));
     assert_eq!(fleet.route(DISPATCH, &packet), Route::Drop(Reason::ZoneOut));
     for _ in 0..500 {
         let agent = fleet.place(DISPATCH).unwrap();
@@ -120,6 +127,15 @@
     assert!(fleet.forwards(1));
 }
 
+#[test]
+fn a_zone_known_as_out_from_the_start_gets_nothing_at_all() {
+    let mut known = document(7, 3);
+    known.zones.get_mut("b").unwrap().out = true;
+    let fleet = Fleet::new(known, Settings::default());
+    let packet = fleet.short(1, DISPATCH);
+    assert_eq!(fleet.route(DISPATCH, &packet), Route::Drop(Reason::ZoneOut));
+}
+
 #[test]
 fn frames_of_others_do_not_change_an_agents_load() {
     let fleet = Fleet::ready();
