fix(balancer): agents of a service in use that were never heard are probed at once

Seen: after admission all 21 new feeds went to the only agent a balancer had heard. Cause: known agents come before unknown ones, and an unknown one was probed only in its turn of the idle round: half a second at 10 agents, about 190 s at 4,200. A placement now has up to eight unheard candidates probed with the next tick, within the same budget. The new test fails without it.

fix(standins): a request that was never sent is not "unknown" to its caller

Second cause of the known red test: the caller counted a request as sent when the connection had already taken leave (GOAWAY, close) and refused the stream. It then asked for the fate of a ticket that nobody had seen. It now takes a fresh ticket.

--- a/crates/core/src/balancer/router.rs
+++ b/crates/core/src/balancer/router.rs
@@ -33,6 +33,9 @@
 /// Stateless resets a second, and at once.
 const RESET_RATE: u32 = 1_000;
 
+/// Agents of a service that are looked at for never having been heard.
+const EXPLORED: usize = 8;
+
 /// Time in which packets that are on their way still reach a zone that was taken out, so that
 /// their callers get an answer or a refusal instead of silence.
 const ZONE_FORWARD: Duration = Duration::from_secs(1);
@@ -291,6 +294,7 @@
         let agent = placement
             .choose(now, &mut *lock(&self.rng), service, refuser)
             .ok_or(Reason::NoAgent)?;
+        self.explore(table, service);
         let entry = table.entries.get(&agent).ok_or(Reason::NoAgent)?;
         let mut member = entry.member();
         member.place(now);
@@ -302,6 +306,21 @@
         Ok((agent, entry.address))
     }
 
+    /// Has agents of a service in use probed soon that were never heard: the idle round of a large
+    /// fleet takes minutes, and until then all flows would go to the few that are known.
+    fn explore(&self, table: &Table, service: ServiceId) {
+        let agents = table.candidates.get(&service).into_iter().flatten();
+        for &agent in agents.take(EXPLORED) {
+            let Some(entry) = table.entries.get(&agent) else {
+                continue;
+            };
+            let mut member = entry.member();
+            if !member.is_known() && member.warm() {
+                self.prober.heat(agent);
+            }
+        }
+    }
+
     /// Compares the sender's config version with ours.
     fn compare(
         &self,
--- a/crates/core/tests/balancer/placing.rs
+++ b/crates/core/tests/balancer/placing.rs
@@ -1,11 +1,16 @@
 //! Where new flows go.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use sassafrasmast_core::balancer::{Reason, Settings};
 use sassafrasmast_wire::{AgentId, Body, Load, State};
 
-use super::fixture::{DISPATCH, Fleet, INCARNATION, address, caller, document, initial, ready};
+use super::fixture::{
+    DISPATCH, Fleet, INCARNATION, MANIFESTS, address, caller, document, initial, ready,
+};
 
 fn handback(agent: AgentId, attempt: u8, payload: &[u8]) -> Body<'_> {
     Body::Handback {
@@ -97,6 +102,16 @@
     assert!((0..100).all(|_| fleet.place(DISPATCH) == Some(4)));
 }
 
+#[test]
+fn a_balancer_new_to_a_large_fleet_soon_spreads_the_flows_of_a_service_it_uses() {
+    let mut fleet = Fleet::new(document(4_197, 3), Settings::default());
+    fleet.report(4_198, INCARNATION, ready());
+    assert_eq!(fleet.place(MANIFESTS), Some(4_198));
+    fleet.pass(Duration::from_secs(1), |_| Some(1));
+    let placed: BTreeSet<_> = (0..50).filter_map(|_| fleet.place(MANIFESTS)).collect();
+    assert_eq!(placed.len(), 3, "{placed:?}");
+}
+
 #[test]
 fn a_flow_handed_back_goes_to_another_agent() {
     let fleet = Fleet::ready();
--- a/crates/standins/src/caller/client.rs
+++ b/crates/standins/src/caller/client.rs
@@ -252,8 +252,14 @@
             headers.insert("idempotency-key", ticket);
         }
         progress.submission.attempts += 1;
-        progress.pending = true;
-        let answer = connection.request(request, body.clone(), limit).await?;
+        let pending = std::mem::replace(&mut progress.pending, true);
+        let answered = connection.request(request, body.clone(), limit).await;
+        if matches!(answered, Err(Error::Unsent(_))) {
+            // A ticket that was never sent is worth nothing when its home is going away.
+            progress.pending = pending;
+            progress.ticket = progress.ticket.take().filter(|_| pending);
+        }
+        let answer = answered?;
         self.connection = Some(connection);
         Ok(answer)
     }
--- a/crates/standins/src/caller/connection.rs
+++ b/crates/standins/src/caller/connection.rs
@@ -95,7 +95,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Timeout`] after `limit`, and whatever broke the connection or the stream.
+    /// [`Error::Unsent`] if the connection takes no further request, [`Error::Timeout`] after
+    /// `limit`, and whatever broke the connection or the stream.
     pub async fn request(
         &mut self,
         request: Request<()>,
@@ -103,7 +104,8 @@
         limit: Duration,
     ) -> Result<Answer, Error> {
         let exchange = async {
-            let stream = self.open(request).await?;
+            let opened = self.open(request).await;
+            let stream = opened.map_err(|error| Error::Unsent(error.to_string()))?;
             let (mut outward, mut inward) = stream.split();
             let sending = async {
                 if !body.is_empty() {
--- a/crates/standins/src/caller/error.rs
+++ b/crates/standins/src/caller/error.rs
@@ -8,6 +8,9 @@
     /// No connection could be opened.
     #[error("cannot connect: {0}")]
     Connect(String),
+    /// The connection took no further request; nothing of it was sent.
+    #[error("not sent: {0}")]
+    Unsent(String),
     /// The other end closed the connection and said why.
     #[error("closed with code {code}: {reason}")]
     Closed {
