--- a/crates/daemon/src/quic/status.rs
+++ b/crates/daemon/src/quic/status.rs
@@ -21,10 +21,12 @@
 impl Status {
     /// Decides what becomes of a datagram; `mine` is the agent's incarnation.
     pub fn judge(&self, mine: Incarnation, inbound: &Inbound<'_>) -> Verdict {
-        if self.load.state == State::Out {
+        let first = inbound.incarnation.is_none();
+        // Open flows of a zone that was taken out are heard until they are closed: what is on its
+        // way gets its answer or refusal.
+        if self.load.state == State::Out && (first || self.identity.is_none()) {
             return Verdict::Drop("zone-out");
         }
-        let first = inbound.incarnation.is_none();
         let Some(identity) = self.identity else {
             return match first {
                 true => Verdict::HandBack,
