--- a/crates/experiments/src/report.rs
+++ b/crates/experiments/src/report.rs
@@ -28,20 +28,30 @@
 
 fn table(scenario: &Scenario, trials: &[Trial]) -> anyhow::Result<String> {
     let mut text = format!("## {}\n\n", scenario.name);
+    if trials.iter().any(|trial| trial.measure.sent > 0) {
+        write_load(&mut text, trials)?;
+    }
+    for trial in trials {
+        write_overhead(&mut text, trial)?;
+    }
+    text.push('\n');
+    Ok(text)
+}
+
+/// One row for each policy.
+fn write_load(text: &mut String, trials: &[Trial]) -> anyhow::Result<()> {
     writeln!(
         text,
         "| policy | made | answered | not run | unknown | doubled | broken feeds | given up feeds | \
          collapses | max/mean | variation | p50 ms | p99 ms | offered/sent |\n\
          |---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
     )?;
-    for Trial {
-        policy, measure, ..
-    } in trials
-    {
+    for trial in trials {
+        let (policy, measure) = (trial.policy, &trial.measure);
         let total = measure.total();
         writeln!(
             text,
-            "| {policy:?} | {} | {} | {} | {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.1} | {:.1} | {:.2} |",
+            "| {policy} | {} | {} | {} | {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.1} | {:.1} | {:.2} |",
             total.made,
             total.answered,
             total.not_run,
@@ -57,23 +67,24 @@
             measure.offered_ratio,
         )?;
     }
-    for Trial {
-        policy, overhead, ..
-    } in trials
-    {
-        let Some(overhead) = overhead else { continue };
-        for (name, at) in [("median", 0.5), ("99th percentile", 0.99)] {
-            let (path, direct) = (quantile(&overhead.path, at), quantile(&overhead.direct, at));
-            let (extra, ratio) = (path - direct, path / direct);
-            writeln!(
-                text,
-                "\n{policy:?}, {name}: {path:.2} ms whole path, {direct:.2} ms direct, \
-                 {extra:.2} ms extra, ratio {ratio:.2}"
-            )?;
-        }
+    Ok(())
+}
+
+/// The whole path against direct calls, if they were compared.
+fn write_overhead(text: &mut String, trial: &Trial) -> anyhow::Result<()> {
+    let (policy, Some(overhead)) = (trial.policy, &trial.overhead) else {
+        return Ok(());
+    };
+    for (name, at) in [("median", 0.5), ("99th percentile", 0.99)] {
+        let (path, direct) = (quantile(&overhead.path, at), quantile(&overhead.direct, at));
+        let (extra, ratio) = (path - direct, path / direct);
+        writeln!(
+            text,
+            "\n{policy}, {name}: {path:.2} ms whole path, {direct:.2} ms direct, \
+             {extra:.2} ms extra, ratio {ratio:.2}"
+        )?;
     }
-    text.push('\n');
-    Ok(text)
+    Ok(())
 }
 
 /// A quantile in milliseconds.
