fix(standins): the comparison with direct calls overran a cold upstream

A single warming caller keeps to one agent, so the upstream called directly was still cold and all 2,000 direct calls failed.

--- a/crates/standins/src/measure.rs
+++ b/crates/standins/src/measure.rs
@@ -126,6 +126,14 @@
         ..Load::default()
     };
     caller.run().await?;
+    // A single caller keeps to one agent, so the upstream for direct calls is warmed by itself.
+    let direct = Some(deployment.network.upstream(0));
+    let straight = Load {
+        direct,
+        prefix: "warm-direct".to_owned(),
+        ..caller.clone()
+    };
+    straight.run().await?;
     let whole = Load {
         concurrency,
         bookings: count,
@@ -133,7 +141,7 @@
         ..caller.clone()
     };
     let direct = Load {
-        direct: Some(deployment.network.upstream(0)),
+        direct,
         // One upstream fails whatever goes beyond its slots.
         concurrency: concurrency.min(SLOTS),
         prefix: "direct".to_owned(),
