--- /dev/null
+++ b/crates/core/src/balancer/router/datagram.rs
@@ -0,0 +1,148 @@
+//! What becomes of a caller's datagram.
+
+use std::time::{Duration, Instant};
+
+use sassafrasmast_wire::{AgentId, Cid, ServiceId, cid};
+
+use crate::balancer::{
+    Counters, Form, Header, Reason, Reset, Route,
+    table::{Entry, Table},
+};
+
+use super::{MAX_DATAGRAM_BYTES, Router, lock};
+
+/// Time in which packets that are on their way still reach a zone that was taken out, so that
+/// their callers get an answer or a refusal instead of silence.
+const ZONE_FORWARD: Duration = Duration::from_secs(1);
+
+/// Time in which agents of a zone that was taken out close their flows themselves.
+const ZONE_GRACE: Duration = Duration::from_secs(2);
+
+/// Age of a zone's last sign of life up to which its silent agents count as dead, not cut off.
+const ZONE_SIGN: Duration = Duration::from_secs(2);
+
+/// What is needed of a packet after its header was read.
+struct Packet<'a> {
+    service: ServiceId,
+    header: Header<'a>,
+    length: usize,
+}
+
+impl Router {
+    /// Decides on a datagram that came to the address of `service`.
+    pub fn route(&self, now: Instant, service: ServiceId, datagram: &[u8]) -> Route {
+        let route = self.decide(now, service, datagram);
+        let route = route.unwrap_or_else(Route::Drop);
+        match &route {
+            Route::Forward { .. } => Counters::add(&self.counters.forwarded),
+            Route::Place { .. } => Counters::add(&self.counters.placed),
+            Route::Reset { .. } => Counters::add(&self.counters.reset),
+            Route::Drop(reason) => self.counters.discard(*reason),
+        }
+        route
+    }
+
+    fn decide(&self, now: Instant, service: ServiceId, datagram: &[u8]) -> Result<Route, Reason> {
+        if datagram.len() > MAX_DATAGRAM_BYTES {
+            return Err(Reason::Oversize);
+        }
+        let header = Header::parse(datagram)?;
+        if self.gate.was_paused(now) {
+            self.hold(now);
+        }
+        let table = self.table(now).ok_or(Reason::NotReady)?;
+        if !table.snapshot.document.services.contains_key(&service) {
+            return Err(Reason::NotReady);
+        }
+        let packet = Packet {
+            service,
+            header,
+            length: datagram.len(),
+        };
+        let cid = match header.dcid.len() {
+            cid::BYTES => Cid::open(&table.snapshot.keys, header.dcid).ok(),
+            _ => None,
+        };
+        match cid.map(|cid| (cid, table.entries.get(&cid.agent))) {
+            Some((cid, Some(entry))) if entry.service == cid.service => {
+                self.forward(now, &table, entry, cid, &packet)
+            }
+            Some((cid, None)) if table.was_removed(cid.agent) && cid.service == service => {
+                self.reset(now, &table, cid.agent, &packet, Reason::Removed)
+            }
+            _ if header.form == Form::First => {
+                let (agent, address) = self.place(now, &table, service, None)?;
+                Ok(Route::Place { agent, address })
+            }
+            _ => Err(Reason::Foreign),
+        }
+    }
+
+    fn forward(
+        &self,
+        now: Instant,
+        table: &Table,
+        entry: &Entry,
+        cid: Cid,
+        packet: &Packet<'_>,
+    ) -> Result<Route, Reason> {
+        if entry.service != packet.service {
+            return Err(Reason::OtherService);
+        }
+        if self.gate.is_held() {
+            return Err(Reason::Held);
+        }
+        if let Some(out) = entry.area.out {
+            let known = now.saturating_duration_since(out);
+            if known >= ZONE_GRACE {
+                return self.reset(now, table, cid.agent, packet, Reason::ZoneOut);
+            }
+            if known >= ZONE_FORWARD || !entry.area.prompt {
+                return Err(Reason::ZoneOut);
+            }
+        }
+        let mut member = entry.member();
+        let dead = member.is_dead(now, self.settings.idle_timeout);
+        member.touch();
+        let heat = member.warm();
+        drop(member);
+        if heat {
+            self.prober.heat(cid.agent);
+        }
+        if dead && self.has_sign(now, entry) {
+            return self.reset(now, table, cid.agent, packet, Reason::Dead);
+        }
+        Ok(Route::Forward {
+            agent: cid.agent,
+            address: entry.address,
+            incarnation: cid.incarnation,
+        })
+    }
+
+    /// Resets a flow, or gives `reason` for dropping the packet when that cannot be done.
+    fn reset(
+        &self,
+        now: Instant,
+        table: &Table,
+        agent: AgentId,
+        packet: &Packet<'_>,
+        reason: Reason,
+    ) -> Result<Route, Reason> {
+        if packet.header.form != Form::Short {
+            return Err(reason);
+        }
+        if !lock(&self.resets).take(now, 1) {
+            return Err(Reason::ResetLimit);
+        }
+        let token = table.snapshot.keys.reset_token(agent, packet.header.dcid);
+        let reset = Reset::new(&mut *lock(&self.rng), token, packet.length).ok_or(reason)?;
+        Ok(Route::Reset { agent, reset })
+    }
+
+    /// Whether the zone of a silent agent shows life, so that the agent is gone rather than cut
+    /// off from here.
+    fn has_sign(&self, now: Instant, entry: &Entry) -> bool {
+        let age = self.micros(now).saturating_sub(entry.area.heard());
+        entry.area.heard() > 0 && Duration::from_micros(age) <= ZONE_SIGN
+    }
+}
