--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -184,8 +184,9 @@
         let peers = (0..self.settings.balancers).filter(|&other| other != index);
         let peers: Vec<_> = peers.map(|other| network.balancer(other)).collect();
         text += &format!(
-            "[role.balancer]\napi = \"{}\"\nstore = {}\npeers = {}\npolicy = \"{}\"\n\
+            "metrics = \"{}\"\n[role.balancer]\napi = \"{}\"\nstore = {}\npeers = {}\npolicy = \"{}\"\n\
              [role.balancer.bind]\n",
+            network.metrics(index),
             network.api(index),
             list(&[network.store()]),
             list(&peers),
--- a/crates/standins/src/deployment/network.rs
+++ b/crates/standins/src/deployment/network.rs
@@ -65,6 +65,11 @@
         self.address(2, 8_000)
     }
 
+    /// Address of a balancer's metrics.
+    pub fn metrics(&self, index: usize) -> SocketAddr {
+        self.address(BALANCERS + index, 7_001)
+    }
+
     /// Address to which the callers of the `index`-th service send.
     pub fn service(&self, index: usize) -> SocketAddr {
         self.address(2, service_port(index))
--- /dev/null
+++ b/crates/standins/tests/control.rs
@@ -0,0 +1,93 @@
+//! Control traffic of balancers, as they count it themselves.
+
+use std::{
+    future::Future,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use sassafrasmast_core::config::Change;
+use sassafrasmast_standins::{deployment::Deployment, store::Fault};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
+
+/// Name of the counter.
+const COUNTER: &str = "sassafrasmast_balancer_control_bytes_total ";
+
+/// Control bytes a second that a daemon may spend.
+const BUDGET: f64 = 3_000.0;
+
+/// How long each phase is watched.
+const PHASE: Duration = Duration::from_secs(8);
+
+/// The control bytes that a balancer has counted so far.
+async fn control_bytes(deployment: &Deployment, balancer: usize) -> anyhow::Result<f64> {
+    let mut stream = TcpStream::connect(deployment.network.metrics(balancer)).await?;
+    let request = b"GET /metrics HTTP/1.1\r\nhost: metrics\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).await?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await?;
+    let mut lines = text.lines();
+    let line = lines.find(|line| line.starts_with(COUNTER));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    Ok(value.context("no such counter")?.parse()?)
+}
+
+/// Checks the rate of each balancer over one phase.
+async fn check(
+    deployment: &Deployment,
+    phase: &str,
+    changes: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<()> {
+    let mut before = Vec::new();
+    for balancer in 0..deployment.settings.balancers {
+        before.push(control_bytes(deployment, balancer).await?);
+    }
+    let begun = Instant::now();
+    let (changed, ()) = tokio::join!(changes, sleep(PHASE));
+    changed?;
+    for (balancer, before) in before.into_iter().enumerate() {
+        let spent = control_bytes(deployment, balancer).await? - before;
+        let rate = spent / begun.elapsed().as_secs_f64();
+        println!("{phase}: balancer {balancer} spends {rate:.0} B/s");
+        anyhow::ensure!(spent > 0.0, "{phase}: balancer {balancer} counts nothing");
+        anyhow::ensure!(
+            rate <= BUDGET,
+            "{phase}: balancer {balancer} spends {rate:.0} B/s"
+        );
+    }
+    Ok(())
+}
+
+/// Two rounds of a zone out and back and of a drain and its end.
+async fn churn(deployment: &Deployment) -> anyhow::Result<()> {
+    let operator = deployment.operator(0);
+    let zone = deployment.settings.zone(1).to_owned();
+    for _ in 0..2 {
+        operator.zone_out(&zone).await?;
+        operator.change(vec![Change::Drain { agent: 1 }]).await?;
+        sleep(Duration::from_secs(1)).await;
+        operator.zone_in(&zone).await?;
+        operator.change(vec![Change::Undrain { agent: 1 }]).await?;
+        sleep(Duration::from_secs(1)).await;
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn control_bytes_stay_within_their_budget_in_quiet_churn_and_outage() {
+    let deployment = Deployment::reciclumen().await.unwrap();
+    check(&deployment, "quiet", async { Ok(()) }).await.unwrap();
+    check(&deployment, "churn", churn(&deployment))
+        .await
+        .unwrap();
+    let down = Fault {
+        down: true,
+        ..Fault::default()
+    };
+    let outage = deployment.fault_store(&down);
+    check(&deployment, "outage", outage).await.unwrap();
+}
