--- a/crates/core/tests/balancer/faults.rs
+++ b/crates/core/tests/balancer/faults.rs
@@ -20,7 +20,7 @@
 const BALANCERS: usize = 2;
 const AGENTS: u32 = 10;
 const FLOWS: usize = 30;
-const LETTER_RATE: u64 = 3_000;
+const CONTROL_RATE: u64 = 3_000;
 const BURST: u64 = 600;
 const MAX_HOLD: Duration = Duration::from_secs(5);
 /// Time in which packets that are on their way still reach a zone that was taken out.
@@ -426,7 +426,7 @@
                 .control_bytes
                 .load(Ordering::Relaxed);
             assert!(
-                bytes <= LETTER_RATE * seconds + BURST,
+                bytes <= CONTROL_RATE * seconds + BURST,
                 "{bytes} in {seconds} s"
             );
         }
