--- a/crates/daemon/src/app/agent.rs
+++ b/crates/daemon/src/app/agent.rs
@@ -3,7 +3,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod claims;
-pub mod desk;
+pub mod dispatcher;
 pub mod driver;
 pub mod exchange;
 pub mod facts;
@@ -29,7 +29,7 @@
 pub use self::{
     answer::Answer,
     claims::Claims,
-    desk::{Actions, Desk},
+    dispatcher::{Actions, Dispatcher},
     driver::Driver,
     facts::Facts,
     host::Host,
--- a/crates/daemon/src/app/agent/attempt.rs
+++ b/crates/daemon/src/app/agent/attempt.rs
@@ -82,8 +82,8 @@
         let Ok(request) = self.outgoing(body) else {
             return Step::Faulty(Kind::BadRequest);
         };
-        let (desk, id) = (&self.server.desk, self.id);
-        if !desk.decide(|agent, now| agent.may_start(now, id)) {
+        let (dispatcher, id) = (&self.server.dispatcher, self.id);
+        if !dispatcher.decide(|agent, now| agent.may_start(now, id)) {
             return Step::Withdrawn;
         }
         let started = Instant::now();
--- a/crates/daemon/src/app/agent/desk.rs
+++ b/crates/daemon/src/app/agent/dispatcher.rs
@@ -26,7 +26,7 @@
 /// Holds the decision core. Its lock is never held across an await point. The only lock taken
 /// under it is that of the time line.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Dispatcher {
     inner: Mutex<Inner>,
     recorder: Recorder,
     sooner: Notify,
@@ -41,7 +41,7 @@
     lingering: Vec<RequestId>,
 }
 
-impl Desk {
+impl Dispatcher {
     /// Wraps the decision core.
     pub fn new(agent: agent::Agent, recorder: Recorder) -> Self {
         Self {
--- a/crates/daemon/src/app/agent/exchange.rs
+++ b/crates/daemon/src/app/agent/exchange.rs
@@ -115,13 +115,13 @@
         streamed: None,
         answered: false,
     };
-    let actions = server.desk.arrive(arrived);
+    let actions = server.dispatcher.arrive(arrived);
     exchange.run(actions, cancel).await;
 }
 
 /// The answer of the path that gives tickets.
 fn ticket_answer(server: &Server) -> Answer {
-    match server.desk.look(|agent, now| agent.load(now).state) {
+    match server.dispatcher.look(|agent, now| agent.load(now).state) {
         state if state.takes_work() => Answer::ran(
             StatusCode::NO_CONTENT,
             Default::default(),
@@ -193,8 +193,8 @@
 
     fn decide(&self, event: impl FnOnce(&mut agent::Agent, Instant, RequestId)) {
         let id = self.attempt.id;
-        let desk = &self.attempt.server.desk;
-        desk.decide(|agent, now| event(agent, now, id));
+        let dispatcher = &self.attempt.server.dispatcher;
+        dispatcher.decide(|agent, now| event(agent, now, id));
     }
 
     /// Carries out one decision.
@@ -219,14 +219,14 @@
             Action::Claim { id, key, nonce } => {
                 tokio::spawn(async move {
                     let result = attempt.server.claim(&key, nonce).await;
-                    let desk = &attempt.server.desk;
-                    desk.decide(|agent, now| agent.claimed(now, id, result));
+                    let dispatcher = &attempt.server.dispatcher;
+                    dispatcher.decide(|agent, now| agent.claimed(now, id, result));
                 });
             }
             Action::Answer { reply, .. } => {
                 self.answer(reply).await;
                 self.answered = true;
-                attempt.server.desk.answered(attempt.id);
+                attempt.server.dispatcher.answered(attempt.id);
             }
             Action::LimitChanged { .. } | Action::Collapsed => {}
         }
@@ -329,13 +329,13 @@
 impl Drop for Exchange {
     /// Gives back what the request occupies if its task ended before its time.
     fn drop(&mut self) {
-        let (desk, id) = (&self.attempt.server.desk, self.attempt.id);
-        if desk.look(|agent, _| agent.is_open(id)) {
+        let (dispatcher, id) = (&self.attempt.server.dispatcher, self.attempt.id);
+        if dispatcher.look(|agent, _| agent.is_open(id)) {
             self.decide(agent::Agent::cancelled);
             self.decide(|agent, now, id| agent.finished(now, id, Finish::Cut));
         }
         if !self.answered {
-            desk.answered(id);
+            dispatcher.answered(id);
         }
     }
 }
--- a/crates/daemon/src/app/agent/lifecycle.rs
+++ b/crates/daemon/src/app/agent/lifecycle.rs
@@ -174,7 +174,7 @@
     pub async fn run(self) -> anyhow::Result<()> {
         let result = tokio::select! {
             received = self.server.socket.run() => received.map_err(anyhow::Error::from),
-            () = self.server.desk.run() => Ok(()),
+            () = self.server.dispatcher.run() => Ok(()),
             () = neighbours::listen(&self.server) => Ok(()),
             phases = self.phases() => phases,
         };
@@ -219,8 +219,8 @@
         };
         if snapshot.document.version > progress.version {
             progress.version = snapshot.document.version;
-            let desk = &self.server.desk;
-            desk.decide(|agent, now| agent.config(now, &snapshot));
+            let dispatcher = &self.server.dispatcher;
+            dispatcher.decide(|agent, now| agent.config(now, &snapshot));
         }
     }
 
@@ -245,14 +245,14 @@
         if !self.leaving.load(Ordering::Relaxed) {
             return false;
         }
-        let desk = &self.server.desk;
+        let dispatcher = &self.server.dispatcher;
         let since = *progress.left.get_or_insert_with(|| {
-            desk.decide(agent::Agent::drain);
+            dispatcher.decide(agent::Agent::drain);
             now
         });
         let limit = self.server.role.drain_deadline_ms;
         let late = limit.is_some_and(|limit| now - since >= Duration::from_millis(limit));
-        late || (self.server.flows() == 0 && desk.look(|agent, _| agent.open()) == 0)
+        late || (self.server.flows() == 0 && dispatcher.look(|agent, _| agent.open()) == 0)
     }
 
     /// The phase that configuration and signals ask for.
@@ -305,7 +305,7 @@
             return false;
         }
         let out = *progress.out.get_or_insert(now);
-        if self.server.desk.look(|agent, _| agent.is_busy()) {
+        if self.server.dispatcher.look(|agent, _| agent.is_busy()) {
             progress.idle = None;
         } else {
             progress.idle.get_or_insert(now);
@@ -343,7 +343,7 @@
 
     /// Puts the load on the frames.
     fn publish(&self, phase: Phase) {
-        let load = self.server.desk.look(agent::Agent::load);
+        let load = self.server.dispatcher.look(agent::Agent::load);
         let flows = self.server.flows();
         metrics::gauge!("sassafrasmast_agent_flows").set(flows);
         metrics::gauge!("sassafrasmast_agent_running").set(load.running);
--- a/crates/daemon/src/app/agent/neighbours.rs
+++ b/crates/daemon/src/app/agent/neighbours.rs
@@ -18,7 +18,7 @@
 /// Asks some peers for their load if requests wait here or the agent is draining. Returns
 /// whether it did.
 pub fn probe(server: &Server) -> bool {
-    let load = server.desk.look(agent::Agent::load);
+    let load = server.dispatcher.look(agent::Agent::load);
     let draining = load.state == State::Draining && load.running > 0;
     if load.queued == 0 && load.running < load.limit && !draining {
         return false;
@@ -41,7 +41,9 @@
             peer.is_some_and(|peer| peer.agent == from)
         });
         if known {
-            server.desk.decide(|core, now| core.peer(now, agent, load));
+            server
+                .dispatcher
+                .decide(|core, now| core.peer(now, agent, load));
         }
     }
 }
--- a/crates/daemon/src/app/agent/server.rs
+++ b/crates/daemon/src/app/agent/server.rs
@@ -17,7 +17,7 @@
 use sassafrasmast_wire::Incarnation;
 use tokio::sync::{Semaphore, watch};
 
-use super::{Claims, Desk, Phase, Upstream};
+use super::{Claims, Dispatcher, Phase, Upstream};
 use crate::{
     options::{Agent, Settings},
     quic::Socket,
@@ -44,7 +44,7 @@
     /// The one upstream.
     pub upstream: Upstream,
     /// Decides about requests.
-    pub desk: Desk,
+    pub dispatcher: Dispatcher,
     /// Writes the time line.
     pub recorder: Recorder,
     /// Where the agent is in its life.
@@ -85,7 +85,7 @@
         };
         Self {
             upstream: Upstream::new(role.upstream),
-            desk: Desk::new(core, recorder.clone()),
+            dispatcher: Dispatcher::new(core, recorder.clone()),
             reading: Semaphore::new(MAX_READING),
             claims,
             settings,
@@ -140,7 +140,7 @@
 
     /// A fresh sealed ticket, unless the agent takes no new work.
     pub fn ticket(&self) -> Option<String> {
-        let ticket = self.desk.decide(agent::Agent::ticket)?;
+        let ticket = self.dispatcher.decide(agent::Agent::ticket)?;
         let snapshot = self.blackboard.config()?;
         Some(ticket.seal(&snapshot.keys, rand::random()))
     }
--- a/crates/daemon/tests/agent/site.rs
+++ b/crates/daemon/tests/agent/site.rs
@@ -181,7 +181,12 @@
     pub async fn warm(&self) -> Caller {
         let caller = self.caller().await;
         for _ in 0..500 {
-            if self.server().desk.look(|agent, now| agent.load(now).limit) >= 2 {
+            if self
+                .server()
+                .dispatcher
+                .look(|agent, now| agent.load(now).limit)
+                >= 2
+            {
                 return caller;
             }
             let (mut one, mut two) = (caller.clone(), caller.clone());
--- a/crates/daemon/tests/agent/storm.rs
+++ b/crates/daemon/tests/agent/storm.rs
@@ -67,10 +67,12 @@
     let started = |site: &Site| site.counts.started.load(Ordering::Relaxed);
     assert!(ran > 0 && started(&one_site) + started(&two_site) >= ran);
     for site in [&one_site, &two_site] {
-        let desk = &site.server().desk;
-        site.wait_until(|_| desk.look(|agent, _| agent.open()) == 0 && desk.waiting() == 0)
-            .await;
-        let load = desk.look(|agent, now| agent.load(now));
+        let dispatcher = &site.server().dispatcher;
+        site.wait_until(|_| {
+            dispatcher.look(|agent, _| agent.open()) == 0 && dispatcher.waiting() == 0
+        })
+        .await;
+        let load = dispatcher.look(|agent, now| agent.load(now));
         assert_eq!((load.running, load.queued), (0, 0));
     }
 }
