--- a/crates/experiments/src/measure.rs
+++ b/crates/experiments/src/measure.rs
@@ -14,7 +14,7 @@
     pub answered: u64,
     /// Given up without an answer of an upstream and known not to have run.
     pub not_run: u64,
-    /// Given up without knowing.
+    /// Failed by an upstream, or given up without knowing whether they ran.
     pub unknown: u64,
 }
 
