test: feeds show whose they are before the first random fault

Ruled out: a feed of another agent, as the error is the reset that a new incarnation sends. All feeds are now read for a second first, and none may break in it; the assertions stay.

--- a/crates/standins/tests/disorder.rs
+++ b/crates/standins/tests/disorder.rs
@@ -24,6 +24,9 @@
 /// The only agent that is killed; feeds of all others must live.
 const KILLED: &str = "agent-dispatch-0";
 
+/// Time in which all feeds show their first line.
+const FIRST_LINES: Duration = Duration::from_secs(1);
+
 /// One fault and what it hits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
@@ -123,6 +126,9 @@
     };
     let mut deployment = Deployment::start(settings).await.expect("starts");
     let feeds = Feeds::open(&deployment, 30).await.expect("feeds open");
+    // The first line of a feed tells whose it is, which is judged by when the feed breaks.
+    let feeds = feeds.read(Instant::now() + FIRST_LINES).await;
+    assert!(feeds.broken.is_empty(), "{:?}", feeds.broken);
     let end = Instant::now() + GAP * (u32::try_from(FAULTS).expect("few") + 2);
     let reading = tokio::spawn(feeds.read(end));
     let booking = Bookings::until(&deployment, "disorder", CALLERS, end).expect("callers");
