refactor: one way to connect to a peer, one deployment without upstreams, one confirmed record

Calls and relays connected by the same lines; two test files started the same deployment and two others made the same record. Behaviour is unchanged.

--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -15,7 +15,7 @@
 
 use std::collections::BTreeMap;
 
-use sassafrasmast_core::config::{Change, Document, Secrets, Service};
+use sassafrasmast_core::config::{Change, Document, Record, Secrets, Service};
 
 /// The first document of a fleet.
 fn first() -> Document {
@@ -75,3 +75,17 @@
         .apply(&changes, &[3; 32])
         .expect("the changes make sense")
 }
+
+/// What `changes` make of `base`, and the record of it.
+fn confirmed(base: &Document, changes: Vec<Change>) -> (Document, Record) {
+    let mut next = base.apply(&changes, &[4; 32]).expect("the changes apply");
+    next.remember("op".to_owned());
+    let record = Record {
+        version: next.version,
+        operation: "op".to_owned(),
+        changes,
+        fresh: [4; 32],
+        digest: next.digest(),
+    };
+    (next, record)
+}
--- a/crates/core/tests/config/fuzz.rs
+++ b/crates/core/tests/config/fuzz.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use sassafrasmast_core::config::{Change, Document, Plan, Record};
 
-use super::{admit, fleet, zone_out};
+use super::{admit, confirmed, fleet, zone_out};
 
 /// Replaces some bytes of `text`, mostly by others that JSON uses.
 fn spoil(text: &str, spots: &[(usize, char)]) -> String {
@@ -41,16 +41,7 @@
     #[test]
     fn a_spoilt_record_follows_nothing_else(spots in spots()) {
         let base = fleet();
-        let changes = vec![zone_out("centro")];
-        let mut next = base.apply(&changes, &[4; 32]).unwrap();
-        next.remember("op".to_owned());
-        let record = Record {
-            version: next.version,
-            operation: "op".to_owned(),
-            changes,
-            fresh: [4; 32],
-            digest: next.digest(),
-        };
+        let (_, record) = confirmed(&base, vec![zone_out("centro")]);
         let text = spoil(&serde_json::to_string(&record).unwrap(), &spots);
         if let Ok(record) = serde_json::from_str::<Record>(&text) {
             // Whatever follows is the document whose digest was confirmed.
--- a/crates/core/tests/config/rules.rs
+++ b/crates/core/tests/config/rules.rs
@@ -1,9 +1,9 @@
 //! The rules that documents keep, whatever wrote them.
 
 use expect_test::expect;
-use sassafrasmast_core::config::{Document, Record};
+use sassafrasmast_core::config::Document;
 
-use super::{add_zone, fleet, zone_out};
+use super::{add_zone, confirmed, fleet, zone_out};
 
 #[test]
 fn documents_that_break_a_rule_are_refused() {
@@ -58,16 +58,7 @@
 #[test]
 fn a_record_follows_only_its_own_base() {
     let base = fleet();
-    let changes = vec![zone_out("centro")];
-    let mut next = base.apply(&changes, &[4; 32]).unwrap();
-    next.remember("op".to_owned());
-    let record = Record {
-        version: next.version,
-        operation: "op".to_owned(),
-        changes,
-        fresh: [4; 32],
-        digest: next.digest(),
-    };
+    let (next, record) = confirmed(&base, vec![zone_out("centro")]);
     assert_eq!(record.follow(&base), Some(next.clone()));
     assert_eq!(record.follow(&next), None);
     let other = base.apply(&[add_zone("third")], &[0; 32]).unwrap();
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -11,6 +11,7 @@
 mod reply;
 mod server;
 
+pub(crate) use self::client::connect;
 pub use self::{
     call::Call,
     client::call,
--- a/crates/daemon/src/peer/client.rs
+++ b/crates/daemon/src/peer/client.rs
@@ -3,7 +3,10 @@
 use std::{net::IpAddr, time::Duration};
 
 use sassafrasmast_wire::Address;
-use tokio::{net::TcpSocket, time::timeout};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::timeout,
+};
 
 use super::{
     Call, Error, Reply,
@@ -25,6 +28,13 @@
 }
 
 async fn exchange(from: IpAddr, to: Address, call: &Call) -> Result<Reply, Error> {
+    let mut stream = connect(from, to).await?;
+    codec::write(&mut stream, call, MAX_CALL_BYTES).await?;
+    codec::read(&mut stream, MAX_REPLY_BYTES).await
+}
+
+/// Connects from the local address `from`, by which the peer knows this process.
+pub(crate) async fn connect(from: IpAddr, to: Address) -> std::io::Result<TcpStream> {
     let socket = if to.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -33,8 +43,7 @@
     if from.is_ipv4() == to.is_ipv4() {
         socket.bind((from, 0).into())?;
     }
-    let mut stream = socket.connect(to).await?;
+    let stream = socket.connect(to).await?;
     stream.set_nodelay(true)?;
-    codec::write(&mut stream, call, MAX_CALL_BYTES).await?;
-    codec::read(&mut stream, MAX_REPLY_BYTES).await
+    Ok(stream)
 }
--- a/crates/daemon/src/relay/line.rs
+++ b/crates/daemon/src/relay/line.rs
@@ -4,10 +4,7 @@
 
 use sassafrasmast_wire::Address;
 use tokio::{
-    net::{
-        TcpSocket,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     time::timeout,
 };
 
@@ -15,6 +12,7 @@
 use crate::peer::{
     Call, Error,
     codec::{self, MAX_CALL_BYTES},
+    connect,
 };
 
 /// A peer that does not accept a connection for this long cannot be reached.
@@ -72,17 +70,3 @@
         (Sender::new(self.write), Receiver::new(self.read))
     }
 }
-
-async fn connect(from: IpAddr, to: Address) -> std::io::Result<tokio::net::TcpStream> {
-    let socket = if to.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    if from.is_ipv4() == to.is_ipv4() {
-        socket.bind((from, 0).into())?;
-    }
-    let stream = socket.connect(to).await?;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-}
--- a/crates/standins/src/deployment/harness.rs
+++ b/crates/standins/src/deployment/harness.rs
@@ -17,7 +17,7 @@
 use serde_json::Value;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
-use super::{Network, Operator, Settings};
+use super::{Network, Operator, ServiceSettings, Settings};
 use crate::{
     caller::{self, Client},
     certificate::{self, Certificate},
@@ -106,6 +106,22 @@
         Ok(deployment)
     }
 
+    /// Starts the default balancers without any upstream and creates zones and one service.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start`].
+    pub async fn without_upstreams() -> anyhow::Result<Self> {
+        let settings = Settings {
+            services: vec![ServiceSettings::new("dispatch", 0)],
+            ..Settings::default()
+        };
+        let mut deployment = Self::prepare(settings).await?;
+        deployment.launch()?;
+        deployment.create().await?;
+        Ok(deployment)
+    }
+
     /// Makes the directory with the certificate; starts nothing. Waits while many deployments of
     /// this process run.
     ///
--- a/crates/standins/tests/balancers.rs
+++ b/crates/standins/tests/balancers.rs
@@ -17,17 +17,6 @@
 /// Longest time in which a started balancer is listed by another.
 const BOOT: Duration = Duration::from_secs(10);
 
-async fn start() -> Deployment {
-    let settings = Settings {
-        services: vec![ServiceSettings::new("dispatch", 0)],
-        ..Settings::default()
-    };
-    let mut deployment = Deployment::prepare(settings).await.expect("a directory");
-    deployment.launch().expect("the processes start");
-    deployment.create().await.expect("zones and services");
-    deployment
-}
-
 /// Waits until the first balancer lists `count` balancers.
 async fn listed(deployment: &Deployment, count: usize, limit: Duration) {
     let operator = deployment.operator(0);
@@ -44,7 +33,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stopped_balancer_leaves_the_list_within_seconds_and_comes_back() {
-    let mut deployment = start().await;
+    let mut deployment = Deployment::without_upstreams().await.unwrap();
     let all = deployment.operator(0).status().await.expect("a status");
     let count = all.balancers.len().max(3);
     listed(&deployment, count, BOOT).await;
--- a/crates/standins/tests/configuration.rs
+++ b/crates/standins/tests/configuration.rs
@@ -5,7 +5,7 @@
 use nix::sys::signal::Signal;
 use sassafrasmast_core::config::Change;
 use sassafrasmast_standins::{
-    deployment::{Deployment, ServiceSettings, Settings, until},
+    deployment::{Deployment, until},
     store::Fault,
 };
 
@@ -15,18 +15,6 @@
 /// Longest time in which a started balancer answers.
 const BOOT: Duration = Duration::from_secs(10);
 
-/// Balancers without upstreams.
-async fn start() -> Deployment {
-    let settings = Settings {
-        services: vec![ServiceSettings::new("dispatch", 0)],
-        ..Settings::default()
-    };
-    let mut deployment = Deployment::prepare(settings).await.expect("a directory");
-    deployment.launch().expect("the processes start");
-    deployment.create().await.expect("zones and services");
-    deployment
-}
-
 fn zone(name: &str) -> Vec<Change> {
     vec![Change::AddZone {
         zone: name.to_owned(),
@@ -46,7 +34,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn one_of_two_racing_plans_is_confirmed_and_in_force_everywhere() {
-    let deployment = start().await;
+    let deployment = Deployment::without_upstreams().await.unwrap();
     let (one, two) = (deployment.operator(0), deployment.operator(1));
     let version = two.status().await.unwrap().version.max(2);
     deployment.in_force(version, FEW_SECONDS).await.unwrap();
@@ -66,7 +54,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn confirm_whose_reply_is_lost_counts_once() {
-    let deployment = start().await;
+    let deployment = Deployment::without_upstreams().await.unwrap();
     let operator = deployment.operator(0);
     let plan = operator.plan(zone("lost")).await.unwrap();
     let lose = Fault {
@@ -84,7 +72,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn balancer_that_boots_in_an_outage_gets_the_configuration_from_a_peer() {
-    let mut deployment = start().await;
+    let mut deployment = Deployment::without_upstreams().await.unwrap();
     let operator = deployment.operator(0);
     let version = operator.status().await.unwrap().version;
     fault(&deployment, down()).await;
@@ -116,7 +104,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn version_never_falls_when_the_store_comes_back_empty() {
-    let mut deployment = start().await;
+    let mut deployment = Deployment::without_upstreams().await.unwrap();
     let operators = [0, 1, 2].map(|index| deployment.operator(index));
     let version = operators[0].status().await.unwrap().version;
     deployment.in_force(version, FEW_SECONDS).await.unwrap();
@@ -139,7 +127,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn paused_balancer_has_the_configuration_seconds_after_it_goes_on() {
-    let mut deployment = start().await;
+    let mut deployment = Deployment::without_upstreams().await.unwrap();
     let version = deployment.operator(0).status().await.unwrap().version;
     deployment.in_force(version, FEW_SECONDS).await.unwrap();
     deployment.signal("balancer-2", Signal::SIGSTOP).unwrap();
