refactor(store): the store's edge in a crate of its own

Flow forwarding meets the platform's store at the same trait without the daemon's libraries. Entry loses its count of changes, which nothing read.

--- a/crates/daemon/src/store/etcd/message.rs
+++ b/crates/daemon/src/store/etcd/message.rs
@@ -102,8 +102,6 @@
     #[serde(default, deserialize_with = "number")]
     mod_revision: i64,
     #[serde(default, deserialize_with = "number")]
-    version: i64,
-    #[serde(default, deserialize_with = "number")]
     lease: i64,
 }
 
@@ -118,7 +116,6 @@
             value: decode(&kv.value)?,
             create_revision: kv.create_revision,
             mod_revision: kv.mod_revision,
-            version: kv.version,
             lease: (kv.lease != 0).then_some(kv.lease),
         })
     }
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -49,7 +49,6 @@
             value,
             create_revision: 1,
             mod_revision: 1,
-            version: 1,
             lease: None,
         });
         Ok(Listing {
--- a/crates/daemon/tests/config/fake.rs
+++ b/crates/daemon/tests/config/fake.rs
@@ -109,7 +109,6 @@
             value,
             create_revision: self.revision,
             mod_revision: self.revision,
-            version: 1,
             lease,
         };
         self.entries.insert(key, entry.clone());
--- a/crates/daemon/src/store/entry.rs
+++ b/crates/store/src/entry.rs
@@ -13,8 +13,6 @@
     pub create_revision: Revision,
     /// Revision of the last change. Comparing with it gives compare-and-swap.
     pub mod_revision: Revision,
-    /// Changes since creation, from 1.
-    pub version: i64,
     /// Lease that the key lives under, if any.
     pub lease: Option<LeaseId>,
 }
--- a/crates/daemon/src/store/error.rs
+++ b/crates/store/src/error.rs
@@ -36,7 +36,7 @@
     /// Whether a write that ended with this error may have taken effect.
     ///
     /// ```
-    /// use sassafrasmastd::store::Error;
+    /// use sassafrasmast_store::Error;
     /// assert!(Error::Unreachable("timeout".into()).is_unsettled());
     /// assert!(!Error::LeaseNotFound.is_unsettled());
     /// ```
--- a/crates/daemon/src/store/range.rs
+++ b/crates/store/src/range.rs
@@ -15,7 +15,7 @@
     /// First key covered.
     ///
     /// ```
-    /// use sassafrasmastd::store::Range;
+    /// use sassafrasmast_store::Range;
     /// assert_eq!(Range::Key("a".into()).start(), "a");
     /// ```
     pub fn start(&self) -> &str {
@@ -27,7 +27,7 @@
     /// First key beyond those covered, if more than one key is.
     ///
     /// ```
-    /// use sassafrasmastd::store::Range;
+    /// use sassafrasmast_store::Range;
     /// assert_eq!(Range::Prefix("a/".into()).end(), Some(b"a0".to_vec()));
     /// ```
     pub fn end(&self) -> Option<Vec<u8>> {
