feat(core): decisions of flow forwarding

Balancer: placement by load among the best ranked upstreams, a bounded table learnt from agents' words, a search for the home of unknown flows. Agent: the last word on service, zone, drain and cold limit.

--- /dev/null
+++ b/crates/core/src/flow/agent.rs
@@ -0,0 +1,391 @@
+//! The decisions of an agent: whether a packet goes to the upstream beside it.
+//!
+//! The agent sees its upstream first hand: its announcements, each packet in both directions and
+//! what it refuses. So each limit is enforced here, whatever a balancer believes.
+
+mod action;
+mod announcement;
+mod delivery;
+mod flow;
+mod settings;
+mod upstream;
+
+use std::{
+    collections::HashMap,
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+pub use self::{
+    action::Action,
+    announcement::Announcement,
+    delivery::Delivery,
+    flow::{Flow, Phase},
+    settings::Settings,
+    upstream::{Change, Upstream},
+};
+use super::{
+    Gate, Head, Intent, Key, Purpose, Reason, Report, Revision, State, balancer::ResetCause,
+};
+
+/// Time in which an upstream answers an opening packet or gives it back: it does so before any
+/// work, so this is a few wake-ups of a busy process.
+const OPENING_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// How often forgotten flows are looked for.
+const SWEEP_EVERY: Duration = Duration::from_secs(2);
+
+/// Flows accepted within this time before the first announcement of a new start may belong to it:
+/// one announcement interval and its delay.
+const ANNOUNCEMENT_LAG: Duration = Duration::from_millis(1_500);
+
+/// A request that got no answer for this long no longer counts as work: longer than clients wait.
+const BUSY_FOR: Duration = Duration::from_secs(3);
+
+/// An agent's state. Inputs append what is to be done to `actions`.
+#[derive(Debug)]
+pub struct Agent {
+    settings: Settings,
+    intent: Option<Arc<Intent>>,
+    upstream: Upstream,
+    gate: Gate,
+    flows: HashMap<Key, Flow>,
+    /// Opening packets that the upstream has not answered yet.
+    opening: Vec<Key>,
+    swept_at: Instant,
+    reported: Option<(State, u64)>,
+}
+
+impl Agent {
+    /// An agent that has not heard of its upstream yet.
+    pub fn new(now: Instant, settings: Settings) -> Self {
+        Self {
+            settings,
+            intent: None,
+            upstream: Upstream::default(),
+            gate: Gate::default(),
+            flows: HashMap::new(),
+            opening: Vec::new(),
+            swept_at: now,
+            reported: None,
+        }
+    }
+
+    /// The intent in force.
+    pub fn intent(&self) -> Option<&Arc<Intent>> {
+        self.intent.as_ref()
+    }
+
+    /// What is known of the upstream.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Flows that the agent knows.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Puts a newer intent in force; an older one is passed over.
+    pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
+        if self
+            .intent
+            .as_ref()
+            .is_some_and(|own| own.revision >= intent.revision)
+        {
+            return false;
+        }
+        self.intent = Some(intent);
+        true
+    }
+
+    /// What the agent tells of itself.
+    pub fn report(&mut self, now: Instant) -> Report {
+        let limit = self.cold_limit();
+        let headroom = self.gate.headroom(now, limit);
+        let busy = self
+            .flows
+            .values()
+            .filter(|flow| flow.is_busy(now, BUSY_FOR))
+            .count();
+        Report {
+            agent: self.settings.incarnation,
+            upstream: self.upstream.started(),
+            state: self.upstream.state(now),
+            slots: self.upstream.slots(),
+            busy: u16::try_from(busy).unwrap_or(u16::MAX),
+            flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
+            headroom: u16::try_from(headroom).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// Whether what the agent tells differs from what [`Self::mark_reported`] last noted.
+    pub fn has_news(&self, now: Instant) -> bool {
+        self.reported != Some((self.upstream.state(now), self.upstream.started()))
+    }
+
+    /// Notes that the present state was told to all balancers.
+    pub fn mark_reported(&mut self, now: Instant) {
+        self.reported = Some((self.upstream.state(now), self.upstream.started()));
+    }
+
+    /// New flows that a cold upstream is given within a second.
+    fn cold_limit(&self) -> usize {
+        let rate = self
+            .intent
+            .as_ref()
+            .and_then(|intent| intent.policy.services.get(&self.settings.service))
+            .map_or(0.0, |service| service.cold_rate);
+        let bound = rate * self.settings.cold_coverage + self.settings.cold_slack;
+        let preferred = (bound * self.settings.cold_use).floor();
+        // Never negative, and far below the range of the type.
+        preferred.max(1.0) as usize
+    }
+
+    /// Decides on a client's packet that a balancer sent. `sender_revision` is the revision in
+    /// force at the balancer.
+    pub fn deliver(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        delivery: &Delivery<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = delivery.head.client_flow();
+        if delivery.head.opens() {
+            self.open(now, from, flow, delivery, actions);
+            return;
+        }
+        match self.flows.get_mut(&flow) {
+            Some(known) if known.refutes(delivery.head) => {
+                actions.push(Action::Missing { to: from, flow });
+            }
+            Some(known) => {
+                known.client_packet(now, from, delivery.head);
+                if delivery.purpose == Purpose::Find {
+                    if known.phase() == Phase::Unsure {
+                        known.ask(from);
+                    } else {
+                        actions.push(Action::Found { to: from, flow });
+                    }
+                }
+                actions.push(Action::ToUpstream);
+            }
+            None if self.upstream.is_gone() || self.upstream.is_known_from_start() => {
+                actions.push(Action::Missing { to: from, flow });
+            }
+            None => {
+                // This agent is younger than its upstream, which alone knows its flows.
+                let mut unsure = Flow::unsure(now, from);
+                unsure.client_packet(now, from, delivery.head);
+                if delivery.purpose == Purpose::Find {
+                    unsure.ask(from);
+                }
+                self.flows.insert(flow, unsure);
+                actions.push(Action::ToUpstream);
+            }
+        }
+    }
+
+    /// Decides on an opening packet.
+    fn open(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        flow: Key,
+        delivery: &Delivery<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(known) = self.flows.get_mut(&flow)
+            && known.phase() != Phase::Unsure
+        {
+            known.set_opener(from);
+            actions.push(Action::ToUpstream);
+            return;
+        }
+        if let Some(reason) = self.refusal(now, &flow, delivery) {
+            actions.push(Action::Return { to: from, reason });
+            return;
+        }
+        self.gate.admit(now);
+        self.upstream.opening_sent(now);
+        self.flows
+            .insert(flow, Flow::opening(now, from, delivery.packet));
+        self.opening.push(flow);
+        actions.push(Action::ToUpstream);
+    }
+
+    /// Why an opening packet may not go to the upstream.
+    fn refusal(&mut self, now: Instant, flow: &Key, delivery: &Delivery<'_>) -> Option<Reason> {
+        if delivery.service != &*self.settings.service {
+            return Some(Reason::WrongService);
+        }
+        let own = self.intent.as_ref();
+        if let Some(intent) = own.filter(|intent| intent.revision >= delivery.sender_revision) {
+            let route = intent.policy.routes.get(&flow.route);
+            if !route.is_some_and(|route| route.leads_to(&self.settings.service)) {
+                return Some(Reason::WrongService);
+            }
+        }
+        if own.is_some_and(|intent| intent.is_out(&self.settings.zone)) {
+            return Some(Reason::ZoneOut);
+        }
+        match self.upstream.state(now) {
+            State::Ready => None,
+            State::Unknown | State::Cold => {
+                let limit = self.cold_limit();
+                (self.gate.headroom(now, limit) == 0).then_some(Reason::Cold)
+            }
+            State::Draining | State::Gone => Some(Reason::Leaving),
+            State::Silent if self.upstream.may_try(now) => None,
+            State::Silent => Some(Reason::Silent),
+        }
+    }
+
+    /// Decides on a packet that the upstream wrote or gave back.
+    pub fn upstream_packet(&mut self, now: Instant, head: &Head, actions: &mut Vec<Action>) {
+        self.upstream.heard(now);
+        if head.flags.bounced {
+            self.bounced(head, actions);
+            return;
+        }
+        actions.push(Action::ToClient);
+        let flow = head.upstream_flow();
+        let Some(known) = self.flows.get_mut(&flow) else {
+            // A flow from before this agent's start.
+            self.flows.insert(flow, Flow::of_upstream(now, head));
+            return;
+        };
+        let was_opening = known.phase() == Phase::Opening;
+        known.upstream_packet(now, head);
+        if let Some(asker) = known.take_asker() {
+            actions.push(Action::Found { to: asker, flow });
+        }
+        if head.flags.syn
+            && let Some(opener) = known.opener()
+        {
+            actions.push(Action::Accepted {
+                to: opener,
+                flow,
+                sequence: head.sequence,
+            });
+        }
+        if was_opening {
+            self.opening.retain(|key| *key != flow);
+        }
+    }
+
+    /// The upstream gave a packet back.
+    fn bounced(&mut self, head: &Head, actions: &mut Vec<Action>) {
+        let flow = head.client_flow();
+        let Some(known) = self.flows.get(&flow) else {
+            return;
+        };
+        if head.opens() {
+            if known.phase() != Phase::Opening {
+                return;
+            }
+            if let Some(to) = known.opener() {
+                let reason = Reason::Shed;
+                actions.push(Action::Return { to, reason });
+            }
+            self.opening.retain(|key| *key != flow);
+            self.flows.remove(&flow);
+            return;
+        }
+        let to = known.sender();
+        self.flows.remove(&flow);
+        actions.push(Action::Missing { to, flow });
+    }
+
+    /// Takes an announcement of the upstream. Tells what changed.
+    pub fn announce(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+        actions: &mut Vec<Action>,
+    ) -> Change {
+        let change = self.upstream.announce(now, announcement);
+        if change == Change::Restarted {
+            self.reset_flows(now, actions);
+        }
+        change
+    }
+
+    /// The upstream has said that it is leaving for good.
+    pub fn deregister(&mut self, now: Instant, id: &str, actions: &mut Vec<Action>) -> Change {
+        let change = self.upstream.deregister(id);
+        if change == Change::Left {
+            self.reset_flows(now, actions);
+        }
+        change
+    }
+
+    /// Resets the flows of an upstream's earlier start: it knows none of them.
+    fn reset_flows(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.flows.retain(|&key, flow| {
+            if flow.is_younger_than(now, ANNOUNCEMENT_LAG) {
+                return true;
+            }
+            if flow.phase() == Phase::Open {
+                actions.push(Action::Reset {
+                    flow: key,
+                    sequence: flow.acknowledgement(),
+                    cause: ResetCause::Restarted,
+                });
+            }
+            false
+        });
+        let flows = &self.flows;
+        self.opening.retain(|key| flows.contains_key(key));
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let late: Vec<Key> = self
+            .opening
+            .iter()
+            .filter(|key| {
+                self.flows
+                    .get(key)
+                    .is_none_or(|flow| !flow.is_younger_than(now, OPENING_TIMEOUT))
+            })
+            .copied()
+            .collect();
+        for key in late {
+            self.opening.retain(|opening| *opening != key);
+            self.upstream.opening_lost(now);
+            // The flow stays known: the upstream may still accept it late.
+            if let Some(flow) = self.flows.get_mut(&key)
+                && let (Some(to), Some(packet)) = (flow.opener(), flow.take_opening())
+            {
+                actions.push(Action::ReturnHeld {
+                    to,
+                    reason: Reason::Silent,
+                    packet,
+                });
+            }
+        }
+        if now.saturating_duration_since(self.swept_at) >= SWEEP_EVERY {
+            self.swept_at = now;
+            let idle = self
+                .intent
+                .as_ref()
+                .map_or(self.settings.idle_timeout, |intent| {
+                    intent.policy.idle_timeout
+                });
+            self.flows.retain(|_, flow| !flow.is_over(now, idle));
+        }
+    }
+
+    /// Whether an opening packet waits for the upstream's answer, so that ticks must come often.
+    pub fn is_opening(&self) -> bool {
+        !self.opening.is_empty()
+    }
+
+    /// The intent's revision, 0 if none.
+    pub fn revision(&self) -> Revision {
+        self.intent.as_ref().map_or(0, |intent| intent.revision)
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/agent/delivery.rs
@@ -0,0 +1,18 @@
+//! A packet that a balancer delivers.
+
+use crate::flow::{Head, Purpose, Revision};
+
+/// A packet that a balancer delivers.
+#[derive(Debug, Clone, Copy)]
+pub struct Delivery<'a> {
+    /// Why it came.
+    pub purpose: Purpose,
+    /// Service that an opening packet is meant for.
+    pub service: &'a str,
+    /// Revision in force at the balancer.
+    pub sender_revision: Revision,
+    /// The packet's head.
+    pub head: &'a Head,
+    /// The packet.
+    pub packet: &'a [u8],
+}
--- /dev/null
+++ b/crates/core/src/flow/balancer.rs
@@ -0,0 +1,471 @@
+//! The decisions of a balancer: which agent gets a client's packet.
+//!
+//! An opening packet is placed by load among the best ranked upstreams of its service; each copy
+//! goes to another one. Packets of an open flow follow the agent that was learnt from the agents'
+//! own words. The home of a flow that this balancer does not know is searched for: the packet is
+//! shown to the agents one wave after the other until one of them owns it.
+
+mod action;
+mod connection;
+mod members;
+mod search;
+mod settings;
+
+use std::{
+    collections::HashMap,
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use sassafrasmast_wire::flow::Body;
+
+pub use self::{
+    action::{Action, Drop, ResetCause},
+    connection::Connection,
+    members::Members,
+    search::Search,
+    settings::Settings,
+};
+use super::{Head, Intent, Key, Member, Purpose, Reason, ServiceName};
+
+/// How often forgotten flows are looked for.
+const SWEEP_EVERY: Duration = Duration::from_secs(2);
+
+/// A balancer's state. Inputs append what is to be done to `actions`.
+#[derive(Debug)]
+pub struct Balancer {
+    settings: Settings,
+    intent: Option<Arc<Intent>>,
+    members: Members,
+    flows: HashMap<Key, Connection>,
+    searches: HashMap<Key, Search>,
+    /// Since when the store's list of agents has been in hand.
+    synced_since: Option<Instant>,
+    swept_at: Instant,
+}
+
+impl Balancer {
+    /// A balancer that knows nothing yet.
+    pub fn new(now: Instant, settings: Settings) -> Self {
+        Self {
+            members: Members::new(settings.zone.clone()),
+            settings,
+            intent: None,
+            flows: HashMap::new(),
+            searches: HashMap::new(),
+            synced_since: None,
+            swept_at: now,
+        }
+    }
+
+    /// Whether it can place flows: it has the operators' intent and the list of agents.
+    pub fn is_ready(&self) -> bool {
+        self.intent.is_some() && self.synced_since.is_some()
+    }
+
+    /// The intent in force.
+    pub fn intent(&self) -> Option<&Arc<Intent>> {
+        self.intent.as_ref()
+    }
+
+    /// Agents and what is known of them.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Flows that the table holds.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Puts a newer intent in force; an older one is passed over.
+    pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
+        if self
+            .intent
+            .as_ref()
+            .is_some_and(|own| own.revision >= intent.revision)
+        {
+            return false;
+        }
+        self.intent = Some(intent);
+        true
+    }
+
+    /// Takes the store's whole list of agents.
+    pub fn set_members(&mut self, now: Instant, listed: Vec<Member>) {
+        self.members.replace(now, listed);
+        self.synced_since.get_or_insert(now);
+    }
+
+    /// Takes one agent as the store lists it now.
+    pub fn list_member(&mut self, member: Member) {
+        self.members.list(member);
+    }
+
+    /// Notes that the store no longer lists an agent. It may live all the same.
+    pub fn unlist_member(&mut self, now: Instant, address: SocketAddrV4) {
+        self.members.unlist(now, address);
+    }
+
+    /// Decides on a packet that came from a client.
+    pub fn client_packet(
+        &mut self,
+        now: Instant,
+        head: &Head,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = head.client_flow();
+        if head.opens() {
+            self.open(now, flow, bytes, actions);
+            return;
+        }
+        let Some(connection) = self.flows.get_mut(&flow) else {
+            self.search(now, flow, head, bytes, &[], actions);
+            return;
+        };
+        connection.touch(now, head);
+        match connection.home(head) {
+            Some(to) => self.follow(now, flow, to, bytes, actions),
+            None => {
+                let first = connection.candidates();
+                self.search(now, flow, head, bytes, &first, actions);
+            }
+        }
+    }
+
+    /// Sends a packet to the home of its flow.
+    fn follow(
+        &mut self,
+        now: Instant,
+        flow: Key,
+        to: SocketAddrV4,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        // A search that still runs is of an earlier home.
+        if let Some(search) = self.searches.get_mut(&flow) {
+            search.hold(now, bytes);
+            return;
+        }
+        actions.push(Action::Forward {
+            to,
+            purpose: Purpose::Known,
+            service: None,
+        });
+    }
+
+    /// Places an opening packet or a copy of it.
+    fn open(&mut self, now: Instant, flow: Key, bytes: &[u8], actions: &mut Vec<Action>) {
+        let Some(intent) = &self.intent else {
+            actions.push(Action::Drop(flow, Drop::NoIntent));
+            return;
+        };
+        let Some(route) = intent.policy.routes.get(&flow.route) else {
+            self.flows.remove(&flow);
+            actions.push(Action::Reset {
+                flow,
+                sequence: 0,
+                cause: ResetCause::NoRoute,
+            });
+            return;
+        };
+        if self.flows.len() >= self.settings.max_flows && !self.flows.contains_key(&flow) {
+            actions.push(Action::Drop(flow, Drop::TableFull));
+            return;
+        }
+        let Some(service) = route.service(&flow).cloned() else {
+            actions.push(Action::Drop(flow, Drop::NoBackend));
+            return;
+        };
+        let connection = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| Connection::new(now));
+        if let Some(to) = connection.accepted_by() {
+            // The upstream's reply was lost; it repeats it for a copy.
+            actions.push(Action::Forward {
+                to,
+                purpose: Purpose::Open,
+                service: Some(service),
+            });
+            return;
+        }
+        self.place(now, flow, service, bytes, None, actions);
+    }
+
+    /// Sends an opening packet to a candidate that has not had it yet. `refused` tells that the
+    /// last candidate handed it back.
+    fn place(
+        &mut self,
+        now: Instant,
+        flow: Key,
+        service: ServiceName,
+        bytes: &[u8],
+        refused: Option<Reason>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(intent) = &self.intent else {
+            return;
+        };
+        let settled = self.knows_members_for(now);
+        let Some(connection) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let tried = connection.candidates();
+        let chosen = self
+            .members
+            .choose(now, &flow, &service, &tried, &intent.zones_out);
+        match chosen {
+            Some(member) => {
+                member.placed = member.placed.saturating_add(1);
+                member.expect_answer(now);
+                let to = member.address;
+                connection.add_candidate(to);
+                actions.push(if refused.is_some() {
+                    Action::Send {
+                        to,
+                        purpose: Purpose::Open,
+                        service: Some(service),
+                        packet: bytes.into(),
+                    }
+                } else {
+                    Action::Forward {
+                        to,
+                        purpose: Purpose::Open,
+                        service: Some(service),
+                    }
+                });
+            }
+            None if tried.is_empty() && !settled => {
+                actions.push(Action::Drop(flow, Drop::NoUpstream));
+            }
+            None if connection.all_refused() => {
+                self.flows.remove(&flow);
+                actions.push(Action::Reset {
+                    flow,
+                    sequence: 0,
+                    cause: ResetCause::NoUpstream,
+                });
+            }
+            None => actions.push(Action::Drop(flow, Drop::NoUpstream)),
+        }
+    }
+
+    /// Whether the list of agents has been in hand for long enough to say that nobody can serve.
+    fn knows_members_for(&self, now: Instant) -> bool {
+        self.synced_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= self.settings.settle)
+    }
+
+    /// Takes a frame of an agent.
+    pub fn agent_frame(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        body: &Body<'_>,
+        head: Option<&Head>,
+        actions: &mut Vec<Action>,
+    ) {
+        match body {
+            Body::Accepted {
+                flow,
+                sequence,
+                report,
+            } => {
+                self.members.hear(now, from, *report);
+                if let Some(connection) = self.flows.get_mut(flow) {
+                    connection.accept(from, *sequence);
+                }
+            }
+            Body::Returned {
+                reason,
+                report,
+                packet,
+            } => {
+                self.members.hear(now, from, *report);
+                if let Some(head) = head {
+                    self.returned(now, from, head.client_flow(), *reason, packet, actions);
+                }
+            }
+            Body::Found { flow, report } => {
+                self.members.hear(now, from, *report);
+                self.found(now, *flow, from, actions);
+            }
+            Body::Missing {
+                flow,
+                report,
+                packet,
+            } => {
+                self.members.hear(now, from, *report);
+                if let Some(head) = head {
+                    self.missing(now, *flow, from, head, packet, actions);
+                }
+            }
+            Body::Report(report) => self.members.hear(now, from, *report),
+            Body::Deliver { .. } | Body::Probe => {}
+        }
+    }
+
+    /// An agent handed an opening packet back.
+    fn returned(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        flow: Key,
+        reason: Reason,
+        packet: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(connection) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        connection.refuse(from);
+        if connection.accepted_by().is_some() {
+            return;
+        }
+        let service = self
+            .intent
+            .as_ref()
+            .and_then(|intent| intent.policy.routes.get(&flow.route))
+            .and_then(|route| route.service(&flow).cloned());
+        if let Some(service) = service {
+            self.place(now, flow, service, packet, Some(reason), actions);
+        }
+    }
+
+    /// Starts or continues the search for the home of a flow.
+    fn search(
+        &mut self,
+        now: Instant,
+        flow: Key,
+        head: &Head,
+        bytes: &[u8],
+        first: &[SocketAddrV4],
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(search) = self.searches.get_mut(&flow) {
+            search.hold(now, bytes);
+            return;
+        }
+        if self.searches.len() >= self.settings.max_searches {
+            actions.push(Action::Drop(flow, Drop::TooManySearches));
+            return;
+        }
+        let route = self
+            .intent
+            .as_ref()
+            .and_then(|intent| intent.policy.routes.get(&flow.route));
+        let order = self.members.search_order(now, &flow, route, first);
+        let mut search = Search::new(now, order, head.acknowledgement, bytes);
+        search.next_wave(now, &mut self.members, actions);
+        self.searches.insert(flow, search);
+    }
+
+    /// An agent owns a flow.
+    fn found(&mut self, now: Instant, flow: Key, from: SocketAddrV4, actions: &mut Vec<Action>) {
+        if self.flows.len() < self.settings.max_flows || self.flows.contains_key(&flow) {
+            self.flows
+                .entry(flow)
+                .or_insert_with(|| Connection::new(now))
+                .settle(from);
+        }
+        if let Some(search) = self.searches.remove(&flow) {
+            search.release(from, actions);
+        }
+    }
+
+    /// An agent does not hold a flow.
+    fn missing(
+        &mut self,
+        now: Instant,
+        flow: Key,
+        from: SocketAddrV4,
+        head: &Head,
+        packet: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(search) = self.searches.get_mut(&flow) {
+            if search.rule_out(from) {
+                search.next_wave(now, &mut self.members, actions);
+            }
+        } else {
+            if let Some(connection) = self.flows.get_mut(&flow) {
+                if connection.settled().is_some_and(|home| home != from) {
+                    // A late answer of an agent that the flow has left behind.
+                    return;
+                }
+                connection.unsettle(from);
+            }
+            self.search(now, flow, head, packet, &[], actions);
+            if let Some(search) = self.searches.get_mut(&flow) {
+                search.rule_out(from);
+            }
+        }
+        self.finish_search(now, flow, actions);
+    }
+
+    /// Ends a search that has no one left to ask.
+    fn finish_search(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
+        let Some(search) = self.searches.get(&flow) else {
+            return;
+        };
+        if !search.is_exhausted(now) {
+            return;
+        }
+        let lost = search.is_ruled_out_everywhere() && self.knows_members_for(now);
+        let sequence = search.acknowledgement();
+        self.searches.remove(&flow);
+        if lost {
+            self.flows.remove(&flow);
+            actions.push(Action::Reset {
+                flow,
+                sequence,
+                cause: ResetCause::Lost,
+            });
+        } else {
+            actions.push(Action::Drop(flow, Drop::NotFound));
+        }
+    }
+
+    /// Does what is due: waves of searches, probes, forgetting.
+    pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due: Vec<Key> = self
+            .searches
+            .iter()
+            .filter(|(_, search)| search.is_due(now))
+            .map(|(flow, _)| *flow)
+            .collect();
+        for flow in due {
+            if let Some(search) = self.searches.get_mut(&flow) {
+                search.next_wave(now, &mut self.members, actions);
+            }
+            self.finish_search(now, flow, actions);
+        }
+        self.members.probe(now, actions);
+        if now.saturating_duration_since(self.swept_at) >= SWEEP_EVERY {
+            self.swept_at = now;
+            self.sweep(now);
+        }
+    }
+
+    /// Forgets flows that may be forgotten, and agents that are gone.
+    fn sweep(&mut self, now: Instant) {
+        let idle = self
+            .intent
+            .as_ref()
+            .map_or(self.settings.idle_timeout, |intent| {
+                intent.policy.idle_timeout
+            });
+        let oldest = self.settings.max_flow_age;
+        self.flows
+            .retain(|_, connection| !connection.is_over(now, idle, oldest));
+        self.members.sweep(now);
+    }
+
+    /// Whether something is due within moments, so that ticks must come often.
+    pub fn is_searching(&self) -> bool {
+        !self.searches.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/balancer/action.rs
@@ -0,0 +1,109 @@
+//! What a balancer wants done.
+
+use std::net::SocketAddrV4;
+
+use crate::flow::{Key, Purpose, ServiceName};
+
+/// What a balancer wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send the packet that was just handled to an agent.
+    Forward {
+        /// The agent.
+        to: SocketAddrV4,
+        /// Why.
+        purpose: Purpose,
+        /// Service of an opening packet.
+        service: Option<ServiceName>,
+    },
+    /// Send a packet that was held back or returned to an agent.
+    Send {
+        /// The agent.
+        to: SocketAddrV4,
+        /// Why.
+        purpose: Purpose,
+        /// Service of an opening packet.
+        service: Option<ServiceName>,
+        /// The packet.
+        packet: Box<[u8]>,
+    },
+    /// Ask an agent for a report.
+    Probe(SocketAddrV4),
+    /// Reset a flow towards its client.
+    Reset {
+        /// The flow.
+        flow: Key,
+        /// The client's last acknowledged number, 0 if the flow never opened.
+        sequence: u32,
+        /// Why.
+        cause: ResetCause,
+    },
+    /// The packet is dropped; its client repeats it.
+    Drop(Key, Drop),
+}
+
+/// Why a flow is reset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ResetCause {
+    /// No route leads from the address that the client asked for.
+    NoRoute,
+    /// Each upstream that could take the flow has handed it back.
+    NoUpstream,
+    /// No upstream holds the flow.
+    Lost,
+    /// The flow's upstream has started anew.
+    Restarted,
+}
+
+impl ResetCause {
+    /// The name in logs and metrics.
+    ///
+    /// ```
+    /// use sassafrasmast_core::flow::balancer::ResetCause;
+    /// assert_eq!(ResetCause::Lost.as_str(), "lost");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no_route",
+            Self::NoUpstream => "no_upstream",
+            Self::Lost => "lost",
+            Self::Restarted => "restarted",
+        }
+    }
+}
+
+/// Why a packet is dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Drop {
+    /// The operators' intent is not known yet.
+    NoIntent,
+    /// The route has no backend with a weight.
+    NoBackend,
+    /// No upstream takes the flow at present.
+    NoUpstream,
+    /// The home of the flow was not found, and it is not sure that there is none.
+    NotFound,
+    /// The table of flows is full.
+    TableFull,
+    /// Too many searches run.
+    TooManySearches,
+}
+
+impl Drop {
+    /// The name in logs and metrics.
+    ///
+    /// ```
+    /// use sassafrasmast_core::flow::balancer::Drop;
+    /// assert_eq!(Drop::TableFull.as_str(), "table_full");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoIntent => "no_intent",
+            Self::NoBackend => "no_backend",
+            Self::NoUpstream => "no_upstream",
+            Self::NotFound => "not_found",
+            Self::TableFull => "table_full",
+            Self::TooManySearches => "too_many_searches",
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/balancer/members.rs
@@ -0,0 +1,217 @@
+//! The agents that a balancer knows.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, HashMap, HashSet},
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
+
+use super::Action;
+use crate::flow::{Key, Member, Report, State, ZoneName, intent::Route, ranking};
+
+/// Load of the better one of the two best ranked upstreams of the own zone, up to which no other
+/// zone is looked at: requests still find a free slot.
+const LOCAL_LOAD: f64 = 0.6;
+
+/// Load that a packet's way to another zone counts for.
+const REMOTE_PENALTY: f64 = 0.15;
+
+/// Load that a cold upstream counts for: it is slower and bears little.
+const COLD_PENALTY: f64 = 1.0;
+
+/// Upstreams of a zone among which load decides.
+const CHOICES: usize = 2;
+
+/// How often a silent agent is probed.
+const PROBE_EVERY: Duration = Duration::from_millis(100);
+
+/// An agent that the store does not list and that nobody hears is forgotten after this time: no
+/// flow is older.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// The agents that a balancer knows.
+#[derive(Debug)]
+pub struct Members {
+    zone: ZoneName,
+    by_address: HashMap<SocketAddrV4, Member>,
+}
+
+impl Members {
+    /// None yet, seen from `zone`.
+    pub fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            by_address: HashMap::new(),
+        }
+    }
+
+    /// All members.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.by_address.values()
+    }
+
+    /// One member.
+    pub fn get(&self, address: SocketAddrV4) -> Option<&Member> {
+        self.by_address.get(&address)
+    }
+
+    /// Takes the store's whole list.
+    pub fn replace(&mut self, now: Instant, listed: Vec<Member>) {
+        let present: HashSet<_> = listed.iter().map(|member| member.address).collect();
+        let absent: Vec<_> = self
+            .by_address
+            .keys()
+            .filter(|address| !present.contains(address))
+            .copied()
+            .collect();
+        for address in absent {
+            self.unlist(now, address);
+        }
+        for member in listed {
+            self.list(member);
+        }
+    }
+
+    /// Takes one agent as the store lists it.
+    pub fn list(&mut self, member: Member) {
+        match self.by_address.get_mut(&member.address) {
+            // What the agent itself said is newer.
+            Some(known) if known.service == member.service => {
+                known.listed = true;
+                known.unlisted_at = None;
+                if known.heard_at.is_none() {
+                    known.report = member.report;
+                }
+            }
+            _ => {
+                self.by_address.insert(member.address, member);
+            }
+        }
+    }
+
+    /// Notes that the store no longer lists an agent.
+    pub fn unlist(&mut self, now: Instant, address: SocketAddrV4) {
+        if let Some(member) = self.by_address.get_mut(&address) {
+            member.listed = false;
+            member.unlisted_at.get_or_insert(now);
+        }
+    }
+
+    /// Takes a report that came from an agent.
+    pub fn hear(&mut self, now: Instant, from: SocketAddrV4, report: Report) {
+        if let Some(member) = self.by_address.get_mut(&from) {
+            member.hear(now, report);
+        }
+    }
+
+    /// Notes that an agent got a packet that it answers.
+    pub fn expect_answer(&mut self, now: Instant, address: SocketAddrV4) {
+        if let Some(member) = self.by_address.get_mut(&address) {
+            member.expect_answer(now);
+        }
+    }
+
+    /// The upstream for a new flow: the less loaded one of the two best ranked of this zone, or
+    /// the least loaded one of all while those are busy.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        flow: &Key,
+        service: &str,
+        tried: &[SocketAddrV4],
+        zones_out: &BTreeSet<ZoneName>,
+    ) -> Option<&mut Member> {
+        let usable: Vec<&Member> = self
+            .by_address
+            .values()
+            .filter(|member| {
+                &*member.service == service
+                    && member.takes_flows(now)
+                    && !zones_out.contains(&member.zone)
+                    && !tried.contains(&member.address)
+            })
+            .collect();
+        let mut local: Vec<&Member> = usable
+            .iter()
+            .copied()
+            .filter(|member| member.zone == self.zone)
+            .collect();
+        local.sort_by_cached_key(|member| Reverse(ranking::rank(flow, member.address)));
+        local.truncate(CHOICES);
+        let cost = |member: &Member| {
+            let remote = if member.zone == self.zone {
+                0.0
+            } else {
+                REMOTE_PENALTY
+            };
+            let cold = match member.report.state {
+                State::Cold | State::Unknown => COLD_PENALTY,
+                _ => 0.0,
+            };
+            member.load() + remote + cold
+        };
+        let cheapest = |members: &[&Member]| {
+            members
+                .iter()
+                .map(|member| (cost(member), member.address))
+                .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+        };
+        let address = match cheapest(&local) {
+            Some((cost, address)) if cost <= LOCAL_LOAD => address,
+            _ => cheapest(&usable)?.1,
+        };
+        self.by_address.get_mut(&address)
+    }
+
+    /// In which order agents are asked for the home of a flow: `first`, then the services of the
+    /// route by rank, then all others, since routes change while flows stay.
+    pub fn search_order(
+        &self,
+        _now: Instant,
+        flow: &Key,
+        route: Option<&Route>,
+        first: &[SocketAddrV4],
+    ) -> Vec<SocketAddrV4> {
+        let mut others: Vec<&Member> = self
+            .by_address
+            .values()
+            .filter(|member| !first.contains(&member.address))
+            .collect();
+        others.sort_by_cached_key(|member| {
+            let routed = route.is_some_and(|route| route.leads_to(&member.service));
+            let local = member.zone == self.zone;
+            Reverse((routed, local, ranking::rank(flow, member.address)))
+        });
+        let known = first
+            .iter()
+            .copied()
+            .filter(|address| self.by_address.contains_key(address));
+        known
+            .chain(others.into_iter().map(|member| member.address))
+            .collect()
+    }
+
+    /// Probes agents that are silent, so that they come back into use.
+    pub fn probe(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for member in self.by_address.values_mut() {
+            let due = member
+                .probed_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= PROBE_EVERY);
+            if due && member.is_silent(now) && member.listed {
+                member.probed_at = Some(now);
+                actions.push(Action::Probe(member.address));
+            }
+        }
+    }
+
+    /// Forgets agents that are gone.
+    pub fn sweep(&mut self, now: Instant) {
+        self.by_address.retain(|_, member| {
+            member.listed
+                || member
+                    .unlisted_at
+                    .is_none_or(|at| now.saturating_duration_since(at) < FORGET_AFTER)
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/balancer/settings.rs
@@ -0,0 +1,36 @@
+//! Settings of a balancer's decisions.
+
+use std::time::Duration;
+
+use crate::flow::ZoneName;
+
+/// Settings of a balancer's decisions.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The availability zone of this balancer's VM.
+    pub zone: ZoneName,
+    /// Flows kept in the table: about 200 bytes each, a tenth of the smallest entry VM's memory.
+    pub max_flows: usize,
+    /// Searches that run at the same time.
+    pub max_searches: usize,
+    /// Flows idle for longer are forgotten while no intent says otherwise.
+    pub idle_timeout: Duration,
+    /// Flows older than this may be forgotten.
+    pub max_flow_age: Duration,
+    /// Time with the list of agents in hand before "nobody" is believed: agents list themselves
+    /// within about a second of a common start.
+    pub settle: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            zone: "".into(),
+            max_flows: 50_000,
+            max_searches: 4_096,
+            idle_timeout: Duration::from_secs(15),
+            max_flow_age: Duration::from_secs(60),
+            settle: Duration::from_secs(3),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/intent/backend.rs
@@ -0,0 +1,14 @@
+//! A service behind a route.
+
+use serde::{Deserialize, Serialize};
+
+use crate::flow::ServiceName;
+
+/// A service behind a route and its part of the new flows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Backend {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part, relative to the other backends of the route.
+    pub weight: u32,
+}
--- /dev/null
+++ b/crates/core/src/flow/intent/policy.rs
@@ -0,0 +1,21 @@
+//! Routes, services and limits.
+
+use std::{collections::HashMap, net::SocketAddrV4, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Route, Service};
+use crate::flow::ServiceName;
+
+/// Routes, services and limits of one version.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Policy {
+    /// The operators' version.
+    pub version: u64,
+    /// Routes by the address that clients ask for.
+    pub routes: HashMap<SocketAddrV4, Route>,
+    /// Services by name.
+    pub services: HashMap<ServiceName, Service>,
+    /// Flows that were idle for longer may be forgotten.
+    pub idle_timeout: Duration,
+}
--- /dev/null
+++ b/crates/core/src/flow/member.rs
@@ -0,0 +1,109 @@
+//! What a balancer knows of one agent and its upstream.
+
+use std::{
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
+
+use super::{Report, ServiceName, State, ZoneName};
+
+/// Time without any frame after an opening packet before the agent counts as silent: several
+/// round trips between zones and one late wake-up.
+pub const SILENT_AFTER: Duration = Duration::from_millis(80);
+
+/// An agent that was heard directly within this time lives, whatever the store says of it.
+pub const HEARD_RECENTLY: Duration = Duration::from_secs(3);
+
+/// Load that one open flow without a request in progress stands for, in slots: feeds ask about
+/// once a second for some 30 ms of work.
+const IDLE_FLOW_LOAD: f64 = 0.04;
+
+/// What a balancer knows of one agent and its upstream.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Where the agent takes frames.
+    pub address: SocketAddrV4,
+    /// The service of its upstream.
+    pub service: ServiceName,
+    /// The availability zone of both.
+    pub zone: ZoneName,
+    /// The agent's last report.
+    pub report: Report,
+    /// When a frame last came from the agent.
+    pub heard_at: Option<Instant>,
+    /// Whether the store lists the agent.
+    pub listed: bool,
+    /// When the store ceased to list it.
+    pub unlisted_at: Option<Instant>,
+    /// First packet that should have been answered, if none was since.
+    pub unanswered_since: Option<Instant>,
+    /// When it was last probed.
+    pub probed_at: Option<Instant>,
+    /// Flows placed since the last report.
+    pub placed: u16,
+}
+
+impl Member {
+    /// A member as the store lists it.
+    pub fn listed(
+        address: SocketAddrV4,
+        service: ServiceName,
+        zone: ZoneName,
+        report: Report,
+    ) -> Self {
+        Self {
+            address,
+            service,
+            zone,
+            report,
+            heard_at: None,
+            listed: true,
+            unlisted_at: None,
+            unanswered_since: None,
+            probed_at: None,
+            placed: 0,
+        }
+    }
+
+    /// Takes a report that came directly from the agent.
+    pub fn hear(&mut self, now: Instant, report: Report) {
+        self.report = report;
+        self.placed = 0;
+        self.heard_at = Some(now);
+        self.unanswered_since = None;
+    }
+
+    /// Notes that a packet was sent which the agent answers.
+    pub fn expect_answer(&mut self, now: Instant) {
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// Whether the agent owes an answer for too long.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= SILENT_AFTER)
+    }
+
+    /// Whether the agent was heard directly a short time ago.
+    pub fn is_heard(&self, now: Instant) -> bool {
+        self.heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) < HEARD_RECENTLY)
+    }
+
+    /// Whether new flows may be placed here.
+    pub fn takes_flows(&self, now: Instant) -> bool {
+        let room = match self.report.state {
+            State::Cold | State::Unknown => self.placed < self.report.headroom,
+            State::Ready => true,
+            State::Silent | State::Draining | State::Gone => false,
+        };
+        room && (self.listed || self.is_heard(now)) && !self.is_silent(now)
+    }
+
+    /// Work in relation to slots, as far as it is known.
+    pub fn load(&self) -> f64 {
+        let slots = f64::from(self.report.slots.max(1));
+        let busy = f64::from(self.report.busy) + f64::from(self.placed);
+        (busy + f64::from(self.report.flows) * IDLE_FLOW_LOAD) / slots
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/ranking.rs
@@ -0,0 +1,41 @@
+//! Rendezvous hashing: each process ranks the same candidates of a flow in the same order.
+
+use std::net::SocketAddrV4;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use super::Key;
+
+/// A hash of a flow that is the same in each process and build. `salt` separates uses.
+pub fn hash(flow: &Key, salt: &str) -> u64 {
+    let mut hasher = Xxh3::new();
+    hash_address(&mut hasher, flow.client);
+    hash_address(&mut hasher, flow.route);
+    hasher.update(salt.as_bytes());
+    hasher.digest()
+}
+
+/// The rank of one candidate for a flow; the highest comes first.
+///
+/// ```
+/// use sassafrasmast_core::flow::{Key, ranking};
+/// let flow = Key {
+///     client: "10.0.0.1:40000".parse().unwrap(),
+///     route: "10.0.0.2:443".parse().unwrap(),
+/// };
+/// let candidate = "10.0.0.3:7000".parse().unwrap();
+/// assert_eq!(ranking::rank(&flow, candidate), ranking::rank(&flow, candidate));
+/// ```
+pub fn rank(flow: &Key, candidate: SocketAddrV4) -> u64 {
+    let mut hasher = Xxh3::new();
+    hash_address(&mut hasher, flow.client);
+    hash_address(&mut hasher, flow.route);
+    hash_address(&mut hasher, candidate);
+    hasher.digest()
+}
+
+/// Feeds an address in a fixed byte order.
+fn hash_address(hasher: &mut Xxh3, address: SocketAddrV4) {
+    hasher.update(&address.ip().octets());
+    hasher.update(&address.port().to_be_bytes());
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod blackboard;
 pub mod config;
 pub mod error;
+pub mod flow;
 pub mod replay;
 pub mod timeline;
 
--- /dev/null
+++ b/crates/wire/src/flow.rs
@@ -0,0 +1,22 @@
+//! Frames of flow forwarding: packets of flows that the system carries but cannot read.
+
+mod body;
+mod frame;
+mod key;
+mod purpose;
+mod reason;
+mod report;
+mod state;
+
+pub use self::{
+    body::Body,
+    frame::{Frame, MAX_BYTES, VERSION},
+    key::Key,
+    purpose::Purpose,
+    reason::Reason,
+    report::Report,
+    state::State,
+};
+
+/// Revision of the operators' intent: the store's revision of its last change. Only ever grows.
+pub type Revision = u64;
--- /dev/null
+++ b/crates/wire/src/flow/purpose.rs
@@ -0,0 +1,14 @@
+//! Why a balancer sends a packet to an agent.
+
+use serde::{Deserialize, Serialize};
+
+/// Why a balancer sends a packet to an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Purpose {
+    /// It opens a flow and may be handed back.
+    Open,
+    /// Its flow is believed to be at this agent's upstream.
+    Known,
+    /// The balancer asks all candidates whether the flow is theirs.
+    Find,
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Body, ConfigVersion, Error};
+use crate::{Body, ConfigVersion, Error, codec};
 
 /// Protocol version spoken by this build.
 pub const VERSION: u8 = 1;
@@ -47,12 +47,7 @@
     /// assert_eq!(Frame::decode(&buffer).unwrap(), frame);
     /// ```
     pub fn encode(&self, buffer: &mut Vec<u8>) -> Result<(), Error> {
-        buffer.clear();
-        postcard::to_io(self, &mut *buffer).map_err(|_| Error::Malformed)?;
-        if buffer.len() > MAX_BYTES {
-            return Err(Error::TooLarge);
-        }
-        Ok(())
+        codec::encode(self, buffer, MAX_BYTES)
     }
 
     /// Decodes one datagram.
@@ -62,17 +57,6 @@
     /// [`Error::Malformed`], [`Error::TooLarge`] or [`Error::Version`]; trailing bytes count as
     /// malformed.
     pub fn decode(bytes: &'a [u8]) -> Result<Self, Error> {
-        if bytes.len() > MAX_BYTES {
-            return Err(Error::TooLarge);
-        }
-        match bytes.first() {
-            Some(&VERSION) => {}
-            Some(&other) => return Err(Error::Version(other)),
-            None => return Err(Error::Malformed),
-        }
-        match postcard::take_from_bytes(bytes) {
-            Ok((frame, [])) => Ok(frame),
-            _ => Err(Error::Malformed),
-        }
+        codec::decode(bytes, VERSION, MAX_BYTES)
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! Everything here is plain data with a codec: [`Frame`] travels over UDP between balancers and
 //! agents, [`Cid`] is the routable QUIC connection id, [`Ticket`] names the one executor of a
-//! non-idempotent request. No module of this crate does I/O or reads a clock.
+//! non-idempotent request. [`flow`] holds the frames of flow forwarding. No module of this crate does I/O or reads a clock.
 
 pub mod address;
 pub mod body;
 pub mod cid;
+mod codec;
 pub mod error;
+pub mod flow;
 pub mod frame;
 pub mod keys;
 pub mod load;
