feat(platform): flow forwarding on the users' platform

Forwarder runs the decisions over sockets; platform/ translates packets, operators' documents, announcements, settings and the store.

--- /dev/null
+++ b/crates/forwarder/src/agent.rs
@@ -0,0 +1,484 @@
+//! The agent's process: frames of balancers in, packets of the upstream out.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use ::http::StatusCode;
+use sassafrasmast_core::flow::{
+    Agent, State,
+    agent::{self, Action, Announcement, Change, Delivery},
+};
+use sassafrasmast_store::Range;
+use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
+use serde_json::json;
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, oneshot, watch},
+};
+
+use crate::{
+    balancer::flow_text,
+    follow::{Event, Follower},
+    http::{self, Answer},
+    log::Log,
+    platform::{Call, Platform},
+    registration::{Record, Registration},
+    settings::{Settings, Upstream},
+    signals::{Request, Signals},
+    udp,
+};
+
+/// Datagrams handled before the other inputs get their turn.
+const BATCH: usize = 64;
+
+/// Time between ticks while an opening packet waits for the upstream.
+const FAST_TICK: Duration = Duration::from_millis(20);
+
+/// Time between ticks otherwise.
+const SLOW_TICK: Duration = Duration::from_millis(200);
+
+/// Events that wait for the loop.
+const EVENTS: usize = 256;
+
+/// Balancers that were heard within this time are told of news.
+const BALANCER_HEARD: Duration = Duration::from_secs(20);
+
+/// What the HTTP side hands to the loop.
+enum Told {
+    Announcement(Announcement, oneshot::Sender<()>),
+    Deregister(String, oneshot::Sender<()>),
+}
+
+/// An agent's process.
+struct Process<P> {
+    settings: Settings,
+    upstream: Upstream,
+    platform: Arc<P>,
+    decisions: Agent,
+    /// Where frames arrive and packets for clients leave.
+    frames: UdpSocket,
+    /// Where the upstream's packets arrive and packets for it leave.
+    outbound: UdpSocket,
+    balancers: HashMap<SocketAddrV4, Instant>,
+    record: watch::Sender<Option<Record>>,
+    log: Log,
+    actions: Vec<Action>,
+    frame: Vec<u8>,
+}
+
+/// Runs an agent until the process is killed.
+///
+/// # Errors
+///
+/// When an address of the settings cannot be bound.
+pub async fn run<P: Platform>(
+    settings: Settings,
+    upstream: Upstream,
+    platform: Arc<P>,
+) -> anyhow::Result<()> {
+    let metrics = crate::metrics::install()?;
+    let mut signals = Signals::new()?;
+    let (sender, mut events) = mpsc::channel(EVENTS);
+    let operators = Range::Prefix(platform.operator_prefix().to_owned());
+    tokio::spawn(Follower::new(Arc::clone(&platform), operators, sender).run());
+    let (told, mut tellings) = mpsc::channel(EVENTS);
+    serve_upstream(upstream.announcements, &platform, told.clone()).await?;
+    if settings.ready != upstream.announcements {
+        serve_upstream(settings.ready, &platform, told).await?;
+    }
+    crate::metrics::serve(settings.metrics, metrics).await?;
+    let mut process = Process::start(settings, upstream, platform)?;
+    let mut tick_at = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            readable = process.outbound.readable() => {
+                readable?;
+                process.read_upstream();
+            }
+            readable = process.frames.readable() => {
+                readable?;
+                process.read_frames();
+            }
+            Some(told) = tellings.recv() => process.told(told),
+            Some(event) = events.recv() => process.event(event),
+            () = tokio::time::sleep_until(tick_at) => {
+                process.tick();
+                tick_at = tokio::time::Instant::now() + SLOW_TICK;
+            }
+            request = signals.next() => process.signal(request),
+        }
+        if process.decisions.is_opening() {
+            tick_at = tick_at.min(tokio::time::Instant::now() + FAST_TICK);
+        }
+    }
+}
+
+/// Answers the upstream's announcements and readiness.
+async fn serve_upstream<P: Platform>(
+    address: SocketAddrV4,
+    platform: &Arc<P>,
+    told: mpsc::Sender<Told>,
+) -> anyhow::Result<()> {
+    let platform = Arc::clone(platform);
+    http::serve(address, move |received| {
+        let call = platform.call(&received.method, &received.path, &received.body);
+        let told = told.clone();
+        async move {
+            let (done, noted) = oneshot::channel();
+            let telling = match call {
+                Call::Ready => return Answer::new(StatusCode::OK, ""),
+                Call::Announce(announcement) => Told::Announcement(announcement, done),
+                Call::Deregister(id) => Told::Deregister(id, done),
+                Call::Invalid(reason) => return Answer::new(StatusCode::BAD_REQUEST, reason),
+                Call::Unknown => return Answer::new(StatusCode::NOT_FOUND, ""),
+            };
+            // Acknowledged only once the loop has put it in force.
+            let sent = told.send(telling).await.is_ok();
+            if sent && noted.await.is_ok() {
+                Answer::new(StatusCode::OK, "{}")
+            } else {
+                Answer::new(StatusCode::SERVICE_UNAVAILABLE, "")
+            }
+        }
+    })
+    .await
+}
+
+impl<P: Platform> Process<P> {
+    /// Binds sockets and starts the registration.
+    fn start(settings: Settings, upstream: Upstream, platform: Arc<P>) -> anyhow::Result<Self> {
+        let now = Instant::now();
+        let incarnation = incarnation();
+        let decisions = Agent::new(
+            now,
+            agent::Settings {
+                service: upstream.service.clone(),
+                zone: settings.zone.clone(),
+                incarnation,
+                cold_coverage: settings.cold_coverage,
+                cold_slack: settings.cold_slack,
+                ..agent::Settings::default()
+            },
+        );
+        let (record, wanted) = watch::channel(Some(Record {
+            service: upstream.service.clone(),
+            zone: settings.zone.clone(),
+            incarnation,
+            draining: false,
+        }));
+        let registration =
+            Registration::new(platform.store(), settings.frames, settings.lease, wanted);
+        tokio::spawn(registration.run());
+        let mut process = Self {
+            frames: udp::bind(settings.frames)?,
+            outbound: udp::bind(upstream.outbound)?,
+            balancers: HashMap::new(),
+            record,
+            log: Log::start(&settings.name)?,
+            actions: Vec::new(),
+            frame: Vec::with_capacity(MAX_BYTES),
+            settings,
+            upstream,
+            platform,
+            decisions,
+        };
+        let fields = [
+            ("role", "agent".into()),
+            ("zone", (&*process.settings.zone).into()),
+            ("service", (&*process.upstream.service).into()),
+            ("incarnation", incarnation.into()),
+        ];
+        process.log.line(now, "start", &fields);
+        Ok(process)
+    }
+
+    /// Reads packets of the upstream.
+    fn read_upstream(&mut self) {
+        let mut buffer = [0; udp::MAX_DATAGRAM];
+        for _ in 0..BATCH {
+            let Some((size, _)) = udp::receive(&self.outbound, &mut buffer) else {
+                return;
+            };
+            let packet = &mut buffer[..size];
+            let Some(head) = self.platform.decode(packet) else {
+                metrics::counter!("sassafrasmast_packets_malformed").increment(1);
+                continue;
+            };
+            if head.flags.bounced {
+                self.platform.restore(packet);
+            }
+            let now = Instant::now();
+            self.decisions
+                .upstream_packet(now, &head, &mut self.actions);
+            self.carry_out(now, packet);
+        }
+    }
+
+    /// Reads balancers' frames.
+    fn read_frames(&mut self) {
+        let mut buffer = [0; udp::MAX_DATAGRAM];
+        for _ in 0..BATCH {
+            let Some((size, from)) = udp::receive(&self.frames, &mut buffer) else {
+                return;
+            };
+            let Ok(frame) = Frame::decode(&buffer[..size]) else {
+                metrics::counter!("sassafrasmast_frames_malformed").increment(1);
+                continue;
+            };
+            let now = Instant::now();
+            self.balancers.insert(from, now);
+            match frame.body {
+                Body::Deliver {
+                    purpose,
+                    service,
+                    packet,
+                } => {
+                    let Some(head) = self.platform.decode(packet) else {
+                        metrics::counter!("sassafrasmast_packets_malformed").increment(1);
+                        continue;
+                    };
+                    let delivery = Delivery {
+                        purpose,
+                        service,
+                        sender_revision: frame.revision,
+                        head: &head,
+                        packet,
+                    };
+                    self.decisions
+                        .deliver(now, from, &delivery, &mut self.actions);
+                    self.carry_out(now, packet);
+                }
+                Body::Probe => {
+                    let report = self.decisions.report(now);
+                    self.send(from, Body::Report(report));
+                }
+                _ => metrics::counter!("sassafrasmast_frames_unexpected").increment(1),
+            }
+        }
+    }
+
+    /// Takes what the upstream told of itself.
+    fn told(&mut self, told: Told) {
+        let now = Instant::now();
+        let (change, done, id) = match told {
+            Told::Announcement(announcement, done) => {
+                let change = self
+                    .decisions
+                    .announce(now, &announcement, &mut self.actions);
+                (change, done, announcement.id)
+            }
+            Told::Deregister(id, done) => (
+                self.decisions.deregister(now, &id, &mut self.actions),
+                done,
+                id,
+            ),
+        };
+        self.carry_out(now, &[]);
+        if change != Change::Nothing {
+            let fields = [
+                ("upstream", id.into()),
+                ("change", format!("{change:?}").into()),
+                ("started", self.decisions.upstream().started().into()),
+                (
+                    "upstream_state",
+                    self.decisions.upstream().state(now).as_str().into(),
+                ),
+            ];
+            self.log.line(now, "upstream_changed", &fields);
+        }
+        self.publish(now);
+        // The upstream may have given up waiting.
+        let _ = done.send(());
+    }
+
+    /// Tells balancers and the store what changed.
+    fn publish(&mut self, now: Instant) {
+        if !self.decisions.has_news(now) {
+            return;
+        }
+        self.decisions.mark_reported(now);
+        let report = self.decisions.report(now);
+        let heard: Vec<SocketAddrV4> = self.balancers.keys().copied().collect();
+        for to in heard {
+            self.send(to, Body::Report(report));
+        }
+        let state = report.state;
+        self.record.send_if_modified(|record| {
+            let wanted = (state != State::Gone).then(|| Record {
+                service: self.upstream.service.clone(),
+                zone: self.settings.zone.clone(),
+                incarnation: report.agent,
+                draining: state == State::Draining,
+            });
+            let differs = *record != wanted;
+            *record = wanted;
+            differs
+        });
+    }
+
+    /// Takes what the store's follower found.
+    fn event(&mut self, event: Event) {
+        let now = Instant::now();
+        match event {
+            Event::Intent(intent) => {
+                let fields = [
+                    ("revision", intent.revision.into()),
+                    ("version", intent.policy.version.into()),
+                    ("zones_out", json!(intent.zones_out)),
+                ];
+                let taken = self.decisions.set_intent(intent);
+                self.log.line(
+                    now,
+                    if taken {
+                        "intent_installed"
+                    } else {
+                        "intent_stale"
+                    },
+                    &fields,
+                );
+            }
+            Event::Regained => self.log.line(now, "store_regained", &[]),
+            Event::Lost(reason) => self
+                .log
+                .line(now, "store_lost", &[("reason", reason.into())]),
+            Event::Refused(reason) => {
+                self.log
+                    .line(now, "document_refused", &[("reason", reason.into())]);
+            }
+            Event::Members(_) | Event::Listed(_) | Event::Unlisted(_) => {}
+        }
+    }
+
+    fn signal(&mut self, request: Request) {
+        let kind = match request {
+            Request::Stop => "stop",
+            Request::Reload => "reload",
+        };
+        self.log.line(Instant::now(), kind, &[]);
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        self.decisions.tick(now, &mut self.actions);
+        self.carry_out(now, &[]);
+        self.balancers
+            .retain(|_, heard| now.saturating_duration_since(*heard) < BALANCER_HEARD);
+        self.publish(now);
+        metrics::gauge!("sassafrasmast_flows").set(self.decisions.flow_count() as f64);
+    }
+
+    /// Carries out what was decided; `packet` is the one that was just handled.
+    fn carry_out(&mut self, now: Instant, packet: &[u8]) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::ToUpstream => {
+                    udp::send(&self.outbound, packet, self.upstream.address);
+                }
+                Action::ToClient => self.send_to_client(packet),
+                Action::Return { to, reason } => self.hand_back(now, to, reason, packet),
+                Action::ReturnHeld { to, reason, packet } => {
+                    self.hand_back(now, to, reason, &packet);
+                }
+                Action::Accepted { to, flow, sequence } => {
+                    let report = self.decisions.report(now);
+                    let body = Body::Accepted {
+                        flow,
+                        sequence,
+                        report,
+                    };
+                    self.send(to, body);
+                }
+                Action::Found { to, flow } => {
+                    let report = self.decisions.report(now);
+                    self.send(to, Body::Found { flow, report });
+                }
+                Action::Missing { to, flow } => {
+                    let report = self.decisions.report(now);
+                    let body = Body::Missing {
+                        flow,
+                        report,
+                        packet,
+                    };
+                    self.send(to, body);
+                }
+                Action::Reset {
+                    flow,
+                    sequence,
+                    cause,
+                } => {
+                    let reset = self.platform.reset(&flow, sequence);
+                    let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
+                    udp::send(&self.frames, &reset, to);
+                    metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str())
+                        .increment(1);
+                    let fields = [
+                        ("flow", flow_text(Some(&flow))),
+                        ("cause", cause.as_str().into()),
+                        (
+                            "upstream_started",
+                            self.decisions.upstream().started().into(),
+                        ),
+                    ];
+                    self.log.line(now, "flow_reset", &fields);
+                }
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// Hands an opening packet back to a balancer.
+    fn hand_back(
+        &mut self,
+        now: Instant,
+        to: SocketAddrV4,
+        reason: sassafrasmast_core::flow::Reason,
+        packet: &[u8],
+    ) {
+        let flow = self.platform.decode(packet).map(|head| head.client_flow());
+        let report = self.decisions.report(now);
+        metrics::counter!("sassafrasmast_returned", "reason" => reason.as_str()).increment(1);
+        let fields = [
+            ("flow", flow_text(flow.as_ref())),
+            ("reason", reason.as_str().into()),
+            ("upstream_state", report.state.as_str().into()),
+            ("balancer", to.to_string().into()),
+        ];
+        self.log.line(now, "flow_returned", &fields);
+        let body = Body::Returned {
+            reason,
+            report,
+            packet,
+        };
+        self.send(to, body);
+    }
+
+    fn send_to_client(&self, packet: &[u8]) {
+        if let Some(head) = self.platform.decode(packet) {
+            let to = SocketAddrV4::new(*head.destination.ip(), self.settings.packets.port());
+            udp::send(&self.frames, packet, to);
+        }
+    }
+
+    fn send(&mut self, to: SocketAddrV4, body: Body<'_>) {
+        let frame = Frame::new(self.decisions.revision(), body);
+        if frame.encode(&mut self.frame).is_err() {
+            metrics::counter!("sassafrasmast_frames_too_large").increment(1);
+            return;
+        }
+        udp::send(&self.frames, &self.frame, to);
+    }
+}
+
+/// This start of the process: the time of day, which only orders starts of one VM.
+fn incarnation() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(1, |since| {
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        })
+}
--- /dev/null
+++ b/crates/forwarder/src/balancer.rs
@@ -0,0 +1,421 @@
+//! The balancer's process: clients' packets in, frames to agents out.
+
+use std::{
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use ::http::StatusCode;
+use sassafrasmast_core::flow::{
+    Balancer, Key, Purpose,
+    balancer::{self, Action},
+};
+use sassafrasmast_store::Range;
+use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
+use serde_json::json;
+use tokio::{net::UdpSocket, sync::mpsc};
+
+use crate::{
+    follow::{Event, Follower},
+    http::{self, Answer},
+    log::Log,
+    platform::{Call, Platform},
+    settings::Settings,
+    signals::{Request, Signals},
+    udp,
+};
+
+/// Datagrams handled before the other inputs get their turn.
+const BATCH: usize = 64;
+
+/// Time between ticks while a search runs.
+const FAST_TICK: Duration = Duration::from_millis(5);
+
+/// Time between ticks otherwise; probes of silent agents are due at this pace.
+const SLOW_TICK: Duration = Duration::from_millis(50);
+
+/// Events that wait for the loop.
+const EVENTS: usize = 256;
+
+/// A balancer's process.
+struct Process<P> {
+    settings: Settings,
+    platform: Arc<P>,
+    decisions: Balancer,
+    packets: UdpSocket,
+    frames: UdpSocket,
+    log: Log,
+    actions: Vec<Action>,
+    frame: Vec<u8>,
+    ready: Arc<AtomicBool>,
+    stopping: bool,
+}
+
+/// Runs a balancer until the process is killed.
+///
+/// # Errors
+///
+/// When an address of the settings cannot be bound.
+pub async fn run<P: Platform>(settings: Settings, platform: Arc<P>) -> anyhow::Result<()> {
+    let metrics = crate::metrics::install()?;
+    let mut signals = Signals::new()?;
+    let ready = Arc::new(AtomicBool::new(false));
+    let (sender, mut events) = mpsc::channel(EVENTS);
+    let follower = Follower::new(Arc::clone(&platform), Range::Prefix(String::new()), sender);
+    tokio::spawn(follower.run());
+    serve_ready(&settings, &platform, &ready).await?;
+    crate::metrics::serve(settings.metrics, metrics).await?;
+    let mut process = Process::start(settings, platform, ready)?;
+    let mut tick_at = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            readable = process.packets.readable() => {
+                readable?;
+                process.read_packets();
+            }
+            readable = process.frames.readable() => {
+                readable?;
+                process.read_frames();
+            }
+            Some(event) = events.recv() => process.event(event),
+            () = tokio::time::sleep_until(tick_at) => {
+                process.tick();
+                tick_at = tokio::time::Instant::now() + process.tick_pause();
+            }
+            request = signals.next() => process.signal(request),
+        }
+        if process.decisions.is_searching() {
+            tick_at = tick_at.min(tokio::time::Instant::now() + FAST_TICK);
+        }
+    }
+}
+
+/// Answers whether the balancer takes traffic.
+async fn serve_ready<P: Platform>(
+    settings: &Settings,
+    platform: &Arc<P>,
+    ready: &Arc<AtomicBool>,
+) -> anyhow::Result<()> {
+    let ready = Arc::clone(ready);
+    let platform = Arc::clone(platform);
+    http::serve(settings.ready, move |received| {
+        let call = platform.call(&received.method, &received.path, &received.body);
+        let answer = match call {
+            Call::Ready if ready.load(Ordering::Relaxed) => Answer::new(StatusCode::OK, ""),
+            Call::Ready => Answer::new(StatusCode::SERVICE_UNAVAILABLE, ""),
+            _ => Answer::new(StatusCode::NOT_FOUND, ""),
+        };
+        async move { answer }
+    })
+    .await
+}
+
+impl<P: Platform> Process<P> {
+    /// Binds sockets.
+    fn start(settings: Settings, platform: Arc<P>, ready: Arc<AtomicBool>) -> anyhow::Result<Self> {
+        let now = Instant::now();
+        let decisions = Balancer::new(
+            now,
+            balancer::Settings {
+                zone: settings.zone.clone(),
+                max_flow_age: settings.max_flow_age,
+                ..balancer::Settings::default()
+            },
+        );
+        let mut process = Self {
+            decisions,
+            packets: udp::bind(settings.packets)?,
+            frames: udp::bind(settings.frames)?,
+            log: Log::start(&settings.name)?,
+            actions: Vec::new(),
+            frame: Vec::with_capacity(MAX_BYTES),
+            settings,
+            platform,
+            ready,
+            stopping: false,
+        };
+        let zone = (&*process.settings.zone).into();
+        let fields = [("role", "balancer".into()), ("zone", zone)];
+        process.log.line(now, "start", &fields);
+        Ok(process)
+    }
+
+    /// Reads clients' packets.
+    fn read_packets(&mut self) {
+        let mut buffer = [0; udp::MAX_DATAGRAM];
+        for _ in 0..BATCH {
+            let Some((size, from)) = udp::receive(&self.packets, &mut buffer) else {
+                return;
+            };
+            let packet = &buffer[..size];
+            let Some(head) = self.platform.decode(packet) else {
+                metrics::counter!("sassafrasmast_packets_malformed").increment(1);
+                let now = Instant::now();
+                let fields = [("from", from.to_string().into()), ("bytes", size.into())];
+                self.log.line(now, "packet_malformed", &fields);
+                continue;
+            };
+            let now = Instant::now();
+            self.decisions
+                .client_packet(now, &head, packet, &mut self.actions);
+            self.carry_out(now, Some(packet));
+        }
+    }
+
+    /// Reads agents' frames.
+    fn read_frames(&mut self) {
+        let mut buffer = [0; udp::MAX_DATAGRAM];
+        for _ in 0..BATCH {
+            let Some((size, from)) = udp::receive(&self.frames, &mut buffer) else {
+                return;
+            };
+            let Ok(frame) = Frame::decode(&buffer[..size]) else {
+                metrics::counter!("sassafrasmast_frames_malformed").increment(1);
+                continue;
+            };
+            let now = Instant::now();
+            let head = match &frame.body {
+                Body::Returned { packet, .. } | Body::Missing { packet, .. } => {
+                    self.platform.decode(packet)
+                }
+                _ => None,
+            };
+            self.log_frame(now, from, &frame.body);
+            self.decisions
+                .agent_frame(now, from, &frame.body, head.as_ref(), &mut self.actions);
+            self.carry_out(now, None);
+        }
+    }
+
+    /// Logs what an agent decided on a flow.
+    fn log_frame(&mut self, now: Instant, from: SocketAddrV4, body: &Body<'_>) {
+        match body {
+            Body::Returned {
+                reason,
+                report,
+                packet,
+            } => {
+                let flow = self.platform.decode(packet).map(|head| head.client_flow());
+                metrics::counter!("sassafrasmast_returned", "reason" => reason.as_str())
+                    .increment(1);
+                self.log.line(
+                    now,
+                    "flow_returned",
+                    &[
+                        ("flow", flow_text(flow.as_ref())),
+                        ("agent", from.to_string().into()),
+                        ("reason", reason.as_str().into()),
+                        ("upstream_state", report.state.as_str().into()),
+                    ],
+                );
+            }
+            Body::Missing { flow, .. } => self.log.line(
+                now,
+                "flow_missing",
+                &[
+                    ("flow", flow_text(Some(flow))),
+                    ("agent", from.to_string().into()),
+                ],
+            ),
+            Body::Found { flow, .. } => self.log.line(
+                now,
+                "flow_found",
+                &[
+                    ("flow", flow_text(Some(flow))),
+                    ("agent", from.to_string().into()),
+                ],
+            ),
+            _ => {}
+        }
+    }
+
+    /// Takes what the store's follower found.
+    fn event(&mut self, event: Event) {
+        let now = Instant::now();
+        match event {
+            Event::Intent(intent) => {
+                let fields = [
+                    ("revision", intent.revision.into()),
+                    ("version", intent.policy.version.into()),
+                    ("routes", intent.policy.routes.len().into()),
+                    ("zones_out", json!(intent.zones_out)),
+                ];
+                let taken = self.decisions.set_intent(intent);
+                self.log.line(
+                    now,
+                    if taken {
+                        "intent_installed"
+                    } else {
+                        "intent_stale"
+                    },
+                    &fields,
+                );
+            }
+            Event::Members(members) => {
+                let count = members.len();
+                self.decisions.set_members(now, members);
+                self.log
+                    .line(now, "members_read", &[("count", count.into())]);
+            }
+            Event::Listed(member) => {
+                let fields = [
+                    ("agent", member.address.to_string().into()),
+                    ("service", (&*member.service).into()),
+                    ("upstream_state", member.report.state.as_str().into()),
+                ];
+                self.log.line(now, "member_listed", &fields);
+                self.decisions.list_member(*member);
+            }
+            Event::Unlisted(address) => {
+                self.log.line(
+                    now,
+                    "member_unlisted",
+                    &[("agent", address.to_string().into())],
+                );
+                self.decisions.unlist_member(now, address);
+            }
+            Event::Regained => self.log.line(now, "store_regained", &[]),
+            Event::Lost(reason) => self
+                .log
+                .line(now, "store_lost", &[("reason", reason.into())]),
+            Event::Refused(reason) => {
+                self.log
+                    .line(now, "document_refused", &[("reason", reason.into())]);
+            }
+        }
+        self.update_ready();
+    }
+
+    fn update_ready(&self) {
+        let ready = self.decisions.is_ready() && !self.stopping;
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    fn signal(&mut self, request: Request) {
+        let now = Instant::now();
+        match request {
+            Request::Stop => {
+                self.stopping = true;
+                self.update_ready();
+                self.log.line(now, "stop", &[]);
+            }
+            Request::Reload => self.log.line(now, "reload", &[]),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        self.decisions.tick(now, &mut self.actions);
+        self.carry_out(now, None);
+        metrics::gauge!("sassafrasmast_flows").set(self.decisions.flow_count() as f64);
+    }
+
+    fn tick_pause(&self) -> Duration {
+        if self.decisions.is_searching() {
+            FAST_TICK
+        } else {
+            SLOW_TICK
+        }
+    }
+
+    /// Carries out what was decided; `packet` is the one that was just handled.
+    fn carry_out(&mut self, now: Instant, packet: Option<&[u8]>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Forward {
+                    to,
+                    purpose,
+                    service,
+                } => {
+                    if let Some(packet) = packet {
+                        self.deliver(to, purpose, service.as_deref(), packet);
+                    }
+                }
+                Action::Send {
+                    to,
+                    purpose,
+                    service,
+                    packet,
+                } => self.deliver(to, purpose, service.as_deref(), &packet),
+                Action::Probe(to) => self.send(to, Body::Probe),
+                Action::Reset {
+                    flow,
+                    sequence,
+                    cause,
+                } => {
+                    let reset = self.platform.reset(&flow, sequence);
+                    let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
+                    udp::send(&self.packets, &reset, to);
+                    metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str())
+                        .increment(1);
+                    self.log.line(
+                        now,
+                        "flow_reset",
+                        &[
+                            ("flow", flow_text(Some(&flow))),
+                            ("cause", cause.as_str().into()),
+                            ("revision", self.revision().into()),
+                        ],
+                    );
+                }
+                Action::Drop(flow, cause) => {
+                    metrics::counter!("sassafrasmast_dropped", "cause" => cause.as_str())
+                        .increment(1);
+                    self.log.line(
+                        now,
+                        "packet_dropped",
+                        &[
+                            ("flow", flow_text(Some(&flow))),
+                            ("cause", cause.as_str().into()),
+                            ("revision", self.revision().into()),
+                        ],
+                    );
+                }
+            }
+        }
+        self.actions = actions;
+    }
+
+    fn deliver(
+        &mut self,
+        to: SocketAddrV4,
+        purpose: Purpose,
+        service: Option<&str>,
+        packet: &[u8],
+    ) {
+        let service = service.unwrap_or_default();
+        self.send(
+            to,
+            Body::Deliver {
+                purpose,
+                service,
+                packet,
+            },
+        );
+    }
+
+    fn send(&mut self, to: SocketAddrV4, body: Body<'_>) {
+        let frame = Frame::new(self.revision(), body);
+        if frame.encode(&mut self.frame).is_err() {
+            metrics::counter!("sassafrasmast_frames_too_large").increment(1);
+            return;
+        }
+        udp::send(&self.frames, &self.frame, to);
+    }
+
+    fn revision(&self) -> u64 {
+        self.decisions.intent().map_or(0, |intent| intent.revision)
+    }
+}
+
+/// A flow in a log line: the client's end and the address that it asked for.
+pub(crate) fn flow_text(flow: Option<&Key>) -> serde_json::Value {
+    flow.map_or(serde_json::Value::Null, |flow| {
+        format!("{}>{}", flow.client, flow.route).into()
+    })
+}
--- /dev/null
+++ b/crates/forwarder/src/follow.rs
@@ -0,0 +1,223 @@
+//! Follows what the store holds: a read of everything, then a watch.
+
+use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc, time::Duration};
+
+use rand::Rng;
+use sassafrasmast_core::flow::{Intent, Member};
+use sassafrasmast_store::{Entry, Error, Range, Revision, Update};
+use tokio::sync::mpsc;
+
+use crate::{
+    platform::{OperatorChange, Platform},
+    registration::Record,
+};
+
+/// Shortest pause after a failure of the store.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+
+/// Longest pause after a failure of the store: with it a process is back within a second.
+const RETRY_MAX: Duration = Duration::from_millis(800);
+
+/// What following found.
+#[derive(Debug)]
+pub enum Event {
+    /// The operators' intent.
+    Intent(Arc<Intent>),
+    /// The whole list of agents.
+    Members(Vec<Member>),
+    /// An agent is listed, anew or again.
+    Listed(Box<Member>),
+    /// An agent is no longer listed.
+    Unlisted(SocketAddrV4),
+    /// The store answers again.
+    Regained,
+    /// The store does not answer, and why.
+    Lost(String),
+    /// A document was passed over, and why.
+    Refused(String),
+}
+
+/// Follows the store.
+#[derive(Debug)]
+pub struct Follower<P> {
+    platform: Arc<P>,
+    range: Range,
+    intent: Intent,
+    events: mpsc::Sender<Event>,
+    failures: u32,
+}
+
+impl<P: Platform> Follower<P> {
+    /// Follows the keys of `range` and sends what it finds to `events`.
+    pub fn new(platform: Arc<P>, range: Range, events: mpsc::Sender<Event>) -> Self {
+        Self {
+            platform,
+            range,
+            intent: Intent::default(),
+            events,
+            failures: 0,
+        }
+    }
+
+    /// Follows until nobody takes the events any more.
+    pub async fn run(mut self) {
+        let mut from = None;
+        while !self.events.is_closed() {
+            let result = match from {
+                None => self.read().await,
+                Some(revision) => self.watch(revision).await,
+            };
+            match result {
+                Ok(revision) => from = Some(revision),
+                Err(error) => {
+                    if matches!(error, Error::Compacted { .. } | Error::Malformed(_)) {
+                        from = None;
+                    }
+                    self.pause(&error).await;
+                }
+            }
+        }
+    }
+
+    /// Reads everything. Returns the revision that the watch goes on from.
+    async fn read(&mut self) -> Result<Revision, Error> {
+        let listing = self.platform.store().range(self.range.clone()).await?;
+        self.regained().await;
+        let mut intent = Intent {
+            revision: u64::try_from(listing.revision).unwrap_or(0),
+            ..Intent::default()
+        };
+        let mut has_policy = false;
+        let mut members = BTreeMap::new();
+        for entry in &listing.entries {
+            if let Some(address) = Record::address(&entry.key) {
+                match Record::decode(&entry.value) {
+                    Ok(record) => {
+                        members.insert(address, record.member(address));
+                    }
+                    Err(error) => self.refuse(&entry.key, &error).await,
+                }
+            } else if let Some(change) = self.change(&entry.key, Some(&entry.value)).await {
+                has_policy |= matches!(change, OperatorChange::Policy(_));
+                apply(&mut intent, change);
+            }
+        }
+        if has_policy && intent.revision >= self.intent.revision {
+            self.intent = intent;
+            self.send(Event::Intent(Arc::new(self.intent.clone())))
+                .await;
+        }
+        self.send(Event::Members(members.into_values().collect()))
+            .await;
+        Ok(listing.revision)
+    }
+
+    /// Watches from `revision` on. Ends with an error.
+    async fn watch(&mut self, revision: Revision) -> Result<Revision, Error> {
+        let mut updates = self
+            .platform
+            .store()
+            .watch(self.range.clone(), revision + 1)
+            .await?;
+        let mut seen = revision;
+        loop {
+            match updates.recv().await {
+                Some(Ok(update)) => {
+                    self.regained().await;
+                    seen = self.update(update).await;
+                }
+                Some(Err(error @ (Error::Compacted { .. } | Error::Malformed(_)))) => {
+                    return Err(error);
+                }
+                Some(Err(error)) => {
+                    self.pause(&error).await;
+                    return Ok(seen);
+                }
+                None => return Ok(seen),
+            }
+        }
+    }
+
+    /// Takes one update of the watch. Returns its revision.
+    async fn update(&mut self, update: Update) -> Revision {
+        let (key, value, revision) = match &update {
+            Update::Put(Entry {
+                key,
+                value,
+                mod_revision,
+                ..
+            }) => (key, Some(value.as_slice()), *mod_revision),
+            Update::Delete { key, revision } => (key, None, *revision),
+        };
+        if let Some(address) = Record::address(key) {
+            match value.map(Record::decode) {
+                Some(Ok(record)) => {
+                    self.send(Event::Listed(Box::new(record.member(address))))
+                        .await;
+                }
+                Some(Err(error)) => self.refuse(key, &error).await,
+                None => self.send(Event::Unlisted(address)).await,
+            }
+        } else if let Some(change) = self.change(key, value).await {
+            self.intent.revision = u64::try_from(revision).unwrap_or(0);
+            apply(&mut self.intent, change);
+            self.send(Event::Intent(Arc::new(self.intent.clone())))
+                .await;
+        }
+        revision
+    }
+
+    /// What an operator's document asks for.
+    async fn change(&self, key: &str, value: Option<&[u8]>) -> Option<OperatorChange> {
+        if !key.starts_with(self.platform.operator_prefix()) {
+            return None;
+        }
+        match self.platform.operator_change(key, value) {
+            Ok(change) => change,
+            Err(error) => {
+                self.refuse(key, &error).await;
+                None
+            }
+        }
+    }
+
+    async fn refuse(&self, key: &str, error: &anyhow::Error) {
+        self.send(Event::Refused(format!("{key}: {error:#}"))).await;
+    }
+
+    async fn regained(&mut self) {
+        if self.failures > 0 {
+            self.failures = 0;
+            self.send(Event::Regained).await;
+        }
+    }
+
+    /// Waits after a failure, longer after each.
+    async fn pause(&mut self, error: &Error) {
+        if self.failures == 0 {
+            self.send(Event::Lost(error.to_string())).await;
+        }
+        self.failures = self.failures.saturating_add(1);
+        let longest = RETRY_MAX.min(RETRY_MIN * 2_u32.saturating_pow(self.failures.min(8)));
+        let jitter = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(longest.mul_f64(jitter)).await;
+    }
+
+    async fn send(&self, event: Event) {
+        // The process is ending if nobody takes it.
+        let _ = self.events.send(event).await;
+    }
+}
+
+/// Applies one document to the intent.
+fn apply(intent: &mut Intent, change: OperatorChange) {
+    match change {
+        OperatorChange::Policy(policy) => intent.policy = policy,
+        OperatorChange::ZoneOut(zone) => {
+            intent.zones_out.insert(zone);
+        }
+        OperatorChange::ZoneIn(zone) => {
+            intent.zones_out.remove(&zone);
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/lib.rs
@@ -0,0 +1,52 @@
+//! Flow forwarding as processes: a balancer on each entry VM, an agent beside each upstream.
+//!
+//! All decisions are [`sassafrasmast_core::flow`]'s. This crate owns sockets, the store's watch,
+//! the agent's registration, logs and metrics. The platform that it runs on is met at
+//! [`Platform`]: heads of packets, operators' documents and announcements are decoded there.
+//!
+//! - [`balancer`], [`agent`]: the two roles.
+//! - [`follow`]: what the store holds, followed by a watch.
+//! - [`registration`]: an agent's entry in the store.
+//! - [`http`]: readiness, announcements and metrics.
+//! - [`log`]: structured log lines of bounded volume.
+
+pub mod agent;
+pub mod balancer;
+pub mod follow;
+pub mod http;
+pub mod log;
+pub mod metrics;
+pub mod platform;
+pub mod registration;
+pub mod settings;
+mod signals;
+pub mod udp;
+
+use std::sync::Arc;
+
+use anyhow::Context;
+
+pub use self::{
+    log::Log,
+    platform::Platform,
+    settings::{Role, Settings},
+};
+
+/// Runs the role that the settings name until the process is told to stop.
+///
+/// # Errors
+///
+/// When an address of the settings cannot be bound.
+pub fn run<P: Platform>(settings: Settings, platform: P) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("runtime: cannot start")?;
+    runtime.block_on(async {
+        let platform = Arc::new(platform);
+        match settings.role.clone() {
+            Role::Balancer => balancer::run(settings, platform).await,
+            Role::Agent(upstream) => agent::run(settings, upstream, platform).await,
+        }
+    })
+}
--- /dev/null
+++ b/crates/forwarder/src/settings.rs
@@ -0,0 +1,76 @@
+//! Settings of a process.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
+
+use sassafrasmast_core::flow::{ServiceName, ZoneName};
+
+/// What the process does.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Role {
+    /// Takes clients' packets.
+    Balancer,
+    /// Stands beside an upstream.
+    Agent(Upstream),
+}
+
+/// The upstream beside an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Upstream {
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
+    /// Where it sends packets to.
+    pub outbound: SocketAddrV4,
+    /// Where it sends its announcements to.
+    pub announcements: SocketAddrV4,
+}
+
+/// Settings of a process.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Name of the VM, for logs.
+    pub name: String,
+    /// What the process does.
+    pub role: Role,
+    /// The VM's availability zone.
+    pub zone: ZoneName,
+    /// Where clients' packets arrive. Clients take theirs at the same port.
+    pub packets: SocketAddrV4,
+    /// Where frames of other processes arrive.
+    pub frames: SocketAddrV4,
+    /// Where readiness is asked for.
+    pub ready: SocketAddrV4,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddrV4>,
+    /// Part of its cold rate up to which an upstream may be loaded.
+    pub cold_coverage: f64,
+    /// New flows a second that a cold upstream bears beyond its rate.
+    pub cold_slack: f64,
+    /// Age at which a flow may be forgotten.
+    pub max_flow_age: Duration,
+    /// Time to live of an agent's entry in the store.
+    pub lease: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let unset = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        Self {
+            name: String::new(),
+            role: Role::Balancer,
+            zone: "".into(),
+            packets: unset,
+            frames: unset,
+            ready: unset,
+            metrics: None,
+            cold_coverage: 1.0,
+            cold_slack: 0.0,
+            max_flow_age: Duration::from_secs(60),
+            lease: Duration::from_secs(15),
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/udp.rs
@@ -0,0 +1,62 @@
+//! UDP sockets.
+
+use std::{io, net::SocketAddrV4};
+
+use anyhow::Context;
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::UdpSocket;
+
+/// Receive buffer in bytes: what arrives on a busy entry VM within a few tens of milliseconds.
+const RECEIVE_BUFFER: usize = 1024 * 1024;
+
+/// Largest datagram read, in bytes; longer ones are cut and then refused by the decoder.
+pub const MAX_DATAGRAM: usize = 2_048;
+
+/// Binds a socket.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub fn bind(address: SocketAddrV4) -> anyhow::Result<UdpSocket> {
+    let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))
+        .and_then(|socket| {
+            socket.set_nonblocking(true)?;
+            socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+            socket.bind(&address.into())?;
+            Ok(socket)
+        })
+        .with_context(|| format!("udp: cannot bind {address}"))?;
+    UdpSocket::from_std(socket.into()).with_context(|| format!("udp: cannot use {address}"))
+}
+
+/// Sends a datagram, or drops it if the socket is full: packets are repeated by their ends.
+/// Tells whether it was sent.
+pub fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddrV4) -> bool {
+    match socket.try_send_to(bytes, to.into()) {
+        Ok(_) => true,
+        Err(error) => {
+            let kind = if error.kind() == io::ErrorKind::WouldBlock {
+                "full"
+            } else {
+                "failed"
+            };
+            metrics::counter!("sassafrasmast_send_errors", "kind" => kind).increment(1);
+            false
+        }
+    }
+}
+
+/// Receives one datagram if there is one.
+pub fn receive(socket: &UdpSocket, buffer: &mut [u8]) -> Option<(usize, SocketAddrV4)> {
+    match socket.try_recv_from(buffer) {
+        Ok((size, std::net::SocketAddr::V4(from))) => Some((size, from)),
+        Ok(_) => None,
+        Err(error) => {
+            if error.kind() != io::ErrorKind::WouldBlock {
+                // An earlier datagram met a closed port; the socket itself is fine.
+                metrics::counter!("sassafrasmast_receive_errors").increment(1);
+            }
+            None
+        }
+    }
+}
