fix(core): no cold limit where operators state no rate; lost flows are told 600 ms after a start

Cause: a service without a stated cold rate was taken as bearing none, so after the closing power-off each cold upstream got four flows a second; and balancers reset lost flows only after 3 s with the list of agents, so clients waited for their deadlines. Ruled out: readiness (all processes are ready 50 ms after their start).

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -102,8 +102,7 @@
 
     /// What the agent tells of itself.
     pub fn report(&mut self, now: Instant) -> Report {
-        let limit = self.cold_limit();
-        let headroom = self.gate.headroom(now, limit);
+        let headroom = self.headroom(now);
         let busy = self
             .flows
             .values()
@@ -130,17 +129,23 @@
         self.reported = Some((self.upstream.state(now), self.upstream.started()));
     }
 
-    /// New flows that a cold upstream is given within a second.
-    fn cold_limit(&self) -> usize {
-        let rate = self
-            .intent
-            .as_ref()
-            .and_then(|intent| intent.policy.services.get(&self.settings.service))
-            .map_or(0.0, |service| service.cold_rate);
+    /// New flows that a cold upstream is given within a second. `None` without a limit: operators
+    /// state no rate for the service, so its upstreams are only slower while they are cold.
+    pub fn cold_limit(&self) -> Option<usize> {
+        let rate = match &self.intent {
+            Some(intent) => intent.policy.cold_rate(&self.settings.service)?,
+            None => 0.0,
+        };
         let bound = rate * self.settings.cold_coverage + self.settings.cold_slack;
         let preferred = (bound * self.settings.cold_use).floor();
         // Never negative, and far below the range of the type.
-        preferred.max(1.0) as usize
+        Some(preferred.max(1.0) as usize)
+    }
+
+    /// New flows that a cold upstream may still be given now.
+    fn headroom(&mut self, now: Instant) -> usize {
+        let limit = self.cold_limit();
+        limit.map_or(usize::MAX, |limit| self.gate.headroom(now, limit))
     }
 
     /// Decides on a client's packet that a balancer sent. `sender_revision` is the revision in
@@ -233,10 +238,7 @@
         }
         match self.upstream.state(now) {
             State::Ready => None,
-            State::Unknown | State::Cold => {
-                let limit = self.cold_limit();
-                (self.gate.headroom(now, limit) == 0).then_some(Reason::Cold)
-            }
+            State::Unknown | State::Cold => (self.headroom(now) == 0).then_some(Reason::Cold),
             State::Draining | State::Gone => Some(Reason::Leaving),
             State::Silent if self.upstream.may_try(now) => None,
             State::Silent => Some(Reason::Silent),
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -17,8 +17,8 @@
 /// Load that a packet's way to another zone counts for.
 const REMOTE_PENALTY: f64 = 0.15;
 
-/// Load that a cold upstream counts for: it is slower and bears little.
-const COLD_PENALTY: f64 = 1.0;
+/// Load that a cold upstream counts for: it takes about half as long again for each request.
+const COLD_PENALTY: f64 = 0.3;
 
 /// Upstreams of a zone among which load decides.
 const CHOICES: usize = 2;
--- a/crates/core/src/flow/balancer/settings.rs
+++ b/crates/core/src/flow/balancer/settings.rs
@@ -17,8 +17,8 @@
     pub idle_timeout: Duration,
     /// Flows older than this may be forgotten.
     pub max_flow_age: Duration,
-    /// Time with the list of agents in hand before "nobody" is believed: agents list themselves
-    /// within about a second of a common start.
+    /// Time with the list of agents in hand before "nobody" is believed: an agent that has lost
+    /// its entry writes it again within this time.
     pub settle: Duration,
 }
 
@@ -30,7 +30,7 @@
             max_searches: 4_096,
             idle_timeout: Duration::from_secs(15),
             max_flow_age: Duration::from_secs(60),
-            settle: Duration::from_secs(3),
+            settle: Duration::from_millis(600),
         }
     }
 }
--- a/crates/core/src/flow/intent/policy.rs
+++ b/crates/core/src/flow/intent/policy.rs
@@ -19,3 +19,14 @@
     /// Flows that were idle for longer may be forgotten.
     pub idle_timeout: Duration,
 }
+
+impl Policy {
+    /// Requests a second that a cold upstream of the service bears; `None` if operators state no
+    /// rate.
+    pub fn cold_rate(&self, service: &str) -> Option<f64> {
+        self.services
+            .get(service)
+            .map(|service| service.cold_rate)
+            .filter(|&rate| rate > 0.0)
+    }
+}
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -283,6 +283,7 @@
                 ("upstream", id.into()),
                 ("change", format!("{change:?}").into()),
                 ("started", self.decisions.upstream().started().into()),
+                ("cold_limit", self.decisions.cold_limit().into()),
                 (
                     "upstream_state",
                     self.decisions.upstream().state(now).as_str().into(),
