fix(core): a packet of a flow that was handed back is not shown to its upstream again

Agents now remember flows that were handed back, and a reset of an upstream that was only asked stays with them. Upstreams that shed or were not heard yet are the last choice.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -182,7 +182,7 @@
             }
             None => {
                 // This agent is younger than its upstream, which alone knows its flows.
-                let mut unsure = Flow::unsure(now, from);
+                let mut unsure = Flow::unsure(now, from, delivery.packet);
                 unsure.client_packet(now, from, delivery.head);
                 if delivery.purpose == Purpose::Find {
                     unsure.ask(from);
@@ -203,7 +203,7 @@
         actions: &mut Vec<Action>,
     ) {
         if let Some(known) = self.flows.get_mut(&flow)
-            && known.phase() != Phase::Unsure
+            && !matches!(known.phase(), Phase::Unsure | Phase::Refused)
         {
             known.set_opener(from);
             actions.push(Action::ToUpstream);
@@ -249,11 +249,14 @@
     pub fn upstream_packet(&mut self, now: Instant, head: &Head, actions: &mut Vec<Action>) {
         self.upstream.heard(now);
         if head.flags.bounced {
-            self.bounced(head, actions);
+            self.bounced(now, head, actions);
             return;
         }
-        actions.push(Action::ToClient);
         let flow = head.upstream_flow();
+        if head.flags.rst && self.disown(flow, actions) {
+            return;
+        }
+        actions.push(Action::ToClient);
         let Some(known) = self.flows.get_mut(&flow) else {
             // A flow from before this agent's start.
             self.flows.insert(flow, Flow::of_upstream(now, head));
@@ -278,10 +281,26 @@
         }
     }
 
+    /// Takes an upstream's reset of a flow that it was shown to find the flow's home: the flow is
+    /// not here, and may well be open elsewhere. Tells whether this was one.
+    fn disown(&mut self, flow: Key, actions: &mut Vec<Action>) -> bool {
+        let unsure = |known: &mut Flow| {
+            (known.phase() == Phase::Unsure).then(|| (known.sender(), known.take_kept()))
+        };
+        let Some((to, kept)) = self.flows.get_mut(&flow).and_then(unsure) else {
+            return false;
+        };
+        self.flows.remove(&flow);
+        if let Some(packet) = kept {
+            actions.push(Action::MissingHeld { to, flow, packet });
+        }
+        true
+    }
+
     /// The upstream gave a packet back.
-    fn bounced(&mut self, head: &Head, actions: &mut Vec<Action>) {
+    fn bounced(&mut self, now: Instant, head: &Head, actions: &mut Vec<Action>) {
         let flow = head.client_flow();
-        let Some(known) = self.flows.get(&flow) else {
+        let Some(known) = self.flows.get_mut(&flow) else {
             return;
         };
         if head.opens() {
@@ -292,8 +311,8 @@
                 let reason = Reason::Shed;
                 actions.push(Action::Return { to, reason });
             }
+            known.refuse(now);
             self.opening.retain(|key| *key != flow);
-            self.flows.remove(&flow);
             return;
         }
         let to = known.sender();
@@ -360,7 +379,7 @@
             self.upstream.opening_lost(now);
             // The flow stays known: the upstream may still accept it late.
             if let Some(flow) = self.flows.get_mut(&key)
-                && let (Some(to), Some(packet)) = (flow.opener(), flow.take_opening())
+                && let (Some(to), Some(packet)) = (flow.opener(), flow.take_kept())
             {
                 actions.push(Action::ReturnHeld {
                     to,
--- a/crates/core/src/flow/agent/action.rs
+++ b/crates/core/src/flow/agent/action.rs
@@ -50,6 +50,15 @@
         /// The flow.
         flow: Key,
     },
+    /// Tell a balancer that a packet's flow is not here, and hand back the packet, which was kept.
+    MissingHeld {
+        /// The balancer.
+        to: SocketAddrV4,
+        /// The flow.
+        flow: Key,
+        /// The packet.
+        packet: Box<[u8]>,
+    },
     /// Reset a flow towards its client.
     Reset {
         /// The flow.
--- a/crates/core/src/flow/agent/flow.rs
+++ b/crates/core/src/flow/agent/flow.rs
@@ -21,6 +21,8 @@
     Open,
     /// The agent is younger than the flow and does not know whether its upstream holds it.
     Unsure,
+    /// The upstream gave the opening packet back. Its later packets would be strange to it.
+    Refused,
 }
 
 /// A flow as an agent sees it.
@@ -35,7 +37,8 @@
     sender: Option<SocketAddrV4>,
     /// A balancer that waits to hear whether the flow is here.
     asker: Option<SocketAddrV4>,
-    opening: Option<Box<[u8]>>,
+    /// The packet that the upstream has not answered yet.
+    kept: Option<Box<[u8]>>,
     /// Sequence number of the upstream's reply to the opening packet.
     accepted: Option<u32>,
     acknowledgement: u32,
@@ -53,7 +56,7 @@
             opener: None,
             sender: None,
             asker: None,
-            opening: None,
+            kept: None,
             accepted: None,
             acknowledgement: 0,
             asked_at: None,
@@ -67,15 +70,16 @@
         Self {
             opener: Some(from),
             sender: Some(from),
-            opening: Some(packet.into()),
+            kept: Some(packet.into()),
             ..Self::new(now, Phase::Opening)
         }
     }
 
     /// A flow that only the upstream can tell of.
-    pub fn unsure(now: Instant, from: SocketAddrV4) -> Self {
+    pub fn unsure(now: Instant, from: SocketAddrV4, packet: &[u8]) -> Self {
         Self {
             sender: Some(from),
+            kept: Some(packet.into()),
             ..Self::new(now, Phase::Unsure)
         }
     }
@@ -103,6 +107,13 @@
         self.opener
     }
 
+    /// The upstream gave the opening packet back.
+    pub fn refuse(&mut self, now: Instant) {
+        self.phase = Phase::Refused;
+        self.since = now;
+        self.kept = None;
+    }
+
     /// Notes that a copy of the opening packet came from a balancer.
     pub fn set_opener(&mut self, from: SocketAddrV4) {
         self.opener = Some(from);
@@ -124,9 +135,9 @@
         self.asker.take()
     }
 
-    /// The opening packet, if it is still kept.
-    pub fn take_opening(&mut self) -> Option<Box<[u8]>> {
-        self.opening.take()
+    /// The packet that the upstream has not answered, if it is still kept.
+    pub fn take_kept(&mut self) -> Option<Box<[u8]>> {
+        self.kept.take()
     }
 
     /// The client's last acknowledged number.
@@ -138,7 +149,7 @@
     pub fn refutes(&self, head: &Head) -> bool {
         match (self.phase, self.accepted) {
             (Phase::Accepted, Some(sequence)) => head.acknowledgement.wrapping_sub(sequence) > 1,
-            (Phase::Opening, _) => true,
+            (Phase::Opening | Phase::Refused, _) => true,
             _ => false,
         }
     }
@@ -162,12 +173,13 @@
         self.seen_at = now;
         if head.flags.syn {
             self.accepted = Some(head.sequence);
-            self.opening = None;
+            self.kept = None;
             if self.phase == Phase::Opening {
                 self.phase = Phase::Accepted;
             }
         } else if self.phase == Phase::Unsure {
             self.phase = Phase::Open;
+            self.kept = None;
         }
         if head.data_len > 0 {
             self.asked_at = None;
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -318,6 +318,9 @@
         packet: &[u8],
         actions: &mut Vec<Action>,
     ) {
+        if reason == Reason::Shed {
+            self.members.shed(now, from);
+        }
         let Some(connection) = self.flows.get_mut(&flow) else {
             return;
         };
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -20,6 +20,10 @@
 /// Load that a cold upstream counts for: it takes about half as long again for each request.
 const COLD_PENALTY: f64 = 0.3;
 
+/// Load that an upstream counts for which its agent has not heard, or which has just given an
+/// opening packet back: more than any zone's way or coldness.
+const LAST_CHOICE_PENALTY: f64 = 3.0;
+
 /// Upstreams of a zone among which load decides.
 const CHOICES: usize = 2;
 
@@ -139,18 +143,7 @@
             .collect();
         local.sort_by_cached_key(|member| Reverse(ranking::rank(flow, member.address)));
         local.truncate(CHOICES);
-        let cost = |member: &Member| {
-            let remote = if member.zone == self.zone {
-                0.0
-            } else {
-                REMOTE_PENALTY
-            };
-            let cold = match member.report.state {
-                State::Cold | State::Unknown => COLD_PENALTY,
-                _ => 0.0,
-            };
-            member.load() + remote + cold
-        };
+        let cost = |member: &Member| self.cost(now, member);
         let cheapest = |members: &[&Member]| {
             members
                 .iter()
@@ -164,6 +157,33 @@
         self.by_address.get_mut(&address)
     }
 
+    /// What a new flow costs at a member, in load.
+    fn cost(&self, now: Instant, member: &Member) -> f64 {
+        let remote = if member.zone == self.zone {
+            0.0
+        } else {
+            REMOTE_PENALTY
+        };
+        let state = match member.report.state {
+            State::Cold => COLD_PENALTY,
+            State::Unknown => LAST_CHOICE_PENALTY,
+            State::Ready | State::Silent | State::Draining | State::Gone => 0.0,
+        };
+        let shed = if member.has_shed(now) {
+            LAST_CHOICE_PENALTY
+        } else {
+            0.0
+        };
+        member.load() + remote + state + shed
+    }
+
+    /// Notes that an upstream gave an opening packet back.
+    pub fn shed(&mut self, now: Instant, address: SocketAddrV4) {
+        if let Some(member) = self.by_address.get_mut(&address) {
+            member.shed_at = Some(now);
+        }
+    }
+
     /// In which order agents are asked for the home of a flow: `first`, then the services of the
     /// route by rank, then all others, since routes change while flows stay.
     pub fn search_order(
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -14,6 +14,10 @@
 /// An agent that was heard directly within this time lives, whatever the store says of it.
 pub const HEARD_RECENTLY: Duration = Duration::from_secs(3);
 
+/// How long an upstream that gave an opening packet back is the last choice: queues shrink within
+/// a few requests, and a process that starts takes longer than that.
+const SHED_FOR: Duration = Duration::from_millis(150);
+
 /// Load that one open flow without a request in progress stands for, in slots: feeds ask about
 /// once a second for some 30 ms of work.
 const IDLE_FLOW_LOAD: f64 = 0.04;
@@ -39,6 +43,8 @@
     pub unanswered_since: Option<Instant>,
     /// When it was last probed.
     pub probed_at: Option<Instant>,
+    /// When its upstream last gave an opening packet back.
+    pub shed_at: Option<Instant>,
     /// Flows placed since the last report.
     pub placed: u16,
 }
@@ -61,6 +67,7 @@
             unlisted_at: None,
             unanswered_since: None,
             probed_at: None,
+            shed_at: None,
             placed: 0,
         }
     }
@@ -100,6 +107,12 @@
         room && (self.listed || self.is_heard(now)) && !self.is_silent(now)
     }
 
+    /// Whether its upstream gave an opening packet back a short time ago.
+    pub fn has_shed(&self, now: Instant) -> bool {
+        self.shed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < SHED_FOR)
+    }
+
     /// Work in relation to slots, as far as it is known.
     pub fn load(&self) -> f64 {
         let slots = f64::from(self.report.slots.max(1));
--- /dev/null
+++ b/crates/core/tests/flow/balancer.rs
@@ -0,0 +1,320 @@
+//! Where a balancer sends packets.
+
+use std::{net::SocketAddrV4, time::Instant};
+
+use sassafrasmast_core::flow::{
+    Balancer, Head, Key, Member, Purpose, Reason, Report, State,
+    balancer::{self, Action, ResetCause},
+};
+use sassafrasmast_wire::flow::Body;
+
+use crate::fixture::{
+    OTHER_ZONE, SERVICE, ZONE, address, data, flow, intent, ms, ready_report, simple_intent, syn,
+};
+
+struct Rig {
+    balancer: Balancer,
+    now: Instant,
+}
+
+impl Rig {
+    /// A balancer that has known `agents` (port and zone) for a while.
+    fn new(agents: &[(u16, &str)]) -> Self {
+        let now = Instant::now();
+        let mut balancer = Balancer::new(
+            now,
+            balancer::Settings {
+                zone: ZONE.into(),
+                ..balancer::Settings::default()
+            },
+        );
+        assert!(balancer.set_intent(simple_intent()));
+        let members = agents
+            .iter()
+            .map(|&(port, zone)| member(port, zone))
+            .collect();
+        balancer.set_members(now, members);
+        Self {
+            balancer,
+            now: now + ms(5_000),
+        }
+    }
+
+    fn packet(&mut self, head: &Head) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.balancer
+            .client_packet(self.now, head, b"packet", &mut actions);
+        actions
+    }
+
+    fn frame(&mut self, from: SocketAddrV4, body: &Body<'_>, head: Option<&Head>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.balancer
+            .agent_frame(self.now, from, body, head, &mut actions);
+        actions
+    }
+
+    fn tick(&mut self, millis: u64) -> Vec<Action> {
+        self.now += ms(millis);
+        let mut actions = Vec::new();
+        self.balancer.tick(self.now, &mut actions);
+        actions
+    }
+
+    /// Sends an opening packet and returns the agent that it went to.
+    fn open(&mut self, flow: Key) -> SocketAddrV4 {
+        target(&self.packet(&syn(flow)))
+    }
+
+    fn hear(&mut self, from: SocketAddrV4, report: Report) {
+        self.frame(from, &Body::Report(report), None);
+    }
+
+    fn accept(&mut self, from: SocketAddrV4, flow: Key, sequence: u32) {
+        let body = Body::Accepted {
+            flow,
+            sequence,
+            report: ready_report(),
+        };
+        self.frame(from, &body, None);
+    }
+
+    fn give_back(&mut self, from: SocketAddrV4, flow: Key, reason: Reason) -> Vec<Action> {
+        let body = Body::Returned {
+            reason,
+            report: ready_report(),
+            packet: b"packet",
+        };
+        self.frame(from, &body, Some(&syn(flow)))
+    }
+
+    fn miss(&mut self, from: SocketAddrV4, flow: Key) -> Vec<Action> {
+        let body = Body::Missing {
+            flow,
+            report: ready_report(),
+            packet: b"packet",
+        };
+        self.frame(from, &body, Some(&data(flow, 8)))
+    }
+}
+
+fn agent(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, 9].into(), port)
+}
+
+fn member(port: u16, zone: &str) -> Member {
+    Member::listed(agent(port), SERVICE.into(), zone.into(), ready_report())
+}
+
+/// The agent that the only packet goes to.
+fn target(actions: &[Action]) -> SocketAddrV4 {
+    match actions {
+        [Action::Forward { to, .. } | Action::Send { to, .. }] => *to,
+        other => panic!("one packet is expected: {other:?}"),
+    }
+}
+
+#[test]
+fn new_flows_stay_in_the_zone_while_it_has_room() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, OTHER_ZONE)]);
+    for port in 0..3 {
+        assert_eq!(rig.open(flow(port)), agent(1));
+    }
+}
+
+#[test]
+fn new_flows_leave_a_zone_that_is_busy() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, OTHER_ZONE)]);
+    let busy = Report {
+        busy: 6,
+        ..ready_report()
+    };
+    rig.hear(agent(1), busy);
+    assert_eq!(rig.open(flow(1)), agent(2));
+}
+
+#[test]
+fn a_copy_goes_to_another_agent() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    let first = rig.open(flow(1));
+    assert_ne!(rig.open(flow(1)), first);
+}
+
+#[test]
+fn a_returned_packet_goes_to_another_agent_at_once() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    let first = rig.open(flow(1));
+    let second = target(&rig.give_back(first, flow(1), Reason::Shed));
+    assert_ne!(second, first);
+}
+
+#[test]
+fn a_flow_that_all_upstreams_hand_back_is_refused_at_once() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    let first = rig.open(flow(1));
+    let second = target(&rig.give_back(first, flow(1), Reason::Shed));
+    let reset = Action::Reset {
+        flow: flow(1),
+        sequence: 0,
+        cause: ResetCause::NoUpstream,
+    };
+    assert_eq!(rig.give_back(second, flow(1), Reason::Shed), [reset]);
+}
+
+#[test]
+fn an_upstream_that_sheds_is_left_alone_for_a_while() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, OTHER_ZONE)]);
+    assert_eq!(rig.open(flow(1)), agent(1));
+    rig.give_back(agent(1), flow(1), Reason::Shed);
+    rig.accept(agent(2), flow(1), 7);
+    assert_eq!(rig.open(flow(2)), agent(2));
+    rig.now += ms(1_000);
+    assert_eq!(rig.open(flow(3)), agent(1));
+}
+
+#[test]
+fn an_upstream_that_its_agent_has_not_heard_is_the_last_choice() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, OTHER_ZONE)]);
+    let unheard = Report {
+        state: State::Unknown,
+        ..ready_report()
+    };
+    rig.hear(agent(1), unheard);
+    assert_eq!(rig.open(flow(1)), agent(2));
+}
+
+#[test]
+fn the_reply_that_the_client_acknowledges_names_the_home() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    let first = rig.open(flow(1));
+    let second = rig.open(flow(1));
+    rig.accept(first, flow(1), 7_000);
+    rig.accept(second, flow(1), 90_000);
+    assert_eq!(target(&rig.packet(&data(flow(1), 90_001))), second);
+    assert_eq!(target(&rig.packet(&data(flow(1), 95_000))), second);
+}
+
+#[test]
+fn an_open_flow_stays_where_it_is_when_its_route_leads_elsewhere() {
+    let mut rig = Rig::new(&[(1, ZONE)]);
+    let home = rig.open(flow(1));
+    rig.accept(home, flow(1), 7);
+    assert!(rig.balancer.set_intent(intent(2, &[("other", 1)], 0.0)));
+    rig.balancer.unlist_member(rig.now, home);
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), home);
+}
+
+#[test]
+fn an_unknown_flow_is_looked_for_at_every_agent_and_then_reset() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE), (3, OTHER_ZONE)]);
+    let mut asked = rig.packet(&data(flow(1), 8)).len();
+    let mut reset = Vec::new();
+    for port in 1..=3 {
+        for action in rig.miss(agent(port), flow(1)) {
+            match action {
+                Action::Send { purpose, .. } => {
+                    assert_eq!(purpose, Purpose::Find);
+                    asked += 1;
+                }
+                other => reset.push(other),
+            }
+        }
+    }
+    let expected = Action::Reset {
+        flow: flow(1),
+        sequence: 8,
+        cause: ResetCause::Lost,
+    };
+    assert_eq!(asked, 3);
+    assert_eq!(reset, [expected]);
+}
+
+#[test]
+fn a_flow_is_not_reset_while_one_agent_has_not_answered() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.packet(&data(flow(1), 8));
+    rig.miss(agent(1), flow(1));
+    let actions = rig.tick(500);
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, Action::Reset { .. })),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn an_unlisted_agent_is_still_asked_for_its_flows() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.balancer.unlist_member(rig.now, agent(2));
+    let asked: Vec<_> = rig
+        .packet(&data(flow(1), 8))
+        .iter()
+        .map(|action| target(std::slice::from_ref(action)))
+        .collect();
+    assert!(asked.contains(&agent(2)), "{asked:?}");
+}
+
+#[test]
+fn packets_that_came_during_a_search_follow_to_the_home() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.packet(&data(flow(1), 8));
+    let mut actions = Vec::new();
+    rig.balancer
+        .client_packet(rig.now, &data(flow(1), 8), b"second", &mut actions);
+    assert_eq!(actions, []);
+    let body = Body::Found {
+        flow: flow(1),
+        report: ready_report(),
+    };
+    let released = Action::Send {
+        to: agent(2),
+        purpose: Purpose::Known,
+        service: None,
+        packet: b"second".as_slice().into(),
+    };
+    assert_eq!(rig.frame(agent(2), &body, None), [released]);
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), agent(2));
+}
+
+#[test]
+fn a_silent_agent_gets_no_new_flows_and_is_probed() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, OTHER_ZONE)]);
+    assert_eq!(rig.open(flow(1)), agent(1));
+    rig.now += ms(200);
+    assert_eq!(rig.open(flow(2)), agent(2));
+    rig.accept(agent(2), flow(2), 7);
+    let probes = rig.tick(0);
+    assert_eq!(probes, [Action::Probe(agent(1))]);
+    rig.hear(agent(1), ready_report());
+    assert_eq!(rig.open(flow(3)), agent(1));
+}
+
+#[test]
+fn a_route_that_is_not_there_is_refused_at_once() {
+    let mut rig = Rig::new(&[(1, ZONE)]);
+    let stray = Key {
+        route: address("198.18.9.9:443"),
+        ..flow(1)
+    };
+    let reset = Action::Reset {
+        flow: stray,
+        sequence: 0,
+        cause: ResetCause::NoRoute,
+    };
+    assert_eq!(rig.packet(&syn(stray)), [reset]);
+}
+
+#[test]
+fn a_zone_that_is_out_gets_no_new_flows_and_keeps_open_ones() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, OTHER_ZONE)]);
+    let home = rig.open(flow(1));
+    assert_eq!(home, agent(1));
+    rig.accept(home, flow(1), 7);
+    let mut out = (*simple_intent()).clone();
+    out.revision = 2;
+    out.zones_out.insert(ZONE.into());
+    assert!(rig.balancer.set_intent(out.into()));
+    assert_eq!(rig.open(flow(2)), agent(2));
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), home);
+}
--- /dev/null
+++ b/crates/core/tests/flow/main.rs
@@ -0,0 +1,5 @@
+//! Decisions of flow forwarding, driven without a network.
+
+mod agent;
+mod balancer;
+mod fixture;
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -9,7 +9,7 @@
 
 use ::http::StatusCode;
 use sassafrasmast_core::flow::{
-    Agent, State,
+    Agent, Key, State,
     agent::{self, Action, Announcement, Change, Delivery},
 };
 use sassafrasmast_store::Range;
@@ -398,15 +398,8 @@
                     let report = self.decisions.report(now);
                     self.send(to, Body::Found { flow, report });
                 }
-                Action::Missing { to, flow } => {
-                    let report = self.decisions.report(now);
-                    let body = Body::Missing {
-                        flow,
-                        report,
-                        packet,
-                    };
-                    self.send(to, body);
-                }
+                Action::Missing { to, flow } => self.disown(now, to, flow, packet),
+                Action::MissingHeld { to, flow, packet } => self.disown(now, to, flow, &packet),
                 Action::Reset {
                     flow,
                     sequence,
@@ -458,6 +451,17 @@
         self.send(to, body);
     }
 
+    /// Tells a balancer that a packet's flow is not here.
+    fn disown(&mut self, now: Instant, to: SocketAddrV4, flow: Key, packet: &[u8]) {
+        let report = self.decisions.report(now);
+        let body = Body::Missing {
+            flow,
+            report,
+            packet,
+        };
+        self.send(to, body);
+    }
+
     fn send_to_client(&self, packet: &[u8]) {
         if let Some(head) = self.platform.decode(packet) {
             let to = SocketAddrV4::new(*head.destination.ip(), self.settings.packets.port());
