fix(core): searches wait for agents that restart; unreachable agents end the wait of repeatable flows

Cause: a search ended 150 ms after its last wave, so agents that came back later were asked only at the client's next repetition; an entry of a machine that was gone kept lost flows of feeds waiting for up to its lease of 15 s.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -54,7 +54,9 @@
     /// Opening packets that the upstream has not answered yet.
     opening: Vec<Key>,
     swept_at: Instant,
-    reported: Option<(State, u64)>,
+    stopping: bool,
+    /// State, start of the upstream and whether the agent stops, as balancers were told last.
+    reported: Option<(State, u64, bool)>,
 }
 
 impl Agent {
@@ -68,6 +70,7 @@
             flows: HashMap::new(),
             opening: Vec::new(),
             swept_at: now,
+            stopping: false,
             reported: None,
         }
     }
@@ -115,18 +118,29 @@
             slots: self.upstream.slots(),
             busy: u16::try_from(busy).unwrap_or(u16::MAX),
             flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
+            stopping: self.stopping,
             headroom: u16::try_from(headroom).unwrap_or(u16::MAX),
         }
     }
 
     /// Whether what the agent tells differs from what [`Self::mark_reported`] last noted.
     pub fn has_news(&self, now: Instant) -> bool {
-        self.reported != Some((self.upstream.state(now), self.upstream.started()))
+        self.reported != Some(self.news(now))
     }
 
     /// Notes that the present state was told to all balancers.
     pub fn mark_reported(&mut self, now: Instant) {
-        self.reported = Some((self.upstream.state(now), self.upstream.started()));
+        self.reported = Some(self.news(now));
+    }
+
+    fn news(&self, now: Instant) -> (State, u64, bool) {
+        let upstream = &self.upstream;
+        (upstream.state(now), upstream.started(), self.stopping)
+    }
+
+    /// The agent was told to stop.
+    pub fn stop(&mut self) {
+        self.stopping = true;
     }
 
     /// New flows that a cold upstream is given within a second. `None` without a limit: operators
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -24,10 +24,10 @@
     action::{Action, Drop, ResetCause},
     connection::Connection,
     members::Members,
-    search::Search,
+    search::{Search, Verdict},
     settings::Settings,
 };
-use super::{Head, Intent, Key, Member, Purpose, Reason, ServiceName};
+use super::{Head, Intent, Key, Member, Purpose, Reason, ServiceName, intent::Kind};
 
 /// How often forgotten flows are looked for.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
@@ -127,7 +127,7 @@
         };
         connection.touch(now, head);
         match connection.home(head) {
-            Some(to) => self.follow(now, flow, to, bytes, actions),
+            Some(to) => self.follow(now, flow, to, head, bytes, actions),
             None => {
                 let first = connection.candidates();
                 self.search(now, flow, head, bytes, &first, actions);
@@ -141,12 +141,22 @@
         now: Instant,
         flow: Key,
         to: SocketAddrV4,
+        head: &Head,
         bytes: &[u8],
         actions: &mut Vec<Action>,
     ) {
         // A search that still runs is of an earlier home.
         if let Some(search) = self.searches.get_mut(&flow) {
-            search.hold(now, bytes);
+            search.hold(bytes);
+            return;
+        }
+        if self.members.check(now, to, actions) && self.is_safe(&flow) {
+            self.flows.remove(&flow);
+            actions.push(Action::Reset {
+                flow,
+                sequence: head.acknowledgement,
+                cause: ResetCause::Unreachable,
+            });
             return;
         }
         actions.push(Action::Forward {
@@ -156,6 +166,14 @@
         });
     }
 
+    /// Whether the requests of a flow may be repeated.
+    fn is_safe(&self, flow: &Key) -> bool {
+        self.intent
+            .as_ref()
+            .and_then(|intent| intent.policy.routes.get(&flow.route))
+            .is_some_and(|route| route.kind == Kind::Safe)
+    }
+
     /// Places an opening packet or a copy of it.
     fn open(&mut self, now: Instant, flow: Key, bytes: &[u8], actions: &mut Vec<Action>) {
         let Some(intent) = &self.intent else {
@@ -349,7 +367,7 @@
         actions: &mut Vec<Action>,
     ) {
         if let Some(search) = self.searches.get_mut(&flow) {
-            search.hold(now, bytes);
+            search.hold(bytes);
             return;
         }
         if self.searches.len() >= self.settings.max_searches {
@@ -360,9 +378,10 @@
             .intent
             .as_ref()
             .and_then(|intent| intent.policy.routes.get(&flow.route));
-        let order = self.members.search_order(now, &flow, route, first);
-        let mut search = Search::new(now, order, head.acknowledgement, bytes);
-        search.next_wave(now, &mut self.members, actions);
+        let order = self.members.search_order(&flow, route, first);
+        let kind = route.map_or(Kind::Once, |route| route.kind);
+        let mut search = Search::new(now, order, kind, head.acknowledgement, bytes);
+        search.ask(now, &mut self.members, actions);
         self.searches.insert(flow, search);
     }
 
@@ -391,7 +410,7 @@
     ) {
         if let Some(search) = self.searches.get_mut(&flow) {
             if search.rule_out(from) {
-                search.next_wave(now, &mut self.members, actions);
+                search.ask(now, &mut self.members, actions);
             }
         } else {
             if let Some(connection) = self.flows.get_mut(&flow) {
@@ -411,24 +430,27 @@
 
     /// Ends a search that has no one left to ask.
     fn finish_search(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
-        let Some(search) = self.searches.get(&flow) else {
+        let settled = self.knows_members_for(now);
+        let Some(search) = self.searches.get_mut(&flow) else {
             return;
         };
-        if !search.is_exhausted(now) {
-            return;
-        }
-        let lost = search.is_ruled_out_everywhere() && self.knows_members_for(now);
-        let sequence = search.acknowledgement();
-        self.searches.remove(&flow);
-        if lost {
-            self.flows.remove(&flow);
-            actions.push(Action::Reset {
-                flow,
-                sequence,
-                cause: ResetCause::Lost,
-            });
-        } else {
-            actions.push(Action::Drop(flow, Drop::NotFound));
+        search.extend(&self.members);
+        match search.verdict(now, &self.members, settled) {
+            Verdict::Open => {}
+            Verdict::Lost => {
+                let sequence = search.acknowledgement();
+                self.searches.remove(&flow);
+                self.flows.remove(&flow);
+                actions.push(Action::Reset {
+                    flow,
+                    sequence,
+                    cause: ResetCause::Lost,
+                });
+            }
+            Verdict::GivenUp => {
+                self.searches.remove(&flow);
+                actions.push(Action::Drop(flow, Drop::NotFound));
+            }
         }
     }
 
@@ -442,7 +464,7 @@
             .collect();
         for flow in due {
             if let Some(search) = self.searches.get_mut(&flow) {
-                search.next_wave(now, &mut self.members, actions);
+                search.ask(now, &mut self.members, actions);
             }
             self.finish_search(now, flow, actions);
         }
--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -53,6 +53,8 @@
     Lost,
     /// The flow's upstream has started anew.
     Restarted,
+    /// The flow's agent answers nothing, and its requests may be repeated elsewhere.
+    Unreachable,
 }
 
 impl ResetCause {
@@ -68,6 +70,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Lost => "lost",
             Self::Restarted => "restarted",
+            Self::Unreachable => "unreachable",
         }
     }
 }
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -30,6 +30,17 @@
 /// How often a silent agent is probed.
 const PROBE_EVERY: Duration = Duration::from_millis(100);
 
+/// How often an agent that the store does not list is probed while it answers: what the store
+/// does not say must be heard.
+const PROBE_UNLISTED_EVERY: Duration = Duration::from_secs(1);
+
+/// An agent that open flows use is probed if it was not heard for this long.
+const CHECK_AFTER: Duration = Duration::from_millis(400);
+
+/// An agent that has answered nothing for this long has its flows reset that may be repeated:
+/// five probes, and less than the second repetition of a client's packet.
+const UNREACHABLE_AFTER: Duration = Duration::from_millis(550);
+
 /// An agent that the store does not list and that nobody hears is forgotten after this time: no
 /// flow is older.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -188,7 +199,6 @@
     /// route by rank, then all others, since routes change while flows stay.
     pub fn search_order(
         &self,
-        _now: Instant,
         flow: &Key,
         route: Option<&Route>,
         first: &[SocketAddrV4],
@@ -212,13 +222,41 @@
             .collect()
     }
 
-    /// Probes agents that are silent, so that they come back into use.
+    /// Probes an agent that open flows use and that was not heard for a while. Tells whether it
+    /// is unreachable.
+    pub fn check(
+        &mut self,
+        now: Instant,
+        address: SocketAddrV4,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(member) = self.by_address.get_mut(&address) else {
+            return false;
+        };
+        let is_quiet = member
+            .heard_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= CHECK_AFTER);
+        if is_quiet && member.unanswered_since.is_none() {
+            member.expect_answer(now);
+            member.probed_at = Some(now);
+            actions.push(Action::Probe(address));
+        }
+        member.is_unreachable(now, UNREACHABLE_AFTER)
+    }
+
+    /// Probes agents that are silent, so that they come back into use, and agents that only
+    /// their answers keep in use.
     pub fn probe(&mut self, now: Instant, actions: &mut Vec<Action>) {
         for member in self.by_address.values_mut() {
-            let due = member
+            let since = member
                 .probed_at
-                .is_none_or(|at| now.saturating_duration_since(at) >= PROBE_EVERY);
-            if due && member.is_silent(now) && member.listed {
+                .map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+            let is_due = if member.is_silent(now) && member.listed {
+                since >= PROBE_EVERY
+            } else {
+                !member.listed && member.is_heard(now) && since >= PROBE_UNLISTED_EVERY
+            };
+            if is_due {
                 member.probed_at = Some(now);
                 actions.push(Action::Probe(member.address));
             }
--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{Action, Members};
-use crate::flow::Purpose;
+use crate::flow::{Purpose, intent::Kind};
 
 /// Agents asked in the first wave; each further wave is twice as large.
 const FIRST_WAVE: usize = 2;
@@ -14,12 +14,30 @@
 /// Time between waves while answers are missing: a round trip between zones and one wake-up.
 const WAVE_EVERY: Duration = Duration::from_millis(8);
 
-/// Time after the last wave in which answers still count.
-const LAST_WAIT: Duration = Duration::from_millis(150);
+/// How often agents that have not answered are asked again once all were asked.
+const ASK_AGAIN_EVERY: Duration = Duration::from_millis(60);
+
+/// Longest search. Clients repeat their packets within this time, which starts a new one.
+const LONGEST: Duration = Duration::from_secs(2);
+
+/// An agent that has answered nothing for this long no longer delays the end of a search for a
+/// flow whose requests may be repeated.
+const UNREACHABLE_AFTER: Duration = Duration::from_secs(1);
 
 /// Packets held for one flow; a client has no more than 16 in flight.
 const MAX_HELD: usize = 16;
 
+/// How a search stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Someone has not answered yet.
+    Open,
+    /// The flow is nowhere.
+    Lost,
+    /// Time is up.
+    GivenUp,
+}
+
 /// The search for the home of one flow.
 #[derive(Debug)]
 pub struct Search {
@@ -27,17 +45,20 @@
     asked: usize,
     ruled_out: Vec<SocketAddrV4>,
     wave: usize,
+    started_at: Instant,
     waved_at: Instant,
+    kind: Kind,
     acknowledgement: u32,
     /// The packet that is shown to the agents, then those that came after it.
     held: Vec<Box<[u8]>>,
 }
 
 impl Search {
-    /// A search through `order`.
+    /// A search through `order` for a flow whose requests are of `kind`.
     pub fn new(
         now: Instant,
         order: Vec<SocketAddrV4>,
+        kind: Kind,
         acknowledgement: u32,
         packet: &[u8],
     ) -> Self {
@@ -46,14 +67,16 @@
             asked: 0,
             ruled_out: Vec::new(),
             wave: FIRST_WAVE,
+            started_at: now,
             waved_at: now,
+            kind,
             acknowledgement,
             held: vec![packet.into()],
         }
     }
 
     /// Holds a further packet until the home is known.
-    pub fn hold(&mut self, _now: Instant, packet: &[u8]) {
+    pub fn hold(&mut self, packet: &[u8]) {
         if self.held.len() < MAX_HELD && !self.held.iter().any(|held| **held == *packet) {
             self.held.push(packet.into());
         }
@@ -74,13 +97,17 @@
             .all(|asked| self.ruled_out.contains(asked))
     }
 
-    /// Asks the next agents.
-    pub fn next_wave(&mut self, now: Instant, members: &mut Members, actions: &mut Vec<Action>) {
-        let end = (self.asked + self.wave).min(self.order.len());
+    /// Asks the next agents, or again those that have not answered.
+    pub fn ask(&mut self, now: Instant, members: &mut Members, actions: &mut Vec<Action>) {
+        let (start, end) = if self.asked < self.order.len() {
+            (self.asked, (self.asked + self.wave).min(self.order.len()))
+        } else {
+            (0, self.order.len())
+        };
         let Some(packet) = self.held.first() else {
             return;
         };
-        for &to in &self.order[self.asked..end] {
+        for &to in &self.order[start..end] {
             if self.ruled_out.contains(&to) {
                 continue;
             }
@@ -97,28 +124,41 @@
         self.waved_at = now;
     }
 
-    /// Whether the next wave is due, or the wait after the last one is over.
+    /// Whether agents are to be asked now.
     pub fn is_due(&self, now: Instant) -> bool {
-        let since = now.saturating_duration_since(self.waved_at);
-        if self.asked < self.order.len() {
-            since >= WAVE_EVERY
+        let pause = if self.asked < self.order.len() {
+            WAVE_EVERY
         } else {
-            since >= LAST_WAIT
-        }
+            ASK_AGAIN_EVERY
+        };
+        now.saturating_duration_since(self.waved_at) >= pause
     }
 
-    /// Whether no answer is to come any more.
-    pub fn is_exhausted(&self, now: Instant) -> bool {
-        self.asked == self.order.len()
-            && (self.is_ruled_out_everywhere()
-                || now.saturating_duration_since(self.waved_at) >= LAST_WAIT)
+    /// Takes agents into the search that were not known when it began.
+    pub fn extend(&mut self, members: &Members) {
+        for member in members.iter() {
+            if !self.order.contains(&member.address) {
+                self.order.push(member.address);
+            }
+        }
     }
 
-    /// Whether each agent has said that the flow is not at its upstream.
-    pub fn is_ruled_out_everywhere(&self) -> bool {
-        self.order
-            .iter()
-            .all(|agent| self.ruled_out.contains(agent))
+    /// How the search stands. Before the list of agents is `settled` nothing is lost.
+    pub fn verdict(&self, now: Instant, members: &Members, settled: bool) -> Verdict {
+        let answered = |agent: &SocketAddrV4| {
+            self.ruled_out.contains(agent)
+                || (self.kind == Kind::Safe
+                    && members
+                        .get(*agent)
+                        .is_none_or(|member| member.is_unreachable(now, UNREACHABLE_AFTER)))
+        };
+        if settled && self.asked == self.order.len() && self.order.iter().all(answered) {
+            Verdict::Lost
+        } else if now.saturating_duration_since(self.started_at) >= LONGEST {
+            Verdict::GivenUp
+        } else {
+            Verdict::Open
+        }
     }
 
     /// Sends the packets that came after the first one to the flow's home.
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -14,6 +14,9 @@
 /// An agent that was heard directly within this time lives, whatever the store says of it.
 pub const HEARD_RECENTLY: Duration = Duration::from_secs(3);
 
+/// Longest time between a planned stop of an agent and its next start.
+const RESTART_TIME: Duration = Duration::from_secs(4);
+
 /// How long an upstream that gave an opening packet back is the last choice: queues shrink within
 /// a few requests, and a process that starts takes longer than that.
 const SHED_FOR: Duration = Duration::from_millis(150);
@@ -91,6 +94,14 @@
             .is_some_and(|since| now.saturating_duration_since(since) >= SILENT_AFTER)
     }
 
+    /// Whether the agent has answered nothing for `long`. One that is being restarted as planned
+    /// has some time to come back, while its flows wait.
+    pub fn is_unreachable(&self, now: Instant, long: Duration) -> bool {
+        let patience = if self.report.stopping { RESTART_TIME } else { long };
+        self.unanswered_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= patience)
+    }
+
     /// Whether the agent was heard directly a short time ago.
     pub fn is_heard(&self, now: Instant) -> bool {
         self.heard_at
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -5,6 +5,7 @@
 use sassafrasmast_core::flow::{
     Balancer, Head, Key, Member, Purpose, Reason, Report, State,
     balancer::{self, Action, ResetCause},
+    intent::Kind,
 };
 use sassafrasmast_wire::flow::Body;
 
@@ -61,6 +62,24 @@
         actions
     }
 
+    /// Puts an intent in force whose requests may be repeated.
+    fn make_safe(&mut self) {
+        let mut safe = (*simple_intent()).clone();
+        safe.revision = 2;
+        for route in safe.policy.routes.values_mut() {
+            route.kind = Kind::Safe;
+        }
+        assert!(self.balancer.set_intent(safe.into()));
+    }
+
+    /// Ticks for a while and counts the resets.
+    fn resets_within(&mut self, millis: u64) -> usize {
+        (0..millis / 20)
+            .flat_map(|_| self.tick(20))
+            .filter(|action| matches!(action, Action::Reset { .. }))
+            .count()
+    }
+
     /// Sends an opening packet and returns the agent that it went to.
     fn open(&mut self, flow: Key) -> SocketAddrV4 {
         target(&self.packet(&syn(flow)))
@@ -290,6 +309,93 @@
     assert_eq!(rig.open(flow(3)), agent(1));
 }
 
+#[test]
+fn a_search_waits_for_an_agent_that_comes_back() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.packet(&data(flow(1), 8));
+    rig.miss(agent(1), flow(1));
+    let asked_again = rig
+        .tick(100)
+        .iter()
+        .any(|action| matches!(action, Action::Send { to, .. } if *to == agent(2)));
+    assert!(asked_again);
+    let reset = Action::Reset {
+        flow: flow(1),
+        sequence: 8,
+        cause: ResetCause::Lost,
+    };
+    assert_eq!(rig.miss(agent(2), flow(1)), [reset]);
+}
+
+#[test]
+fn an_agent_that_is_gone_does_not_keep_a_repeatable_flow_waiting() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.make_safe();
+    rig.packet(&data(flow(1), 8));
+    rig.miss(agent(1), flow(1));
+    assert_eq!(rig.resets_within(900), 0);
+    assert_eq!(rig.resets_within(300), 1);
+}
+
+#[test]
+fn an_agent_that_is_gone_keeps_a_booking_waiting() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.packet(&data(flow(1), 8));
+    rig.miss(agent(1), flow(1));
+    assert_eq!(rig.resets_within(3_000), 0);
+}
+
+#[test]
+fn a_repeatable_flow_leaves_an_agent_that_is_unreachable() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.make_safe();
+    let home = rig.open(flow(1));
+    rig.accept(home, flow(1), 7);
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), home);
+    rig.now += ms(1_000);
+    let probed = rig.packet(&data(flow(1), 8));
+    assert!(probed.contains(&Action::Probe(home)), "{probed:?}");
+    rig.now += ms(200);
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), home);
+    rig.now += ms(400);
+    let reset = Action::Reset {
+        flow: flow(1),
+        sequence: 8,
+        cause: ResetCause::Unreachable,
+    };
+    assert_eq!(rig.packet(&data(flow(1), 8)), [reset]);
+}
+
+#[test]
+fn flows_wait_for_an_agent_that_is_restarted_as_planned() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.make_safe();
+    let home = rig.open(flow(1));
+    rig.accept(home, flow(1), 7);
+    let stopping = Report {
+        stopping: true,
+        ..ready_report()
+    };
+    rig.hear(home, stopping);
+    rig.now += ms(1_000);
+    rig.packet(&data(flow(1), 8));
+    rig.now += ms(2_000);
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), home);
+}
+
+#[test]
+fn an_unlisted_agent_that_answers_stays_in_use() {
+    let mut rig = Rig::new(&[(1, ZONE)]);
+    rig.hear(agent(1), ready_report());
+    rig.balancer.unlist_member(rig.now, agent(1));
+    for _ in 0..10 {
+        let probes = rig.tick(1_000);
+        assert_eq!(probes, [Action::Probe(agent(1))]);
+        rig.hear(agent(1), ready_report());
+    }
+    assert_eq!(rig.open(flow(1)), agent(1));
+}
+
 #[test]
 fn a_route_that_is_not_there_is_refused_at_once() {
     let mut rig = Rig::new(&[(1, ZONE)]);
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -355,11 +355,15 @@
     }
 
     fn signal(&mut self, request: Request) {
-        let kind = match request {
-            Request::Stop => "stop",
-            Request::Reload => "reload",
-        };
-        self.log.line(Instant::now(), kind, &[]);
+        let now = Instant::now();
+        match request {
+            Request::Stop => {
+                self.decisions.stop();
+                self.publish(now);
+                self.log.line(now, "stop", &[]);
+            }
+            Request::Reload => self.log.line(now, "reload", &[]),
+        }
     }
 
     fn tick(&mut self) {
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -70,7 +70,7 @@
             cold_coverage: 1.0,
             cold_slack: 0.0,
             max_flow_age: Duration::from_secs(60),
-            lease: Duration::from_secs(15),
+            lease: Duration::from_secs(9),
         }
     }
 }
--- a/crates/wire/src/flow/report.rs
+++ b/crates/wire/src/flow/report.rs
@@ -20,6 +20,9 @@
     pub busy: u16,
     /// Open flows, busy ones included.
     pub flows: u32,
+    /// The agent was told to stop. It goes on until it is killed and is then started anew, unless
+    /// its VM leaves.
+    pub stopping: bool,
     /// New flows that the cold limit still lets through within the present second.
     pub headroom: u16,
 }
