fix(core): opening packets wait for room instead of being shed

Cause: after the closing fault all flows open again within 200 ms; upstreams, cold and with two requests waiting for each they work on, answered 854 tries with 503. Ruled out: shedding by fewer but larger zones (all were full).

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -33,6 +33,10 @@
 /// work, so this is a few wake-ups of a busy process.
 const OPENING_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Requests in progress for each slot up to which new flows are let through: one is worked on
+/// and one waits for about the time of a request.
+pub const BUSY_PER_SLOT: usize = 2;
+
 /// How often forgotten flows are looked for.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
 
@@ -106,11 +110,7 @@
     /// What the agent tells of itself.
     pub fn report(&mut self, now: Instant) -> Report {
         let headroom = self.headroom(now);
-        let busy = self
-            .flows
-            .values()
-            .filter(|flow| flow.is_busy(now, BUSY_FOR))
-            .count();
+        let busy = self.busy(now);
         Report {
             agent: self.settings.incarnation,
             upstream: self.upstream.started(),
@@ -123,6 +123,20 @@
         }
     }
 
+    /// Requests that the upstream works on or is about to get.
+    fn busy(&self, now: Instant) -> usize {
+        self.flows
+            .values()
+            .filter(|flow| flow.is_busy(now, BUSY_FOR))
+            .count()
+    }
+
+    /// Whether the upstream has as many requests in progress as it answers in time.
+    fn is_full(&self, now: Instant) -> bool {
+        let slots = usize::from(self.upstream.slots());
+        slots > 0 && self.busy(now) >= slots * BUSY_PER_SLOT
+    }
+
     /// Whether what the agent tells differs from what [`Self::mark_reported`] last noted.
     pub fn has_news(&self, now: Instant) -> bool {
         self.reported != Some(self.news(now))
@@ -251,8 +265,9 @@
             return Some(Reason::ZoneOut);
         }
         match self.upstream.state(now) {
-            State::Ready => None,
-            State::Unknown | State::Cold => (self.headroom(now) == 0).then_some(Reason::Cold),
+            State::Ready => self.is_full(now).then_some(Reason::Busy),
+            State::Unknown | State::Cold if self.headroom(now) == 0 => Some(Reason::Cold),
+            State::Unknown | State::Cold => self.is_full(now).then_some(Reason::Busy),
             State::Draining | State::Gone => Some(Reason::Leaving),
             State::Silent if self.upstream.may_try(now) => None,
             State::Silent => Some(Reason::Silent),
@@ -363,7 +378,7 @@
             if flow.is_younger_than(now, ANNOUNCEMENT_LAG) {
                 return true;
             }
-            if flow.phase() == Phase::Open {
+            if flow.phase() == Phase::Open && !flow.is_closing() {
                 actions.push(Action::Reset {
                     flow: key,
                     sequence: flow.acknowledgement(),
--- a/crates/core/src/flow/agent/flow.rs
+++ b/crates/core/src/flow/agent/flow.rs
@@ -10,6 +10,12 @@
 /// How long a closed flow is remembered, for repeated packets of both ends.
 const CLOSED_FOR: Duration = Duration::from_secs(4);
 
+/// Sequence numbers that are less than this ahead are newer, others older.
+const HALF_OF_NUMBERS: u32 = 1 << 31;
+
+/// Time from a flow's opening packet until its first request is there: two round trips.
+const FIRST_REQUEST_WITHIN: Duration = Duration::from_millis(100);
+
 /// Where a flow stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -42,7 +48,10 @@
     /// Sequence number of the upstream's reply to the opening packet.
     accepted: Option<u32>,
     acknowledgement: u32,
+    /// When the client last sent new data that the upstream has not answered.
     asked_at: Option<Instant>,
+    /// Where the client's data ends so far; repetitions of it ask for nothing new.
+    client_data_end: Option<u32>,
     client_done: bool,
     upstream_done: bool,
 }
@@ -60,6 +69,7 @@
             accepted: None,
             acknowledgement: 0,
             asked_at: None,
+            client_data_end: None,
             client_done: false,
             upstream_done: false,
         }
@@ -162,8 +172,13 @@
         if self.phase == Phase::Accepted {
             self.phase = Phase::Open;
         }
-        if head.data_len > 0 {
+        let end = head.sequence.wrapping_add(u32::from(head.data_len));
+        let is_new = self
+            .client_data_end
+            .is_none_or(|known| end.wrapping_sub(known) < HALF_OF_NUMBERS && end != known);
+        if head.data_len > 0 && is_new {
             self.asked_at = Some(now);
+            self.client_data_end = Some(end);
         }
         self.client_done |= head.flags.fin || head.flags.rst;
     }
@@ -187,10 +202,22 @@
         self.upstream_done |= head.flags.fin || head.flags.rst;
     }
 
-    /// Whether a request waits for its answer.
+    /// Whether either end has closed its side.
+    pub fn is_closing(&self) -> bool {
+        self.client_done || self.upstream_done
+    }
+
+    /// Whether a request waits for its answer, or is about to come on a new flow.
     pub fn is_busy(&self, now: Instant, at_most: Duration) -> bool {
-        self.asked_at
-            .is_some_and(|at| now.saturating_duration_since(at) < at_most)
+        if self.is_closing() {
+            return false;
+        }
+        let is_new = matches!(self.phase, Phase::Opening | Phase::Accepted)
+            && self.is_younger_than(now, FIRST_REQUEST_WITHIN);
+        is_new
+            || self
+                .asked_at
+                .is_some_and(|at| now.saturating_duration_since(at) < at_most)
     }
 
     /// Whether the flow began less than `age` ago.
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -10,6 +10,7 @@
 mod members;
 mod search;
 mod settings;
+mod waiting;
 
 use std::{
     collections::HashMap,
@@ -26,12 +27,26 @@
     members::Members,
     search::{Search, Verdict},
     settings::Settings,
+    waiting::Waiting,
 };
 use super::{Head, Intent, Key, Member, Purpose, Reason, ServiceName, intent::Kind};
 
 /// How often forgotten flows are looked for.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
 
+/// Why an opening packet cannot be placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Obstacle {
+    /// No route leads from the address that the client asked for.
+    NoRoute,
+    /// The service has no upstream.
+    NoUpstream,
+    /// No upstream takes the flow now; one may soon.
+    Wait,
+    /// No further upstream takes the flow, and one that got the packet has not answered.
+    Outstanding,
+}
+
 /// A balancer's state. Inputs append what is to be done to `actions`.
 #[derive(Debug)]
 pub struct Balancer {
@@ -40,6 +55,7 @@
     members: Members,
     flows: HashMap<Key, Connection>,
     searches: HashMap<Key, Search>,
+    waiting: Waiting,
     /// Since when the store's list of agents has been in hand.
     synced_since: Option<Instant>,
     swept_at: Instant,
@@ -54,6 +70,7 @@
             intent: None,
             flows: HashMap::new(),
             searches: HashMap::new(),
+            waiting: Waiting::default(),
             synced_since: None,
             swept_at: now,
         }
@@ -176,98 +193,120 @@
 
     /// Places an opening packet or a copy of it.
     fn open(&mut self, now: Instant, flow: Key, bytes: &[u8], actions: &mut Vec<Action>) {
-        let Some(intent) = &self.intent else {
-            actions.push(Action::Drop(flow, Drop::NoIntent));
-            return;
-        };
-        let Some(route) = intent.policy.routes.get(&flow.route) else {
-            self.flows.remove(&flow);
-            actions.push(Action::Reset {
-                flow,
-                sequence: 0,
-                cause: ResetCause::NoRoute,
-            });
+        if self.waiting.contains(&flow) {
             return;
-        };
+        }
         if self.flows.len() >= self.settings.max_flows && !self.flows.contains_key(&flow) {
             actions.push(Action::Drop(flow, Drop::TableFull));
             return;
         }
-        let Some(service) = route.service(&flow).cloned() else {
-            actions.push(Action::Drop(flow, Drop::NoBackend));
-            return;
-        };
         let connection = self
             .flows
             .entry(flow)
             .or_insert_with(|| Connection::new(now));
-        if let Some(to) = connection.accepted_by() {
+        connection.reopen(now);
+        let placement = match connection.accepted_by() {
             // The upstream's reply was lost; it repeats it for a copy.
-            actions.push(Action::Forward {
+            Some(to) => self.service(&flow).map(|service| (to, service)),
+            None => self.place(now, flow),
+        };
+        match placement {
+            Ok((to, service)) => actions.push(Action::Forward {
                 to,
                 purpose: Purpose::Open,
                 service: Some(service),
-            });
-            return;
+            }),
+            Err(obstacle) => self.obstructed(now, flow, bytes, obstacle, actions),
+        }
+    }
+
+    /// The service that a new flow goes to.
+    fn service(&self, flow: &Key) -> Result<ServiceName, Obstacle> {
+        let intent = self.intent.as_ref().ok_or(Obstacle::Wait)?;
+        let route = intent.policy.routes.get(&flow.route);
+        route
+            .and_then(|route| route.service(flow))
+            .cloned()
+            .ok_or(Obstacle::NoRoute)
+    }
+
+    /// Chooses an agent that has not had a flow's opening packet yet.
+    fn place(&mut self, now: Instant, flow: Key) -> Result<(SocketAddrV4, ServiceName), Obstacle> {
+        let service = self.service(&flow)?;
+        let settled = self.knows_members_for(now);
+        let (Some(intent), Some(connection)) = (&self.intent, self.flows.get_mut(&flow)) else {
+            return Err(Obstacle::Wait);
+        };
+        let tried = connection.candidates();
+        let zones_out = &intent.zones_out;
+        match self.members.choose(now, &flow, &service, &tried, zones_out) {
+            Some(to) => {
+                self.members.placed(now, to);
+                connection.add_candidate(to);
+                Ok((to, service))
+            }
+            None if settled && !self.members.may_serve(now, &service) => Err(Obstacle::NoUpstream),
+            None if !connection.all_refused() => Err(Obstacle::Outstanding),
+            None => Err(Obstacle::Wait),
         }
-        self.place(now, flow, service, bytes, None, actions);
     }
 
-    /// Sends an opening packet to a candidate that has not had it yet. `refused` tells that the
-    /// last candidate handed it back.
-    fn place(
+    /// Deals with an opening packet that cannot be placed now.
+    fn obstructed(
         &mut self,
         now: Instant,
         flow: Key,
-        service: ServiceName,
         bytes: &[u8],
-        refused: Option<Reason>,
+        obstacle: Obstacle,
         actions: &mut Vec<Action>,
     ) {
-        let Some(intent) = &self.intent else {
-            return;
-        };
-        let settled = self.knows_members_for(now);
-        let Some(connection) = self.flows.get_mut(&flow) else {
-            return;
-        };
-        let tried = connection.candidates();
-        let chosen = self
-            .members
-            .choose(now, &flow, &service, &tried, &intent.zones_out);
-        match chosen {
-            Some(member) => {
-                member.placed = member.placed.saturating_add(1);
-                member.expect_answer(now);
-                let to = member.address;
-                connection.add_candidate(to);
-                actions.push(if refused.is_some() {
-                    Action::Send {
-                        to,
-                        purpose: Purpose::Open,
-                        service: Some(service),
-                        packet: bytes.into(),
-                    }
-                } else {
-                    Action::Forward {
-                        to,
-                        purpose: Purpose::Open,
-                        service: Some(service),
-                    }
-                });
+        match obstacle {
+            Obstacle::NoRoute => self.refuse(flow, ResetCause::NoRoute, actions),
+            Obstacle::NoUpstream => self.refuse(flow, ResetCause::NoUpstream, actions),
+            // Another agent has the packet and may still accept it.
+            Obstacle::Outstanding => actions.push(Action::Drop(flow, Drop::Outstanding)),
+            Obstacle::Wait if self.waiting.len() >= self.settings.max_waiting => {
+                self.refuse(flow, ResetCause::Overloaded, actions);
             }
-            None if tried.is_empty() && !settled => {
-                actions.push(Action::Drop(flow, Drop::NoUpstream));
+            Obstacle::Wait => self.waiting.push(now, flow, bytes),
+        }
+    }
+
+    /// Refuses a new flow. Nothing of it has run.
+    fn refuse(&mut self, flow: Key, cause: ResetCause, actions: &mut Vec<Action>) {
+        self.flows.remove(&flow);
+        actions.push(Action::Reset {
+            flow,
+            sequence: 0,
+            cause,
+        });
+    }
+
+    /// Tries again to place the opening packets that wait, in the order of their arrival.
+    fn place_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for opening in self.waiting.take() {
+            let flow = opening.flow;
+            if let Some(connection) = self.flows.get_mut(&flow) {
+                connection.forgive();
             }
-            None if connection.all_refused() => {
-                self.flows.remove(&flow);
-                actions.push(Action::Reset {
-                    flow,
-                    sequence: 0,
-                    cause: ResetCause::NoUpstream,
-                });
+            match self.place(now, flow) {
+                Ok((to, service)) => actions.push(Action::Send {
+                    to,
+                    purpose: Purpose::Open,
+                    service: Some(service),
+                    packet: opening.packet,
+                }),
+                Err(Obstacle::Wait) if opening.is_over(now) => {
+                    self.refuse(flow, ResetCause::Overloaded, actions);
+                }
+                Err(Obstacle::Wait) => {
+                    if let Ok(service) = self.service(&flow) {
+                        self.members.refresh(now, &service, actions);
+                    }
+                    self.waiting.put_back(opening);
+                }
+                Err(obstacle) => self.obstructed(now, flow, &opening.packet, obstacle, actions),
             }
-            None => actions.push(Action::Drop(flow, Drop::NoUpstream)),
         }
     }
 
@@ -346,13 +385,14 @@
         if connection.accepted_by().is_some() {
             return;
         }
-        let service = self
-            .intent
-            .as_ref()
-            .and_then(|intent| intent.policy.routes.get(&flow.route))
-            .and_then(|route| route.service(&flow).cloned());
-        if let Some(service) = service {
-            self.place(now, flow, service, packet, Some(reason), actions);
+        match self.place(now, flow) {
+            Ok((to, service)) => actions.push(Action::Send {
+                to,
+                purpose: Purpose::Open,
+                service: Some(service),
+                packet: packet.into(),
+            }),
+            Err(obstacle) => self.obstructed(now, flow, packet, obstacle, actions),
         }
     }
 
@@ -468,6 +508,7 @@
             }
             self.finish_search(now, flow, actions);
         }
+        self.place_waiting(now, actions);
         self.members.probe(now, actions);
         if now.saturating_duration_since(self.swept_at) >= SWEEP_EVERY {
             self.swept_at = now;
@@ -490,7 +531,7 @@
     }
 
     /// Whether something is due within moments, so that ticks must come often.
-    pub fn is_searching(&self) -> bool {
-        !self.searches.is_empty()
+    pub fn is_pressed(&self) -> bool {
+        !self.searches.is_empty() || !self.waiting.is_empty()
     }
 }
--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -47,8 +47,10 @@
 pub enum ResetCause {
     /// No route leads from the address that the client asked for.
     NoRoute,
-    /// Each upstream that could take the flow has handed it back.
+    /// The service has no upstream.
     NoUpstream,
+    /// No upstream had room while the client waited.
+    Overloaded,
     /// No upstream holds the flow.
     Lost,
     /// The flow's upstream has started anew.
@@ -68,6 +70,7 @@
         match self {
             Self::NoRoute => "no_route",
             Self::NoUpstream => "no_upstream",
+            Self::Overloaded => "overloaded",
             Self::Lost => "lost",
             Self::Restarted => "restarted",
             Self::Unreachable => "unreachable",
@@ -78,12 +81,8 @@
 /// Why a packet is dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Drop {
-    /// The operators' intent is not known yet.
-    NoIntent,
-    /// The route has no backend with a weight.
-    NoBackend,
-    /// No upstream takes the flow at present.
-    NoUpstream,
+    /// An agent that got the opening packet may still accept it, and there is no other one.
+    Outstanding,
     /// The home of the flow was not found, and it is not sure that there is none.
     NotFound,
     /// The table of flows is full.
@@ -101,9 +100,7 @@
     /// ```
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::NoIntent => "no_intent",
-            Self::NoBackend => "no_backend",
-            Self::NoUpstream => "no_upstream",
+            Self::Outstanding => "outstanding",
             Self::NotFound => "not_found",
             Self::TableFull => "table_full",
             Self::TooManySearches => "too_many_searches",
--- a/crates/core/src/flow/balancer/connection.rs
+++ b/crates/core/src/flow/balancer/connection.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Notes an opening packet or a copy of it.
+    pub fn reopen(&mut self, now: Instant) {
+        self.seen_at = now;
+    }
+
     /// Notes a packet of the client.
     pub fn touch(&mut self, now: Instant, head: &Head) {
         self.seen_at = now;
@@ -80,6 +85,11 @@
         }
     }
 
+    /// Forgets refusals, so that the same agents may be asked again.
+    pub fn forgive(&mut self) {
+        self.candidates.retain(|candidate| !candidate.refused);
+    }
+
     /// Whether all agents that got the opening packet handed it back.
     pub fn all_refused(&self) -> bool {
         self.candidates.iter().all(|candidate| candidate.refused)
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -34,6 +34,9 @@
 /// does not say must be heard.
 const PROBE_UNLISTED_EVERY: Duration = Duration::from_secs(1);
 
+/// How often full upstreams are asked for their load while flows wait for them.
+const REFRESH_EVERY: Duration = Duration::from_millis(20);
+
 /// An agent that open flows use is probed if it was not heard for this long.
 const CHECK_AFTER: Duration = Duration::from_millis(400);
 
@@ -130,13 +133,13 @@
     /// The upstream for a new flow: the less loaded one of the two best ranked of this zone, or
     /// the least loaded one of all while those are busy.
     pub fn choose(
-        &mut self,
+        &self,
         now: Instant,
         flow: &Key,
         service: &str,
         tried: &[SocketAddrV4],
         zones_out: &BTreeSet<ZoneName>,
-    ) -> Option<&mut Member> {
+    ) -> Option<SocketAddrV4> {
         let usable: Vec<&Member> = self
             .by_address
             .values()
@@ -161,11 +164,18 @@
                 .map(|member| (cost(member), member.address))
                 .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
         };
-        let address = match cheapest(&local) {
-            Some((cost, address)) if cost <= LOCAL_LOAD => address,
-            _ => cheapest(&usable)?.1,
-        };
-        self.by_address.get_mut(&address)
+        match cheapest(&local) {
+            Some((cost, address)) if cost <= LOCAL_LOAD => Some(address),
+            _ => cheapest(&usable).map(|(_, address)| address),
+        }
+    }
+
+    /// Notes that an opening packet goes to an agent.
+    pub fn placed(&mut self, now: Instant, address: SocketAddrV4) {
+        if let Some(member) = self.by_address.get_mut(&address) {
+            member.placed = member.placed.saturating_add(1);
+            member.expect_answer(now);
+        }
     }
 
     /// What a new flow costs at a member, in load.
@@ -185,7 +195,29 @@
         } else {
             0.0
         };
-        member.load() + remote + state + shed
+        member.load(now) + remote + state + shed
+    }
+
+    /// Whether any upstream of the service is known that may take flows again.
+    pub fn may_serve(&self, now: Instant, service: &str) -> bool {
+        self.by_address.values().any(|member| {
+            &*member.service == service
+                && (member.listed || member.is_heard(now))
+                && member.report.state != State::Gone
+        })
+    }
+
+    /// Asks all upstreams of a service that are full for their load.
+    pub fn refresh(&mut self, now: Instant, service: &str, actions: &mut Vec<Action>) {
+        for member in self.by_address.values_mut() {
+            let is_due = member
+                .probed_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= REFRESH_EVERY);
+            if &*member.service == service && member.is_full(now) && is_due {
+                member.probed_at = Some(now);
+                actions.push(Action::Probe(member.address));
+            }
+        }
     }
 
     /// Notes that an upstream gave an opening packet back.
--- a/crates/core/src/flow/balancer/settings.rs
+++ b/crates/core/src/flow/balancer/settings.rs
@@ -13,6 +13,8 @@
     pub max_flows: usize,
     /// Searches that run at the same time.
     pub max_searches: usize,
+    /// Opening packets that wait at the same time: a second's worth of a busy entry VM.
+    pub max_waiting: usize,
     /// Flows idle for longer are forgotten while no intent says otherwise.
     pub idle_timeout: Duration,
     /// Flows older than this may be forgotten.
@@ -28,6 +30,7 @@
             zone: "".into(),
             max_flows: 50_000,
             max_searches: 4_096,
+            max_waiting: 2_048,
             idle_timeout: Duration::from_secs(15),
             max_flow_age: Duration::from_secs(60),
             settle: Duration::from_millis(600),
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Report, ServiceName, State, ZoneName};
+use super::{Report, ServiceName, State, ZoneName, agent::BUSY_PER_SLOT};
 
 /// Time without any frame after an opening packet before the agent counts as silent: several
 /// round trips between zones and one late wake-up.
@@ -17,6 +17,12 @@
 /// Longest time between a planned stop of an agent and its next start.
 const RESTART_TIME: Duration = Duration::from_secs(4);
 
+/// Time for which a report's load holds: about that of two requests.
+const REPORT_HOLDS: Duration = Duration::from_millis(100);
+
+/// Time in which a report's load then comes to say nothing.
+const REPORT_FADES: Duration = Duration::from_millis(400);
+
 /// How long an upstream that gave an opening packet back is the last choice: queues shrink within
 /// a few requests, and a process that starts takes longer than that.
 const SHED_FOR: Duration = Duration::from_millis(150);
@@ -97,7 +103,11 @@
     /// Whether the agent has answered nothing for `long`. One that is being restarted as planned
     /// has some time to come back, while its flows wait.
     pub fn is_unreachable(&self, now: Instant, long: Duration) -> bool {
-        let patience = if self.report.stopping { RESTART_TIME } else { long };
+        let patience = if self.report.stopping {
+            RESTART_TIME
+        } else {
+            long
+        };
         self.unanswered_since
             .is_some_and(|since| now.saturating_duration_since(since) >= patience)
     }
@@ -115,7 +125,7 @@
             State::Ready => true,
             State::Silent | State::Draining | State::Gone => false,
         };
-        room && (self.listed || self.is_heard(now)) && !self.is_silent(now)
+        room && (self.listed || self.is_heard(now)) && !self.is_silent(now) && !self.is_full(now)
     }
 
     /// Whether its upstream gave an opening packet back a short time ago.
@@ -124,10 +134,25 @@
             .is_some_and(|at| now.saturating_duration_since(at) < SHED_FOR)
     }
 
+    /// Requests in progress as far as they are known. A report says less the older it is.
+    fn busy(&self, now: Instant) -> f64 {
+        let left = self.heard_at.map_or(0.0, |at| {
+            let overdue = now
+                .saturating_duration_since(at)
+                .saturating_sub(REPORT_HOLDS);
+            1.0 - (overdue.as_secs_f64() / REPORT_FADES.as_secs_f64()).min(1.0)
+        });
+        f64::from(self.report.busy) * left + f64::from(self.placed)
+    }
+
+    /// Whether the upstream has as many requests in progress as it answers in time.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.busy(now) >= f64::from(self.report.slots.max(1)) * BUSY_PER_SLOT as f64
+    }
+
     /// Work in relation to slots, as far as it is known.
-    pub fn load(&self) -> f64 {
+    pub fn load(&self, now: Instant) -> f64 {
         let slots = f64::from(self.report.slots.max(1));
-        let busy = f64::from(self.report.busy) + f64::from(self.placed);
-        (busy + f64::from(self.report.flows) * IDLE_FLOW_LOAD) / slots
+        (self.busy(now) + f64::from(self.report.flows) * IDLE_FLOW_LOAD) / slots
     }
 }
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -32,7 +32,7 @@
 /// Datagrams handled before the other inputs get their turn.
 const BATCH: usize = 64;
 
-/// Time between ticks while a search runs.
+/// Time between ticks while a search runs or an opening packet waits.
 const FAST_TICK: Duration = Duration::from_millis(5);
 
 /// Time between ticks otherwise; probes of silent agents are due at this pace.
@@ -88,7 +88,7 @@
             }
             request = signals.next() => process.signal(request),
         }
-        if process.decisions.is_searching() {
+        if process.decisions.is_pressed() {
             tick_at = tick_at.min(tokio::time::Instant::now() + FAST_TICK);
         }
     }
@@ -315,7 +315,7 @@
     }
 
     fn tick_pause(&self) -> Duration {
-        if self.decisions.is_searching() {
+        if self.decisions.is_pressed() {
             FAST_TICK
         } else {
             SLOW_TICK
--- a/crates/wire/src/flow/reason.rs
+++ b/crates/wire/src/flow/reason.rs
@@ -13,6 +13,8 @@
     ZoneOut,
     /// The upstream is cold and has got what it bears for now.
     Cold,
+    /// The upstream has as many requests in progress as it answers in time.
+    Busy,
     /// The upstream refused the packet.
     Shed,
     /// The upstream did not answer in time.
@@ -31,6 +33,7 @@
             Self::Leaving => "leaving",
             Self::ZoneOut => "zone_out",
             Self::Cold => "cold",
+            Self::Busy => "busy",
             Self::Shed => "shed",
             Self::Silent => "silent",
         }
