feat(forwarder): peers tell intent and agents to whom the store does not answer

Balancers and agents now ask peers while the store is lost or another process is ahead; agents greet balancers while their entry does not stand.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -115,6 +115,17 @@
         self.synced_since.get_or_insert(now);
     }
 
+    /// Takes agents that another balancer knows. What is known here stays.
+    pub fn add_members(&mut self, now: Instant, members: Vec<Member>) {
+        if members.is_empty() {
+            return;
+        }
+        for member in members {
+            self.members.add(member);
+        }
+        self.synced_since.get_or_insert(now);
+    }
+
     /// Takes one agent as the store lists it now.
     pub fn list_member(&mut self, member: Member) {
         self.members.list(member);
@@ -360,6 +371,11 @@
                     self.missing(now, *flow, from, head, packet, actions);
                 }
             }
+            Body::Hello {
+                service,
+                zone,
+                report,
+            } => self.members.introduce(now, from, service, zone, *report),
             Body::Report(report) => self.members.hear(now, from, *report),
             Body::Deliver { .. } | Body::Probe => {}
         }
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -108,6 +108,35 @@
         }
     }
 
+    /// Takes an agent that another balancer knows, unless it is known here.
+    pub fn add(&mut self, member: Member) {
+        self.by_address.entry(member.address).or_insert(member);
+    }
+
+    /// Takes an agent that speaks for itself while the store does not list it.
+    pub fn introduce(
+        &mut self,
+        now: Instant,
+        address: SocketAddrV4,
+        service: &str,
+        zone: &str,
+        report: Report,
+    ) {
+        let is_known = self
+            .by_address
+            .get(&address)
+            .is_some_and(|member| &*member.service == service);
+        if !is_known {
+            let member = Member {
+                listed: false,
+                unlisted_at: Some(now),
+                ..Member::listed(address, service.into(), zone.into(), report)
+            };
+            self.by_address.insert(address, member);
+        }
+        self.hear(now, address, report);
+    }
+
     /// Notes that the store no longer lists an agent.
     pub fn unlist(&mut self, now: Instant, address: SocketAddrV4) {
         if let Some(member) = self.by_address.get_mut(&address) {
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddrV4,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -25,10 +28,12 @@
     follow::{Event, Follower},
     http::{self, Answer},
     log::Log,
+    peer::{self, Pull, Snapshot},
     platform::{Call, Platform},
     registration::{Record, Registration},
     settings::{Settings, Upstream},
     signals::{Request, Signals},
+    touch::Touch,
     udp,
 };
 
@@ -44,6 +49,9 @@
 /// Events that wait for the loop.
 const EVENTS: usize = 256;
 
+/// How often balancers are told of this agent while its entry does not stand.
+const GREET_EVERY: Duration = Duration::from_millis(400);
+
 /// Balancers that were heard within this time are told of news.
 const BALANCER_HEARD: Duration = Duration::from_secs(20);
 
@@ -68,6 +76,12 @@
     log: Log,
     actions: Vec<Action>,
     frame: Vec<u8>,
+    touch: Touch,
+    snapshots: watch::Sender<Arc<Snapshot>>,
+    /// Whether the entry stands in the store.
+    standing: Arc<AtomicBool>,
+    /// When balancers were last told that this agent exists.
+    greeted_at: Instant,
 }
 
 /// Runs an agent until the process is killed.
@@ -84,14 +98,17 @@
     let mut signals = Signals::new()?;
     let (sender, mut events) = mpsc::channel(EVENTS);
     let operators = Range::Prefix(platform.operator_prefix().to_owned());
-    tokio::spawn(Follower::new(Arc::clone(&platform), operators, sender).run());
+    tokio::spawn(Follower::new(Arc::clone(&platform), operators, sender.clone()).run());
+    let pulls = peer::puller(sender);
+    let (snapshots, latest) = watch::channel(Arc::default());
+    peer::serve(settings.frames, latest).await?;
     let (told, mut tellings) = mpsc::channel(EVENTS);
     serve_upstream(upstream.announcements, &platform, told.clone()).await?;
     if settings.ready != upstream.announcements {
         serve_upstream(settings.ready, &platform, told).await?;
     }
     crate::metrics::serve(settings.metrics, metrics).await?;
-    let mut process = Process::start(settings, upstream, platform)?;
+    let mut process = Process::start(settings, upstream, platform, pulls, snapshots)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -150,7 +167,13 @@
 
 impl<P: Platform> Process<P> {
     /// Binds sockets and starts the registration.
-    fn start(settings: Settings, upstream: Upstream, platform: Arc<P>) -> anyhow::Result<Self> {
+    fn start(
+        settings: Settings,
+        upstream: Upstream,
+        platform: Arc<P>,
+        pulls: mpsc::Sender<Pull>,
+        snapshots: watch::Sender<Arc<Snapshot>>,
+    ) -> anyhow::Result<Self> {
         let now = Instant::now();
         let incarnation = incarnation();
         let decisions = Agent::new(
@@ -170,8 +193,14 @@
             incarnation,
             draining: false,
         }));
-        let registration =
-            Registration::new(platform.store(), settings.frames, settings.lease, wanted);
+        let standing = Arc::new(AtomicBool::new(false));
+        let registration = Registration::new(
+            platform.store(),
+            settings.frames,
+            settings.lease,
+            wanted,
+            Arc::clone(&standing),
+        );
         tokio::spawn(registration.run());
         let mut process = Self {
             frames: udp::bind(settings.frames)?,
@@ -181,6 +210,10 @@
             log: Log::start(&settings.name)?,
             actions: Vec::new(),
             frame: Vec::with_capacity(MAX_BYTES),
+            touch: Touch::new(now, pulls, settings.peers.clone()),
+            snapshots,
+            standing,
+            greeted_at: now,
             settings,
             upstream,
             platform,
@@ -231,6 +264,8 @@
             };
             let now = Instant::now();
             self.balancers.insert(from, now);
+            let own = self.decisions.revision();
+            self.touch.compare(now, from, frame.revision, own);
             match frame.body {
                 Body::Deliver {
                     purpose,
@@ -342,16 +377,46 @@
                     &fields,
                 );
             }
-            Event::Regained => self.log.line(now, "store_regained", &[]),
-            Event::Lost(reason) => self
-                .log
-                .line(now, "store_lost", &[("reason", reason.into())]),
+            Event::Regained => {
+                self.touch.regain();
+                self.log.line(now, "store_regained", &[]);
+            }
+            Event::Lost(reason) => {
+                self.touch.lose(now);
+                self.log
+                    .line(now, "store_lost", &[("reason", reason.into())]);
+            }
+            Event::Peer(from, snapshot) => {
+                let fields = [
+                    ("peer", from.to_string().into()),
+                    (
+                        "revision",
+                        snapshot
+                            .intent
+                            .as_ref()
+                            .map_or(0, |intent| intent.revision)
+                            .into(),
+                    ),
+                ];
+                self.log.line(now, "peer_told", &fields);
+                if let Some(intent) = snapshot.intent {
+                    self.decisions.set_intent(intent);
+                }
+            }
+            Event::PeerFailed(from, reason) => {
+                let fields = [("peer", from.to_string().into()), ("reason", reason.into())];
+                self.log.line(now, "peer_failed", &fields);
+            }
             Event::Refused(reason) => {
                 self.log
                     .line(now, "document_refused", &[("reason", reason.into())]);
             }
             Event::Members(_) | Event::Listed(_) | Event::Unlisted(_) => {}
         }
+        self.snapshots.send_replace(Arc::new(Snapshot {
+            intent: self.decisions.intent().cloned(),
+            members: Vec::new(),
+        }));
     }
 
     fn signal(&mut self, request: Request) {
@@ -373,9 +438,31 @@
         self.balancers
             .retain(|_, heard| now.saturating_duration_since(*heard) < BALANCER_HEARD);
         self.publish(now);
+        self.greet(now);
+        self.touch.tick(now, self.decisions.revision());
         metrics::gauge!("sassafrasmast_flows").set(self.decisions.flow_count() as f64);
     }
 
+    /// Tells balancers that this agent exists while the store does not say so.
+    fn greet(&mut self, now: Instant) {
+        let is_due = now.saturating_duration_since(self.greeted_at) >= GREET_EVERY;
+        if self.standing.load(Ordering::Relaxed) || !is_due {
+            return;
+        }
+        self.greeted_at = now;
+        let report = self.decisions.report(now);
+        let service = self.upstream.service.clone();
+        let zone = self.settings.zone.clone();
+        for to in self.settings.peers.clone() {
+            let body = Body::Hello {
+                service: &service,
+                zone: &zone,
+                report,
+            };
+            self.send(to, body);
+        }
+    }
+
     /// Carries out what was decided; `packet` is the one that was just handled.
     fn carry_out(&mut self, now: Instant, packet: &[u8]) {
         let mut actions = std::mem::take(&mut self.actions);
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -17,15 +17,20 @@
 use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
 use serde_json::json;
-use tokio::{net::UdpSocket, sync::mpsc};
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+};
 
 use crate::{
     follow::{Event, Follower},
     http::{self, Answer},
     log::Log,
+    peer::{self, Listing, Pull, Snapshot},
     platform::{Call, Platform},
     settings::Settings,
     signals::{Request, Signals},
+    touch::Touch,
     udp,
 };
 
@@ -53,6 +58,8 @@
     frame: Vec<u8>,
     ready: Arc<AtomicBool>,
     stopping: bool,
+    touch: Touch,
+    snapshots: watch::Sender<Arc<Snapshot>>,
 }
 
 /// Runs a balancer until the process is killed.
@@ -65,11 +72,18 @@
     let mut signals = Signals::new()?;
     let ready = Arc::new(AtomicBool::new(false));
     let (sender, mut events) = mpsc::channel(EVENTS);
-    let follower = Follower::new(Arc::clone(&platform), Range::Prefix(String::new()), sender);
+    let follower = Follower::new(
+        Arc::clone(&platform),
+        Range::Prefix(String::new()),
+        sender.clone(),
+    );
     tokio::spawn(follower.run());
+    let pulls = peer::puller(sender);
+    let (snapshots, latest) = watch::channel(Arc::default());
+    peer::serve(settings.frames, latest).await?;
     serve_ready(&settings, &platform, &ready).await?;
     crate::metrics::serve(settings.metrics, metrics).await?;
-    let mut process = Process::start(settings, platform, ready)?;
+    let mut process = Process::start(settings, platform, ready, pulls, snapshots)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -116,7 +130,13 @@
 
 impl<P: Platform> Process<P> {
     /// Binds sockets.
-    fn start(settings: Settings, platform: Arc<P>, ready: Arc<AtomicBool>) -> anyhow::Result<Self> {
+    fn start(
+        settings: Settings,
+        platform: Arc<P>,
+        ready: Arc<AtomicBool>,
+        pulls: mpsc::Sender<Pull>,
+        snapshots: watch::Sender<Arc<Snapshot>>,
+    ) -> anyhow::Result<Self> {
         let now = Instant::now();
         let decisions = Balancer::new(
             now,
@@ -133,6 +153,8 @@
             log: Log::start(&settings.name)?,
             actions: Vec::new(),
             frame: Vec::with_capacity(MAX_BYTES),
+            touch: Touch::new(now, pulls, settings.peers.clone()),
+            snapshots,
             settings,
             platform,
             ready,
@@ -184,6 +206,8 @@
                 }
                 _ => None,
             };
+            self.touch
+                .compare(now, from, frame.revision, self.revision());
             self.log_frame(now, from, &frame.body);
             self.decisions
                 .agent_frame(now, from, &frame.body, head.as_ref(), &mut self.actions);
@@ -278,16 +302,59 @@
                 );
                 self.decisions.unlist_member(now, address);
             }
-            Event::Regained => self.log.line(now, "store_regained", &[]),
-            Event::Lost(reason) => self
-                .log
-                .line(now, "store_lost", &[("reason", reason.into())]),
+            Event::Regained => {
+                self.touch.regain();
+                self.log.line(now, "store_regained", &[]);
+            }
+            Event::Lost(reason) => {
+                self.touch.lose(now);
+                self.log
+                    .line(now, "store_lost", &[("reason", reason.into())]);
+            }
+            Event::Peer(from, snapshot) => self.learn(now, from, *snapshot),
+            Event::PeerFailed(from, reason) => {
+                let fields = [("peer", from.to_string().into()), ("reason", reason.into())];
+                self.log.line(now, "peer_failed", &fields);
+            }
             Event::Refused(reason) => {
                 self.log
                     .line(now, "document_refused", &[("reason", reason.into())]);
             }
         }
         self.update_ready();
+        self.publish();
+    }
+
+    /// Takes what another process knows.
+    fn learn(&mut self, now: Instant, from: SocketAddrV4, snapshot: Snapshot) {
+        let fields = [
+            ("peer", from.to_string().into()),
+            (
+                "revision",
+                snapshot
+                    .intent
+                    .as_ref()
+                    .map_or(0, |intent| intent.revision)
+                    .into(),
+            ),
+            ("members", snapshot.members.len().into()),
+        ];
+        self.log.line(now, "peer_told", &fields);
+        if let Some(intent) = snapshot.intent {
+            self.decisions.set_intent(intent);
+        }
+        let members = snapshot.members.iter();
+        let members = members.map(|listing| listing.record.member(listing.address));
+        self.decisions.add_members(now, members.collect());
+    }
+
+    /// Has what this process knows ready for others.
+    fn publish(&self) {
+        let members = self.decisions.members().iter();
+        self.snapshots.send_replace(Arc::new(Snapshot {
+            intent: self.decisions.intent().cloned(),
+            members: members.map(Listing::of).collect(),
+        }));
     }
 
     fn update_ready(&self) {
@@ -309,6 +376,7 @@
 
     fn tick(&mut self) {
         let now = Instant::now();
+        self.touch.tick(now, self.revision());
         self.decisions.tick(now, &mut self.actions);
         self.carry_out(now, None);
         metrics::gauge!("sassafrasmast_flows").set(self.decisions.flow_count() as f64);
--- a/crates/forwarder/src/follow.rs
+++ b/crates/forwarder/src/follow.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
+    peer::Snapshot,
     platform::{OperatorChange, Platform},
     registration::Record,
 };
@@ -33,6 +34,10 @@
     Regained,
     /// The store does not answer, and why.
     Lost(String),
+    /// Another process told what it knows.
+    Peer(SocketAddrV4, Box<Snapshot>),
+    /// Another process did not tell, and why.
+    PeerFailed(SocketAddrV4, String),
     /// A document was passed over, and why.
     Refused(String),
 }
@@ -45,6 +50,8 @@
     intent: Intent,
     events: mpsc::Sender<Event>,
     failures: u32,
+    /// Whether the store has answered since the last failure.
+    in_touch: bool,
 }
 
 impl<P: Platform> Follower<P> {
@@ -56,6 +63,7 @@
             intent: Intent::default(),
             events,
             failures: 0,
+            in_touch: false,
         }
     }
 
@@ -186,15 +194,17 @@
     }
 
     async fn regained(&mut self) {
-        if self.failures > 0 {
-            self.failures = 0;
+        self.failures = 0;
+        if !self.in_touch {
+            self.in_touch = true;
             self.send(Event::Regained).await;
         }
     }
 
     /// Waits after a failure, longer after each.
     async fn pause(&mut self, error: &Error) {
-        if self.failures == 0 {
+        if self.in_touch || self.failures == 0 {
+            self.in_touch = false;
             self.send(Event::Lost(error.to_string())).await;
         }
         self.failures = self.failures.saturating_add(1);
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`balancer`], [`agent`]: the two roles.
 //! - [`follow`]: what the store holds, followed by a watch.
 //! - [`registration`]: an agent's entry in the store.
+//! - [`peer`]: what processes tell each other while the store does not answer.
 //! - [`http`]: readiness, announcements and metrics.
 //! - [`log`]: structured log lines of bounded volume.
 
@@ -16,10 +17,12 @@
 pub mod http;
 pub mod log;
 pub mod metrics;
+pub mod peer;
 pub mod platform;
 pub mod registration;
 pub mod settings;
 mod signals;
+mod touch;
 pub mod udp;
 
 use std::sync::Arc;
--- a/crates/forwarder/src/registration.rs
+++ b/crates/forwarder/src/registration.rs
@@ -1,6 +1,13 @@
 //! An agent's entry in the store, which lives under a lease.
 
-use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use rand::Rng;
 use sassafrasmast_core::flow::{Member, Report, ServiceName, State, ZoneName};
@@ -34,6 +41,16 @@
 }
 
 impl Record {
+    /// What a balancer knows of a member.
+    pub fn of(member: &Member) -> Self {
+        Self {
+            service: member.service.clone(),
+            zone: member.zone.clone(),
+            incarnation: member.report.agent,
+            draining: member.report.state == State::Draining,
+        }
+    }
+
     /// The key of the agent at `address`.
     pub fn key(address: SocketAddrV4) -> String {
         format!("{PREFIX}{address}")
@@ -85,23 +102,28 @@
     ttl: Duration,
     /// The entry that shall stand; `None` once the upstream has left.
     wanted: watch::Receiver<Option<Record>>,
+    /// Whether the entry stands, as far as is known.
+    standing: Arc<AtomicBool>,
     lease: Option<LeaseId>,
     written: Option<(Record, Revision)>,
 }
 
 impl Registration {
-    /// Keeps the entry of the agent at `address` as `wanted` says.
+    /// Keeps the entry of the agent at `address` as `wanted` says, and tells in `standing`
+    /// whether it stands.
     pub fn new(
         store: Arc<dyn Store>,
         address: SocketAddrV4,
         ttl: Duration,
         wanted: watch::Receiver<Option<Record>>,
+        standing: Arc<AtomicBool>,
     ) -> Self {
         Self {
             store,
             key: Record::key(address),
             ttl,
             wanted,
+            standing,
             lease: None,
             written: None,
         }
@@ -110,7 +132,9 @@
     /// Keeps the entry until the process ends.
     pub async fn run(mut self) {
         loop {
-            let wait = match self.step().await {
+            let result = self.step().await;
+            self.standing.store(result.is_ok(), Ordering::Relaxed);
+            let wait = match result {
                 Ok(()) => self.ttl / RENEWALS,
                 Err(error) => {
                     metrics::counter!("sassafrasmast_registration_errors").increment(1);
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -42,6 +42,8 @@
     pub packets: SocketAddrV4,
     /// Where frames of other processes arrive.
     pub frames: SocketAddrV4,
+    /// Where some other processes take frames. They may be down.
+    pub peers: Vec<SocketAddrV4>,
     /// Where readiness is asked for.
     pub ready: SocketAddrV4,
     /// Where metrics are served.
@@ -65,6 +67,7 @@
             zone: "".into(),
             packets: unset,
             frames: unset,
+            peers: Vec::new(),
             ready: unset,
             metrics: None,
             cold_coverage: 1.0,
--- a/crates/wire/src/flow/body.rs
+++ b/crates/wire/src/flow/body.rs
@@ -51,6 +51,15 @@
         /// The client's packet, unchanged.
         packet: &'a [u8],
     },
+    /// Agent to balancers, while its entry does not stand in the store: it exists.
+    Hello {
+        /// The service of its upstream.
+        service: &'a str,
+        /// Its availability zone.
+        zone: &'a str,
+        /// The agent's report.
+        report: Report,
+    },
     /// Agent to balancer: its state or load has changed, or it was probed.
     Report(Report),
     /// Balancer to agent: report.
