--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -26,7 +26,7 @@
     upstream::{Change, Upstream},
 };
 use super::{
-    Gate, Head, Intent, Key, Purpose, Reason, Report, Revision, State, balancer::ResetCause,
+    Gate, Head, Intent, Key, Purpose, Reason, Report, Revision, State, balancer::ResetCause, gate,
 };
 
 /// Time in which an upstream answers an opening packet or gives it back: it does so before any
@@ -57,6 +57,7 @@
     flows: HashMap<Key, Flow>,
     /// Opening packets that the upstream has not answered yet.
     opening: Vec<Key>,
+    started_at: Instant,
     swept_at: Instant,
     stopping: bool,
     /// State, start of the upstream and whether the agent stops, as balancers were told last.
@@ -73,6 +74,7 @@
             gate: Gate::default(),
             flows: HashMap::new(),
             opening: Vec::new(),
+            started_at: now,
             swept_at: now,
             stopping: false,
             reported: None,
@@ -172,8 +174,15 @@
 
     /// New flows that a cold upstream may still be given now.
     fn headroom(&mut self, now: Instant) -> usize {
-        let limit = self.cold_limit();
-        limit.map_or(usize::MAX, |limit| self.gate.headroom(now, limit))
+        let Some(limit) = self.cold_limit() else {
+            return usize::MAX;
+        };
+        // What an earlier process of this agent let through is not known.
+        let is_young = now.saturating_duration_since(self.started_at) < gate::WINDOW;
+        if is_young && !self.upstream.is_known_from_start() {
+            return 0;
+        }
+        self.gate.headroom(now, limit)
     }
 
     /// Decides on a client's packet that a balancer sent. `sender_revision` is the revision in
--- a/crates/core/src/flow/gate.rs
+++ b/crates/core/src/flow/gate.rs
@@ -7,7 +7,7 @@
 
 /// The window that the limit holds for, and a margin for the time between the decision and the
 /// packet's arrival at the upstream.
-const WINDOW: Duration = Duration::from_millis(1_050);
+pub const WINDOW: Duration = Duration::from_millis(1_050);
 
 /// Counts new flows in a sliding window.
 #[derive(Debug, Default)]
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -219,6 +219,25 @@
     assert!(taken.len() >= 40, "{}", taken.len());
 }
 
+#[test]
+fn an_agent_that_restarts_beside_a_cold_upstream_waits_for_a_window() {
+    let mut rig = AgentRig::unheard();
+    assert!(rig.agent.set_intent(intent(2, &[(SERVICE, 1)], 10.0)));
+    rig.announce(&Announcement {
+        cold_left: ms(5_000),
+        ..announcement(1, 7)
+    });
+    assert_eq!(
+        rig.deliver(Purpose::Open, &syn(flow(1))),
+        rig.returned(Reason::Cold)
+    );
+    rig.now += ms(1_100);
+    assert_eq!(
+        rig.deliver(Purpose::Open, &syn(flow(1))),
+        [Action::ToUpstream]
+    );
+}
+
 #[test]
 fn a_service_without_a_stated_cold_rate_has_no_cold_limit() {
     let mut rig = AgentRig::ready();
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -3,3 +3,4 @@
 mod agent;
 mod balancer;
 mod fixture;
+mod world;
--- /dev/null
+++ b/crates/core/tests/flow/world.rs
@@ -0,0 +1,794 @@
+//! Balancers, agents, upstreams and clients under one virtual clock, with seeded faults. The
+//! promises are checked after each step.
+
+use std::{
+    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use sassafrasmast_core::flow::{
+    Agent, Balancer, Head, Intent, Key, Member, Purpose, Report, State,
+    agent::{self, Action as AgentAction, Announcement, Delivery},
+    balancer::{self, Action},
+    packet::Flags,
+};
+use sassafrasmast_wire::flow::{Body, Frame};
+
+use crate::fixture::{
+    OTHER_SERVICE, OTHER_ZONE, SERVICE, ZONE, bounced, client_head, intent, ms, route_address,
+    upstream_head,
+};
+
+/// One way between any two processes.
+const DELAY: Duration = Duration::from_millis(1);
+
+/// Rate and slack of the cold limit in these worlds; the sum bounds a second.
+const COLD_RATE: f64 = 10.0;
+const COLD_BOUND: usize = 20;
+
+/// Time after which all processes must follow a change that reached the store.
+const LEARN: Duration = Duration::from_millis(50);
+
+/// A packet: its head, which is also its content.
+type Packet = Head;
+
+#[derive(Debug, Clone)]
+enum Event {
+    ClientPacket(usize, Packet),
+    ToAgent(usize, usize, Vec<u8>, Packet),
+    ToBalancer(usize, usize, Vec<u8>, Option<Packet>),
+    ToUpstream(usize, Packet),
+    FromUpstream(usize, Packet),
+    ToClient(Packet),
+    Repeat(Key),
+    OpenFlow,
+    Request(Key),
+    Announce(usize, u64),
+    Learn(Node, Arc<Intent>),
+    Tick(Node),
+    Fault,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Node {
+    Balancer(usize),
+    Agent(usize),
+}
+
+#[derive(Debug)]
+struct Timed {
+    at: Duration,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+/// A server that speaks the packets' protocol as far as the promises need it.
+#[derive(Debug, Default)]
+struct Upstream {
+    started: u64,
+    sequence: u64,
+    cold_until: Duration,
+    draining_at: Option<Duration>,
+    half_open: HashMap<Key, u32>,
+    open: HashSet<Key>,
+    openings: Vec<Duration>,
+}
+
+#[derive(Debug, Default)]
+struct Client {
+    /// The number that the client acknowledges, once it has chosen a reply.
+    chosen: Option<u32>,
+    copies: u32,
+    sequence: u32,
+    waiting: bool,
+    repeats: u32,
+    dead: bool,
+}
+
+struct World {
+    start: Instant,
+    now: Duration,
+    rng: StdRng,
+    queue: BinaryHeap<Timed>,
+    order: u64,
+    balancers: Vec<Balancer>,
+    agents: Vec<Agent>,
+    upstreams: Vec<Upstream>,
+    clients: BTreeMap<Key, Client>,
+    intent: Arc<Intent>,
+    zone_out_since: Option<Duration>,
+    next_port: u16,
+    answered: usize,
+    resets: usize,
+    log: Vec<String>,
+}
+
+fn service_of(agent: usize) -> &'static str {
+    if agent % 4 == 3 {
+        OTHER_SERVICE
+    } else {
+        SERVICE
+    }
+}
+
+fn zone_of(node: usize) -> &'static str {
+    if node.is_multiple_of(2) {
+        ZONE
+    } else {
+        OTHER_ZONE
+    }
+}
+
+fn agent_address(agent: usize) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 1, agent as u8].into(), 7000)
+}
+
+fn balancer_address(balancer: usize) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, balancer as u8].into(), 7000)
+}
+
+impl World {
+    fn new(seed: u64, balancers: usize, agents: usize) -> Self {
+        let mut world = Self {
+            start: Instant::now(),
+            now: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            order: 0,
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            upstreams: Vec::new(),
+            clients: BTreeMap::new(),
+            intent: intent(1, &[(SERVICE, 1)], COLD_RATE),
+            zone_out_since: None,
+            next_port: 1,
+            answered: 0,
+            resets: 0,
+            log: Vec::new(),
+        };
+        for index in 0..agents {
+            world.upstreams.push(Upstream {
+                started: 1,
+                ..Upstream::default()
+            });
+            let agent = world.new_agent(index);
+            world.agents.push(agent);
+            world.schedule(ms(1), Event::Announce(index, 1));
+            world.schedule(ms(5), Event::Tick(Node::Agent(index)));
+        }
+        for index in 0..balancers {
+            let balancer = world.new_balancer(index);
+            world.balancers.push(balancer);
+            world.schedule(ms(5), Event::Tick(Node::Balancer(index)));
+        }
+        world.schedule(ms(1_000), Event::OpenFlow);
+        world.schedule(ms(1_500), Event::Fault);
+        world
+    }
+
+    fn at(&self) -> Instant {
+        self.start + self.now
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.order += 1;
+        self.queue.push(Timed {
+            at: self.now + after,
+            order: self.order,
+            event,
+        });
+    }
+
+    fn new_agent(&self, index: usize) -> Agent {
+        let mut agent = Agent::new(
+            self.at(),
+            agent::Settings {
+                service: service_of(index).into(),
+                zone: zone_of(index).into(),
+                incarnation: self.now.as_millis() as u64 + 1,
+                cold_coverage: 1.5,
+                cold_slack: 5.0,
+                ..agent::Settings::default()
+            },
+        );
+        agent.set_intent(Arc::clone(&self.intent));
+        agent
+    }
+
+    fn new_balancer(&self, index: usize) -> Balancer {
+        let mut balancer = Balancer::new(
+            self.at(),
+            balancer::Settings {
+                zone: zone_of(index).into(),
+                ..balancer::Settings::default()
+            },
+        );
+        balancer.set_intent(Arc::clone(&self.intent));
+        let members = (0..self.upstreams.len())
+            .map(|agent| {
+                let report = Report {
+                    state: State::Unknown,
+                    slots: 1,
+                    headroom: 1,
+                    ..Report::default()
+                };
+                let service = service_of(agent).into();
+                Member::listed(agent_address(agent), service, zone_of(agent).into(), report)
+            })
+            .collect();
+        balancer.set_members(self.at(), members);
+        balancer
+    }
+
+    fn run(&mut self, until: Duration) {
+        while let Some(timed) = self.queue.pop() {
+            if timed.at > until {
+                return;
+            }
+            self.now = timed.at;
+            self.step(timed.event);
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::ClientPacket(balancer, packet) => {
+                let now = self.at();
+                let mut actions = Vec::new();
+                self.balancers[balancer].client_packet(
+                    now,
+                    &packet,
+                    &encode(&packet),
+                    &mut actions,
+                );
+                self.balancer_actions(balancer, actions, Some(packet));
+            }
+            Event::ToAgent(agent, from, frame, packet) => {
+                self.at_agent(agent, from, &frame, &packet)
+            }
+            Event::ToBalancer(balancer, from, frame, packet) => {
+                let now = self.at();
+                let mut actions = Vec::new();
+                let frame = Frame::decode(&frame).unwrap();
+                let from = agent_address(from);
+                self.balancers[balancer].agent_frame(
+                    now,
+                    from,
+                    &frame.body,
+                    packet.as_ref(),
+                    &mut actions,
+                );
+                self.balancer_actions(balancer, actions, None);
+            }
+            Event::ToUpstream(upstream, packet) => self.at_upstream(upstream, packet),
+            Event::FromUpstream(agent, packet) => {
+                let now = self.at();
+                let mut actions = Vec::new();
+                self.agents[agent].upstream_packet(now, &packet, &mut actions);
+                self.agent_actions(agent, actions, packet);
+            }
+            Event::ToClient(packet) => self.at_client(packet),
+            Event::Repeat(flow) => self.repeat(flow),
+            Event::OpenFlow => {
+                self.open_flow();
+                let pause = ms(self.rng.random_range(5..40));
+                self.schedule(pause, Event::OpenFlow);
+            }
+            Event::Request(flow) => self.request(flow),
+            Event::Announce(upstream, started) => self.announce(upstream, started),
+            Event::Learn(node, intent) => match node {
+                Node::Balancer(index) => {
+                    self.balancers[index].set_intent(intent);
+                }
+                Node::Agent(index) => {
+                    self.agents[index].set_intent(intent);
+                }
+            },
+            Event::Tick(node) => self.tick(node),
+            Event::Fault => {
+                self.fault();
+                let pause = ms(self.rng.random_range(200..900));
+                self.schedule(pause, Event::Fault);
+            }
+        }
+    }
+
+    fn tick(&mut self, node: Node) {
+        let now = self.at();
+        match node {
+            Node::Balancer(index) => {
+                let mut actions = Vec::new();
+                self.balancers[index].tick(now, &mut actions);
+                self.balancer_actions(index, actions, None);
+            }
+            Node::Agent(index) => {
+                let mut actions = Vec::new();
+                self.agents[index].tick(now, &mut actions);
+                let stray = client_head(flow(0), Flags::default(), 0, 0);
+                self.agent_actions(index, actions, stray);
+            }
+        }
+        self.schedule(ms(5), Event::Tick(node));
+    }
+
+    fn balancer_actions(&mut self, from: usize, actions: Vec<Action>, current: Option<Packet>) {
+        let revision = self.balancers[from]
+            .intent()
+            .map_or(0, |intent| intent.revision);
+        for action in actions {
+            let (to, body, packet) = match &action {
+                Action::Forward {
+                    to,
+                    purpose,
+                    service,
+                } => {
+                    let packet = current.unwrap();
+                    (*to, deliver(*purpose, service.as_deref()), packet)
+                }
+                Action::Send {
+                    to,
+                    purpose,
+                    service,
+                    packet,
+                } => (*to, deliver(*purpose, service.as_deref()), decode(packet)),
+                Action::Probe(to) => (
+                    *to,
+                    Body::Probe,
+                    client_head(flow(0), Flags::default(), 0, 0),
+                ),
+                Action::Reset { flow, .. } => {
+                    self.reset(*flow, &format!("balancer {from}: {action:?}"));
+                    continue;
+                }
+                Action::Drop(..) => continue,
+            };
+            let mut frame = Vec::new();
+            Frame::new(revision, body).encode(&mut frame).unwrap();
+            let agent = usize::from(to.ip().octets()[3]);
+            self.schedule(DELAY, Event::ToAgent(agent, from, frame, packet));
+        }
+    }
+
+    fn at_agent(&mut self, index: usize, from: usize, frame: &[u8], packet: &Packet) {
+        let now = self.at();
+        let frame = Frame::decode(frame).unwrap();
+        let mut actions = Vec::new();
+        match frame.body {
+            Body::Deliver {
+                purpose, service, ..
+            } => {
+                let bytes = encode(packet);
+                let delivery = Delivery {
+                    purpose,
+                    service,
+                    sender_revision: frame.revision,
+                    head: packet,
+                    packet: &bytes,
+                };
+                let from = balancer_address(from);
+                self.agents[index].deliver(now, from, &delivery, &mut actions);
+                self.agent_actions(index, actions, *packet);
+            }
+            Body::Probe => {
+                let report = self.agents[index].report(now);
+                self.tell(index, balancer_address(from), &Body::Report(report), None);
+            }
+            other => panic!("a balancer sent {other:?}"),
+        }
+    }
+
+    fn agent_actions(&mut self, index: usize, actions: Vec<AgentAction>, current: Packet) {
+        let now = self.at();
+        for action in actions {
+            let report = self.agents[index].report(now);
+            match action {
+                AgentAction::ToUpstream => {
+                    self.schedule(ms(0), Event::ToUpstream(index, current));
+                }
+                AgentAction::ToClient => self.schedule(DELAY, Event::ToClient(current)),
+                AgentAction::Return { to, reason } => {
+                    let bytes = encode(&unbounced(current));
+                    let body = Body::Returned {
+                        reason,
+                        report,
+                        packet: &bytes,
+                    };
+                    self.tell(index, to, &body, Some(unbounced(current)));
+                }
+                AgentAction::ReturnHeld { to, reason, packet } => {
+                    let body = Body::Returned {
+                        reason,
+                        report,
+                        packet: &packet,
+                    };
+                    self.tell(index, to, &body, Some(decode(&packet)));
+                }
+                AgentAction::Accepted { to, flow, sequence } => {
+                    let body = Body::Accepted {
+                        flow,
+                        sequence,
+                        report,
+                    };
+                    self.tell(index, to, &body, None);
+                }
+                AgentAction::Found { to, flow } => {
+                    self.tell(index, to, &Body::Found { flow, report }, None);
+                }
+                AgentAction::Missing { to, flow } => {
+                    let bytes = encode(&unbounced(current));
+                    let body = Body::Missing {
+                        flow,
+                        report,
+                        packet: &bytes,
+                    };
+                    self.tell(index, to, &body, Some(unbounced(current)));
+                }
+                AgentAction::MissingHeld { to, flow, packet } => {
+                    let body = Body::Missing {
+                        flow,
+                        report,
+                        packet: &packet,
+                    };
+                    self.tell(index, to, &body, Some(decode(&packet)));
+                }
+                AgentAction::Reset { flow, .. } => {
+                    self.reset(flow, &format!("agent {index}"));
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: SocketAddrV4, body: &Body<'_>, packet: Option<Packet>) {
+        let mut frame = Vec::new();
+        let revision = self.agents[from].revision();
+        Frame::new(revision, body.clone())
+            .encode(&mut frame)
+            .unwrap();
+        let balancer = usize::from(to.ip().octets()[3]);
+        if balancer < self.balancers.len() {
+            self.schedule(DELAY, Event::ToBalancer(balancer, from, frame, packet));
+        }
+    }
+
+    /// A server: accepts flows, answers requests, gives back what it does not know.
+    fn at_upstream(&mut self, index: usize, packet: Packet) {
+        let flow = packet.client_flow();
+        let now = self.now;
+        let service = service_of(index);
+        let upstream = &mut self.upstreams[index];
+        if packet.opens() {
+            assert_eq!(service, SERVICE, "a flow was opened at another service");
+            if let Some(since) = self.zone_out_since
+                && zone_of(index) == OTHER_ZONE
+            {
+                assert!(
+                    now <= since + LEARN,
+                    "a flow was opened in a zone that is out"
+                );
+            }
+            if let Some(since) = upstream.draining_at {
+                assert!(
+                    now <= since + LEARN,
+                    "a flow was opened at a leaving upstream"
+                );
+            }
+            let sequence = 1_000 * (index as u32 + 1) + upstream.started as u32 * 100_000;
+            if upstream.half_open.insert(flow, sequence).is_none() && now < upstream.cold_until {
+                upstream.openings.push(now);
+                let recent = upstream
+                    .openings
+                    .iter()
+                    .filter(|&&at| now - at <= ms(1_000));
+                assert!(recent.count() <= COLD_BOUND, "a cold upstream was overrun");
+            }
+            let flags = Flags {
+                syn: true,
+                ack: true,
+                ..Flags::default()
+            };
+            let reply = upstream_head(flow, flags, sequence, 0);
+            self.schedule(ms(0), Event::FromUpstream(index, reply));
+            return;
+        }
+        let chosen = self.clients.get(&flow).and_then(|client| client.chosen);
+        let mine = upstream.half_open.get(&flow).map(|sequence| sequence + 1);
+        if !upstream.open.contains(&flow) && (mine.is_none() || mine != chosen) {
+            self.schedule(ms(0), Event::FromUpstream(index, bounced(packet)));
+            return;
+        }
+        upstream.open.insert(flow);
+        let flags = Flags {
+            ack: true,
+            ..Flags::default()
+        };
+        let reply = upstream_head(flow, flags, 5_000, 300);
+        let work = ms(self.rng.random_range(5..40));
+        self.schedule(work, Event::FromUpstream(index, reply));
+    }
+
+    fn open_flow(&mut self) {
+        let flow = flow(self.next_port);
+        self.next_port += 1;
+        self.clients.insert(flow, Client::default());
+        self.repeat(flow);
+    }
+
+    /// Sends an opening packet or a request again until it is answered.
+    fn repeat(&mut self, flow: Key) {
+        let balancer = self.rng.random_range(0..self.balancers.len());
+        let Some(client) = self.clients.get_mut(&flow) else {
+            return;
+        };
+        if client.dead || client.repeats > 12 {
+            return;
+        }
+        let packet = match client.chosen {
+            None if client.copies < 3 => {
+                client.copies += 1;
+                let flags = Flags {
+                    syn: true,
+                    ..Flags::default()
+                };
+                client_head(flow, flags, client.copies - 1, 0)
+            }
+            None => return,
+            Some(chosen) if client.waiting => {
+                client.repeats += 1;
+                let flags = Flags {
+                    ack: true,
+                    ..Flags::default()
+                };
+                Head {
+                    sequence: client.sequence,
+                    ..client_head(flow, flags, chosen, 500)
+                }
+            }
+            Some(_) => return,
+        };
+        self.schedule(DELAY, Event::ClientPacket(balancer, packet));
+        self.schedule(ms(200), Event::Repeat(flow));
+    }
+
+    fn request(&mut self, flow: Key) {
+        if let Some(client) = self.clients.get_mut(&flow)
+            && !client.waiting
+        {
+            client.waiting = true;
+            client.repeats = 0;
+            client.sequence += 500;
+            self.repeat(flow);
+        }
+    }
+
+    fn at_client(&mut self, packet: Packet) {
+        let flow = packet.upstream_flow();
+        let Some(client) = self.clients.get_mut(&flow) else {
+            return;
+        };
+        if packet.flags.syn {
+            if client.chosen.is_none() {
+                client.chosen = Some(packet.sequence + 1);
+                self.request(flow);
+            }
+        } else if packet.data_len > 0 && client.waiting {
+            client.waiting = false;
+            self.answered += 1;
+            let pause = ms(self.rng.random_range(20..800));
+            self.schedule(pause, Event::Request(flow));
+        }
+    }
+
+    /// A reset reaches a client: its flow must not be open at an upstream.
+    fn reset(&mut self, flow: Key, by: &str) {
+        let holder = self
+            .upstreams
+            .iter()
+            .position(|upstream| upstream.open.contains(&flow));
+        assert_eq!(
+            holder, None,
+            "{by} reset {flow:?}, which is open; {:?}",
+            self.log
+        );
+        self.resets += 1;
+        if let Some(client) = self.clients.get_mut(&flow) {
+            client.dead = true;
+        }
+    }
+
+    fn announce(&mut self, index: usize, started: u64) {
+        let cold_left = self.upstreams[index].cold_until.saturating_sub(self.now);
+        let upstream = &mut self.upstreams[index];
+        if upstream.started != started {
+            return;
+        }
+        upstream.sequence += 1;
+        let announcement = Announcement {
+            id: format!("i-{index}-{started}"),
+            started,
+            sequence: upstream.sequence,
+            draining: upstream.draining_at.is_some(),
+            slots: 5,
+            cold_left,
+        };
+        let now = self.at();
+        let mut actions = Vec::new();
+        self.agents[index].announce(now, &announcement, &mut actions);
+        let stray = client_head(flow(0), Flags::default(), 0, 0);
+        self.agent_actions(index, actions, stray);
+        self.schedule(ms(1_200), Event::Announce(index, started));
+    }
+
+    /// One random fault or planned change.
+    fn fault(&mut self) {
+        let agent = self.rng.random_range(0..self.agents.len());
+        let balancer = self.rng.random_range(0..self.balancers.len());
+        let kind = self.rng.random_range(0..7);
+        self.log.push(format!(
+            "{:?}: {kind} agent {agent} balancer {balancer}",
+            self.now
+        ));
+        match kind {
+            0 => self.balancers[balancer] = self.new_balancer(balancer),
+            1 => {
+                self.agents[agent] = self.new_agent(agent);
+                let started = self.upstreams[agent].started;
+                // The announcement is repeated at once to the new process.
+                self.schedule(ms(20), Event::Announce(agent, started));
+            }
+            2 => {
+                // The upstream starts anew, cold, and announces itself at once.
+                let upstream = &mut self.upstreams[agent];
+                *upstream = Upstream {
+                    started: upstream.started + 1,
+                    cold_until: self.now + ms(2_000),
+                    ..Upstream::default()
+                };
+                let started = upstream.started;
+                self.step(Event::Announce(agent, started));
+            }
+            3 => {
+                let leaving = self
+                    .upstreams
+                    .iter()
+                    .filter(|upstream| upstream.draining_at.is_some());
+                if leaving.count() < 2 {
+                    self.upstreams[agent].draining_at = Some(self.now);
+                    let started = self.upstreams[agent].started;
+                    self.step(Event::Announce(agent, started));
+                }
+            }
+            4 => self.change_intent(|intent| {
+                intent.zones_out.insert(OTHER_ZONE.into());
+            }),
+            5 => self.change_intent(|intent| intent.zones_out.clear()),
+            _ => {
+                let address = agent_address(agent);
+                let now = self.at();
+                self.balancers[balancer].unlist_member(now, address);
+            }
+        }
+    }
+
+    /// The intent changes; each process learns of it at its own time.
+    fn change_intent(&mut self, change: impl FnOnce(&mut Intent)) {
+        let mut next = (*self.intent).clone();
+        next.revision += 1;
+        change(&mut next);
+        let was_out = self.intent.is_out(OTHER_ZONE);
+        self.intent = Arc::new(next);
+        match (was_out, self.intent.is_out(OTHER_ZONE)) {
+            (false, true) => self.zone_out_since = Some(self.now),
+            (true, false) => self.zone_out_since = None,
+            _ => {}
+        }
+        let nodes = (0..self.balancers.len())
+            .map(Node::Balancer)
+            .chain((0..self.agents.len()).map(Node::Agent));
+        for node in nodes.collect::<Vec<_>>() {
+            let lag = ms(self.rng.random_range(1..40));
+            let intent = Arc::clone(&self.intent);
+            self.schedule(lag, Event::Learn(node, intent));
+        }
+    }
+}
+
+fn flow(port: u16) -> Key {
+    Key {
+        client: SocketAddrV4::new([100, 64, 0, 1].into(), port),
+        route: route_address(),
+    }
+}
+
+fn deliver(purpose: Purpose, service: Option<&str>) -> Body<'_> {
+    Body::Deliver {
+        purpose,
+        service: service.unwrap_or_default(),
+        packet: &[],
+    }
+}
+
+fn unbounced(packet: Packet) -> Packet {
+    Head {
+        flags: Flags {
+            bounced: false,
+            ..packet.flags
+        },
+        ..packet
+    }
+}
+
+/// Bytes that stand for a client's packet: what differs between the packets of these clients.
+fn encode(packet: &Packet) -> Vec<u8> {
+    let mut bytes = packet.source.port().to_be_bytes().to_vec();
+    bytes.extend(packet.acknowledgement.to_be_bytes());
+    bytes.extend(packet.sequence.to_be_bytes());
+    bytes.push(u8::from(packet.flags.syn));
+    bytes
+}
+
+fn decode(bytes: &[u8]) -> Packet {
+    let number = |at: usize| u32::from_be_bytes(bytes[at..at + 4].try_into().unwrap());
+    let syn = bytes[10] == 1;
+    let flags = Flags {
+        syn,
+        ack: !syn,
+        ..Flags::default()
+    };
+    let port = u16::from_be_bytes([bytes[0], bytes[1]]);
+    Head {
+        sequence: number(6),
+        ..client_head(flow(port), flags, number(2), if syn { 0 } else { 500 })
+    }
+}
+
+#[test]
+fn promises_hold_under_seeded_faults() {
+    for seed in 0..25 {
+        let mut world = World::new(seed, 3, 8);
+        world.run(ms(12_000));
+        assert!(
+            world.answered > 500,
+            "seed {seed}: {} answered",
+            world.answered
+        );
+    }
+}
+
+#[test]
+fn nothing_is_reset_while_only_balancers_are_replaced() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 3, 8);
+        world.run(ms(1_400));
+        for _ in 0..20 {
+            let replaced = world.rng.random_range(0..3);
+            world.balancers[replaced] = world.new_balancer(replaced);
+            let until = world.now + ms(250);
+            world.queue = std::mem::take(&mut world.queue)
+                .into_iter()
+                .filter(|timed| !matches!(timed.event, Event::Fault))
+                .collect();
+            world.run(until);
+        }
+        assert_eq!(world.resets, 0, "seed {seed}");
+    }
+}
