--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -17,7 +17,7 @@
     let mut rig = AgentRig::ready();
     let flow = flow(1);
     rig.deliver(Purpose::Open, &syn(flow));
-    let told = rig.from_upstream(&syn_ack(flow, 7));
+    let told = rig.hear_upstream(&syn_ack(flow, 7));
     let accepted = Action::Accepted {
         to: rig.balancer,
         flow,
@@ -32,7 +32,7 @@
     let flow = flow(1);
     rig.deliver(Purpose::Open, &syn(flow));
     assert_eq!(
-        rig.from_upstream(&bounced(syn(flow))),
+        rig.hear_upstream(&bounced(syn(flow))),
         rig.returned(Reason::Shed)
     );
     let to = rig.balancer;
@@ -54,7 +54,7 @@
         rst: true,
         ..Flags::default()
     };
-    let told = rig.from_upstream(&upstream_head(flow, flags, 0, 0));
+    let told = rig.hear_upstream(&upstream_head(flow, flags, 0, 0));
     let missing = Action::MissingHeld {
         to: rig.balancer,
         flow,
@@ -78,7 +78,7 @@
     };
     let to = rig.balancer;
     assert_eq!(
-        rig.from_upstream(&upstream_head(flow, flags, 9, 0)),
+        rig.hear_upstream(&upstream_head(flow, flags, 9, 0)),
         [Action::ToClient, Action::Found { to, flow }]
     );
 }
@@ -99,7 +99,7 @@
     let mut rig = AgentRig::ready();
     let flow = flow(1);
     rig.deliver(Purpose::Open, &syn(flow));
-    rig.from_upstream(&syn_ack(flow, 7_000));
+    rig.hear_upstream(&syn_ack(flow, 7_000));
     let to = rig.balancer;
     assert_eq!(
         rig.deliver(Purpose::Known, &data(flow, 90_001)),
@@ -201,7 +201,7 @@
         let actions = rig.deliver(Purpose::Open, &syn(flow(step)));
         if actions == [Action::ToUpstream] {
             taken.push(rig.now);
-            rig.from_upstream(&syn_ack(flow(step), 7));
+            rig.hear_upstream(&syn_ack(flow(step), 7));
         } else {
             assert_eq!(actions, rig.returned(Reason::Cold));
         }
@@ -251,7 +251,7 @@
             ack: true,
             ..Flags::default()
         };
-        rig.from_upstream(&upstream_head(flow(port), flags, 8, 300));
+        rig.hear_upstream(&upstream_head(flow(port), flags, 8, 300));
     }
 }
 
@@ -269,7 +269,7 @@
         ack: true,
         ..Flags::default()
     };
-    rig.from_upstream(&upstream_head(flow(0), flags, 8, 300));
+    rig.hear_upstream(&upstream_head(flow(0), flags, 8, 300));
     assert_eq!(
         rig.deliver(Purpose::Open, &syn(flow(11))),
         [Action::ToUpstream]
@@ -285,7 +285,7 @@
         ack: true,
         ..Flags::default()
     };
-    rig.from_upstream(&upstream_head(flow(1), flags, 8, 300));
+    rig.hear_upstream(&upstream_head(flow(1), flags, 8, 300));
     rig.deliver(Purpose::Known, &data(flow(1), 8));
     assert_eq!(rig.agent.report(rig.now).busy, 0);
     let next = Head {
@@ -334,6 +334,6 @@
         acknowledgement: 5,
         ..bounced(data(flow(9), 5))
     };
-    assert_eq!(rig.from_upstream(&stray), []);
+    assert_eq!(rig.hear_upstream(&stray), []);
     assert_eq!(rig.agent.flow_count(), 0);
 }
--- a/crates/core/tests/flow/fixture.rs
+++ b/crates/core/tests/flow/fixture.rs
@@ -215,7 +215,7 @@
         actions
     }
 
-    pub fn from_upstream(&mut self, head: &Head) -> Vec<Action> {
+    pub fn hear_upstream(&mut self, head: &Head) -> Vec<Action> {
         let mut actions = Vec::new();
         self.agent.upstream_packet(self.now, head, &mut actions);
         actions
@@ -234,7 +234,7 @@
             self.deliver(Purpose::Open, &syn(flow)),
             [Action::ToUpstream]
         );
-        self.from_upstream(&syn_ack(flow, sequence));
+        self.hear_upstream(&syn_ack(flow, sequence));
         assert_eq!(
             self.deliver(Purpose::Known, &data(flow, sequence + 1)),
             [Action::ToUpstream]
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -17,7 +17,6 @@
 };
 use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
-use serde_json::json;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, oneshot, watch},
@@ -359,59 +358,20 @@
     /// Takes what the store's follower found.
     fn event(&mut self, event: Event) {
         let now = Instant::now();
-        match event {
-            Event::Intent(intent) => {
-                let fields = [
-                    ("revision", intent.revision.into()),
-                    ("version", intent.policy.version.into()),
-                    ("zones_out", json!(intent.zones_out)),
-                ];
-                let taken = self.decisions.set_intent(intent);
-                self.log.line(
-                    now,
-                    if taken {
-                        "intent_installed"
-                    } else {
-                        "intent_stale"
-                    },
-                    &fields,
-                );
-            }
-            Event::Regained => {
-                self.touch.regain();
-                self.log.line(now, "store_regained", &[]);
-            }
-            Event::Lost(reason) => {
-                self.touch.lose(now);
-                self.log
-                    .line(now, "store_lost", &[("reason", reason.into())]);
-            }
-            Event::Peer(from, snapshot) => {
-                let fields = [
-                    ("peer", from.to_string().into()),
-                    (
-                        "revision",
-                        snapshot
-                            .intent
-                            .as_ref()
-                            .map_or(0, |intent| intent.revision)
-                            .into(),
-                    ),
-                ];
-                self.log.line(now, "peer_told", &fields);
-                if let Some(intent) = snapshot.intent {
-                    self.decisions.set_intent(intent);
-                }
-            }
-            Event::PeerFailed(from, reason) => {
-                let fields = [("peer", from.to_string().into()), ("reason", reason.into())];
-                self.log.line(now, "peer_failed", &fields);
-            }
-            Event::Refused(reason) => {
-                self.log
-                    .line(now, "document_refused", &[("reason", reason.into())]);
+        let (kind, fields) = event.line();
+        self.log.line(now, kind, &fields);
+        self.touch.note(now, &event);
+        let intent = match event {
+            Event::Intent(intent) => Some(intent),
+            Event::Peer(_, snapshot) => snapshot.intent,
+            _ => None,
+        };
+        if let Some(intent) = intent {
+            let revision = intent.revision;
+            if !self.decisions.set_intent(intent) {
+                let fields = [("revision", revision.into())];
+                self.log.line(now, "intent_stale", &fields);
             }
-            Event::Members(_) | Event::Listed(_) | Event::Unlisted(_) => {}
         }
         self.snapshots.send_replace(Arc::new(Snapshot {
             intent: self.decisions.intent().cloned(),
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -11,12 +11,11 @@
 
 use ::http::StatusCode;
 use sassafrasmast_core::flow::{
-    Balancer, Key, Purpose,
+    Balancer, Intent, Key, Purpose,
     balancer::{self, Action},
 };
 use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
-use serde_json::json;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -260,92 +259,35 @@
     /// Takes what the store's follower found.
     fn event(&mut self, event: Event) {
         let now = Instant::now();
+        let (kind, fields) = event.line();
+        self.log.line(now, kind, &fields);
+        self.touch.note(now, &event);
         match event {
-            Event::Intent(intent) => {
-                let fields = [
-                    ("revision", intent.revision.into()),
-                    ("version", intent.policy.version.into()),
-                    ("routes", intent.policy.routes.len().into()),
-                    ("zones_out", json!(intent.zones_out)),
-                ];
-                let taken = self.decisions.set_intent(intent);
-                self.log.line(
-                    now,
-                    if taken {
-                        "intent_installed"
-                    } else {
-                        "intent_stale"
-                    },
-                    &fields,
-                );
-            }
-            Event::Members(members) => {
-                let count = members.len();
-                self.decisions.set_members(now, members);
-                self.log
-                    .line(now, "members_read", &[("count", count.into())]);
-            }
-            Event::Listed(member) => {
-                let fields = [
-                    ("agent", member.address.to_string().into()),
-                    ("service", (&*member.service).into()),
-                    ("upstream_state", member.report.state.as_str().into()),
-                ];
-                self.log.line(now, "member_listed", &fields);
-                self.decisions.list_member(*member);
-            }
-            Event::Unlisted(address) => {
-                self.log.line(
-                    now,
-                    "member_unlisted",
-                    &[("agent", address.to_string().into())],
-                );
-                self.decisions.unlist_member(now, address);
-            }
-            Event::Regained => {
-                self.touch.regain();
-                self.log.line(now, "store_regained", &[]);
-            }
-            Event::Lost(reason) => {
-                self.touch.lose(now);
-                self.log
-                    .line(now, "store_lost", &[("reason", reason.into())]);
-            }
-            Event::Peer(from, snapshot) => self.learn(now, from, *snapshot),
-            Event::PeerFailed(from, reason) => {
-                let fields = [("peer", from.to_string().into()), ("reason", reason.into())];
-                self.log.line(now, "peer_failed", &fields);
-            }
-            Event::Refused(reason) => {
-                self.log
-                    .line(now, "document_refused", &[("reason", reason.into())]);
+            Event::Intent(intent) => self.install(now, intent),
+            Event::Members(members) => self.decisions.set_members(now, members),
+            Event::Listed(member) => self.decisions.list_member(*member),
+            Event::Unlisted(address) => self.decisions.unlist_member(now, address),
+            Event::Peer(_, snapshot) => {
+                if let Some(intent) = snapshot.intent {
+                    self.install(now, intent);
+                }
+                let members = snapshot.members.iter();
+                let members = members.map(|listing| listing.record.member(listing.address));
+                self.decisions.add_members(now, members.collect());
             }
+            Event::PeerFailed(..) | Event::Regained | Event::Lost(_) | Event::Refused(_) => {}
         }
         self.update_ready();
         self.publish();
     }
 
-    /// Takes what another process knows.
-    fn learn(&mut self, now: Instant, from: SocketAddrV4, snapshot: Snapshot) {
-        let fields = [
-            ("peer", from.to_string().into()),
-            (
-                "revision",
-                snapshot
-                    .intent
-                    .as_ref()
-                    .map_or(0, |intent| intent.revision)
-                    .into(),
-            ),
-            ("members", snapshot.members.len().into()),
-        ];
-        self.log.line(now, "peer_told", &fields);
-        if let Some(intent) = snapshot.intent {
-            self.decisions.set_intent(intent);
+    /// Puts an intent in force, unless a newer one is.
+    fn install(&mut self, now: Instant, intent: Arc<Intent>) {
+        let revision = intent.revision;
+        if !self.decisions.set_intent(intent) {
+            self.log
+                .line(now, "intent_stale", &[("revision", revision.into())]);
         }
-        let members = snapshot.members.iter();
-        let members = members.map(|listing| listing.record.member(listing.address));
-        self.decisions.add_members(now, members.collect());
     }
 
     /// Has what this process knows ready for others.
--- a/crates/forwarder/src/follow.rs
+++ b/crates/forwarder/src/follow.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use sassafrasmast_core::flow::{Intent, Member};
 use sassafrasmast_store::{Entry, Error, Range, Revision, Update};
+use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -42,6 +43,57 @@
     Refused(String),
 }
 
+impl Event {
+    /// The event as a log line: its kind and fields.
+    pub fn line(&self) -> (&'static str, Vec<(&'static str, Value)>) {
+        match self {
+            Self::Intent(intent) => (
+                "intent_read",
+                vec![
+                    ("revision", intent.revision.into()),
+                    ("version", intent.policy.version.into()),
+                    ("routes", intent.policy.routes.len().into()),
+                    ("zones_out", json!(intent.zones_out)),
+                ],
+            ),
+            Self::Members(members) => ("members_read", vec![("count", members.len().into())]),
+            Self::Listed(member) => (
+                "member_listed",
+                vec![
+                    ("agent", member.address.to_string().into()),
+                    ("service", (&*member.service).into()),
+                    ("upstream_state", member.report.state.as_str().into()),
+                ],
+            ),
+            Self::Unlisted(address) => (
+                "member_unlisted",
+                vec![("agent", address.to_string().into())],
+            ),
+            Self::Peer(from, snapshot) => {
+                let intent = snapshot.intent.as_ref();
+                (
+                    "peer_told",
+                    vec![
+                        ("peer", from.to_string().into()),
+                        ("revision", intent.map(|intent| intent.revision).into()),
+                        ("members", snapshot.members.len().into()),
+                    ],
+                )
+            }
+            Self::PeerFailed(from, reason) => (
+                "peer_failed",
+                vec![
+                    ("peer", from.to_string().into()),
+                    ("reason", reason.as_str().into()),
+                ],
+            ),
+            Self::Regained => ("store_regained", Vec::new()),
+            Self::Lost(reason) => ("store_lost", vec![("reason", reason.as_str().into())]),
+            Self::Refused(reason) => ("document_refused", vec![("reason", reason.as_str().into())]),
+        }
+    }
+}
+
 /// Follows the store.
 #[derive(Debug)]
 pub struct Follower<P> {
--- a/crates/forwarder/src/touch.rs
+++ b/crates/forwarder/src/touch.rs
@@ -8,7 +8,7 @@
 use sassafrasmast_core::flow::Revision;
 use tokio::sync::mpsc;
 
-use crate::peer::Pull;
+use crate::{follow::Event, peer::Pull};
 
 /// Time after which a process that has not heard from the store asks another one.
 const FIRST_ANSWER_WITHIN: Duration = Duration::from_millis(150);
@@ -46,14 +46,15 @@
         }
     }
 
-    /// The store answers.
-    pub fn regain(&mut self) {
-        self.lost_since = None;
-    }
-
-    /// The store does not answer.
-    pub fn lose(&mut self, now: Instant) {
-        self.lost_since.get_or_insert(now);
+    /// Notes what an event says of the store.
+    pub fn note(&mut self, now: Instant, event: &Event) {
+        match event {
+            Event::Regained => self.lost_since = None,
+            Event::Lost(_) => {
+                self.lost_since.get_or_insert(now);
+            }
+            _ => {}
+        }
     }
 
     /// A frame told that its sender has `theirs` in force, while `own` is in force here.
