feat(cli): explain tells the story of one flow from logs; placements and acceptances are logged

Each placement logs what was known of the agent, with the report's age; each acceptance the upstream and its start. Gauges for flows, waiting openings, searches, members and revision, a histogram of the time until an upstream accepts.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -68,6 +68,13 @@
         /// Print JSON.
         json: bool,
     },
+    /// Tell the story of a flow from logs.
+    Explain {
+        /// The client's end, or the whole flow.
+        flow: String,
+        /// Logs of processes.
+        files: Vec<PathBuf>,
+    },
     /// Check settings files.
     Check(Vec<PathBuf>),
     /// Make a certificate.
@@ -110,6 +117,7 @@
             Some("status") => Ok(Self::Status(Common::parse(&mut given)?)),
             Some("timeline") => Self::timeline(&mut given),
             Some("replay") => Self::replay(&mut given),
+            Some("explain") => Self::explain(&mut given),
             Some("config") => Self::check(&mut given),
             Some("certificate") => Self::certificate(&mut given),
             Some(name) => bail!("unknown command {name:?}, see --help"),
@@ -126,6 +134,7 @@
             "status" => help::STATUS,
             "timeline" => help::TIMELINE,
             "replay" => help::REPLAY,
+            "explain" => help::EXPLAIN,
             "config" => help::CONFIG,
             "certificate" => help::CERTIFICATE,
             _ => bail!("unknown command {name:?}, see --help"),
@@ -170,6 +179,15 @@
         Ok(Self::Replay { file, json })
     }
 
+    fn explain(given: &mut Arguments) -> anyhow::Result<Self> {
+        let flow: String = given
+            .free_from_str()
+            .context("a flow is missing, see --help")?;
+        let files: Vec<PathBuf> = free(given)?;
+        ensure!(!files.is_empty(), "a log file is missing, see --help");
+        Ok(Self::Explain { flow, files })
+    }
+
     fn check(given: &mut Arguments) -> anyhow::Result<Self> {
         let subcommand = given.subcommand()?;
         ensure!(
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -13,6 +13,7 @@
     status        shows zones, services, upstreams and balancers
     timeline      shows the events of all processes in one order
     replay        runs a recorded time line through the decision core
+    explain       tells the story of one flow from logs
     config check  checks a settings file of the daemon
     certificate   makes a certificate for development
 
@@ -107,6 +108,17 @@
     sassafrasmast replay FILE [--json]
 ";
 
+/// Help of `explain`.
+pub const EXPLAIN: &str = "\
+sassafrasmast explain: tells the story of one flow from the logs of several processes
+
+USAGE:
+    sassafrasmast explain FLOW LOG...
+
+FLOW is the client's address and port, as in 100.64.0.7:40001, or the whole flow as logs name it,
+CLIENT>ROUTE. Lines may have a prefix, as log collectors add it.
+";
+
 /// Help of `config`.
 pub const CONFIG: &str = "\
 sassafrasmast config check: checks a settings file of the daemon
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`client`]: calls of the operators' API, on several balancers in turn.
 //! - [`run`]: doing it.
 //! - [`exit`]: how it ended.
+//! - [`explain`]: the story of one flow from the logs of several processes.
 //! - [`replay`]: runs a recorded time line through the decision core.
 
 use std::process::ExitCode;
@@ -14,6 +15,7 @@
 pub mod command;
 pub mod confirm;
 pub mod exit;
+pub mod explain;
 pub mod help;
 pub mod plan;
 pub mod replay;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,8 +1,8 @@
 //! Doing what a command says.
 
 use crate::{
-    certificate, check, client::Client, command::Command, confirm, exit::Exit, plan, replay,
-    status, timeline,
+    certificate, check, client::Client, command::Command, confirm, exit::Exit, explain, plan,
+    replay, status, timeline,
 };
 
 /// Runs `command`.
@@ -44,6 +44,7 @@
             out,
         } => timeline::run(&Client::new(common.api), processes, out, common.json).await,
         Command::Replay { file, json } => replay::run(&file, json),
+        Command::Explain { flow, files } => explain::run(&flow, &files),
         Command::Check(files) => Ok(check::run(&files)),
         Command::Certificate { hosts, out } => certificate::run(hosts, &out),
     }
--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -312,6 +312,7 @@
                 to: opener,
                 flow,
                 sequence: head.sequence,
+                took: known.age(now),
             });
         }
         if was_opening {
--- a/crates/core/src/flow/agent/action.rs
+++ b/crates/core/src/flow/agent/action.rs
@@ -1,6 +1,6 @@
 //! What an agent wants done.
 
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, time::Duration};
 
 use crate::flow::{Key, Reason, balancer::ResetCause};
 
@@ -35,6 +35,8 @@
         flow: Key,
         /// Sequence number of the upstream's reply.
         sequence: u32,
+        /// Time since the opening packet came.
+        took: Duration,
     },
     /// Tell a balancer that the flow is here.
     Found {
--- a/crates/core/src/flow/agent/flow.rs
+++ b/crates/core/src/flow/agent/flow.rs
@@ -220,9 +220,14 @@
                 .is_some_and(|at| now.saturating_duration_since(at) < at_most)
     }
 
+    /// Time since the flow began.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
     /// Whether the flow began less than `age` ago.
     pub fn is_younger_than(&self, now: Instant, age: Duration) -> bool {
-        now.saturating_duration_since(self.since) < age
+        self.age(now) < age
     }
 
     /// Whether the flow may be forgotten.
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -96,6 +96,16 @@
         self.flows.len()
     }
 
+    /// Opening packets that wait for an upstream with room.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Searches that run.
+    pub fn search_count(&self) -> usize {
+        self.searches.len()
+    }
+
     /// Puts a newer intent in force; an older one is passed over.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
         if self
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -22,6 +22,7 @@
         to: rig.balancer,
         flow,
         sequence: 7,
+        took: ms(0),
     };
     assert_eq!(told, [Action::ToClient, accepted]);
 }
--- a/crates/core/tests/flow/world.rs
+++ b/crates/core/tests/flow/world.rs
@@ -423,7 +423,9 @@
                     };
                     self.tell(index, to, &body, Some(decode(&packet)));
                 }
-                AgentAction::Accepted { to, flow, sequence } => {
+                AgentAction::Accepted {
+                    to, flow, sequence, ..
+                } => {
                     let body = Body::Accepted {
                         flow,
                         sequence,
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -12,8 +12,9 @@
 
 use ::http::StatusCode;
 use sassafrasmast_core::flow::{
-    Agent, Key, State,
+    Agent, Key, Reason, State,
     agent::{self, Action, Announcement, Change, Delivery},
+    balancer::ResetCause,
 };
 use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
@@ -400,7 +401,10 @@
         self.publish(now);
         self.greet(now);
         self.touch.tick(now, self.decisions.revision());
-        metrics::gauge!("sassafrasmast_flows").set(self.decisions.flow_count() as f64);
+        let report = self.decisions.report(now);
+        metrics::gauge!("sassafrasmast_flows").set(f64::from(report.flows));
+        metrics::gauge!("sassafrasmast_busy").set(f64::from(report.busy));
+        metrics::gauge!("sassafrasmast_revision").set(self.decisions.revision() as f64);
     }
 
     /// Tells balancers that this agent exists while the store does not say so.
@@ -436,15 +440,12 @@
                 Action::ReturnHeld { to, reason, packet } => {
                     self.hand_back(now, to, reason, &packet);
                 }
-                Action::Accepted { to, flow, sequence } => {
-                    let report = self.decisions.report(now);
-                    let body = Body::Accepted {
-                        flow,
-                        sequence,
-                        report,
-                    };
-                    self.send(to, body);
-                }
+                Action::Accepted {
+                    to,
+                    flow,
+                    sequence,
+                    took,
+                } => self.report_acceptance(now, to, flow, sequence, took),
                 Action::Found { to, flow } => {
                     let report = self.decisions.report(now);
                     self.send(to, Body::Found { flow, report });
@@ -455,35 +456,59 @@
                     flow,
                     sequence,
                     cause,
-                } => {
-                    let reset = self.platform.reset(&flow, sequence);
-                    let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
-                    udp::send(&self.frames, &reset, to);
-                    metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str())
-                        .increment(1);
-                    let fields = [
-                        ("flow", flow_text(Some(&flow))),
-                        ("cause", cause.as_str().into()),
-                        (
-                            "upstream_started",
-                            self.decisions.upstream().started().into(),
-                        ),
-                    ];
-                    self.log.line(now, "flow_reset", &fields);
-                }
+                } => self.reset(now, &flow, sequence, cause),
             }
         }
         self.actions = actions;
     }
 
-    /// Hands an opening packet back to a balancer.
-    fn hand_back(
+    /// Tells a balancer that the upstream accepted a flow.
+    fn report_acceptance(
         &mut self,
         now: Instant,
         to: SocketAddrV4,
-        reason: sassafrasmast_core::flow::Reason,
-        packet: &[u8],
+        flow: Key,
+        sequence: u32,
+        took: Duration,
     ) {
+        metrics::histogram!("sassafrasmast_accept_seconds").record(took);
+        let report = self.decisions.report(now);
+        let fields = [
+            ("flow", flow_text(Some(&flow))),
+            ("balancer", to.to_string().into()),
+            ("upstream", self.decisions.upstream().id().into()),
+            ("upstream_started", report.upstream.into()),
+            ("upstream_state", report.state.as_str().into()),
+            ("busy", report.busy.into()),
+        ];
+        self.log.line(now, "flow_accepted", &fields);
+        let body = Body::Accepted {
+            flow,
+            sequence,
+            report,
+        };
+        self.send(to, body);
+    }
+
+    /// Resets a flow towards its client.
+    fn reset(&mut self, now: Instant, flow: &Key, sequence: u32, cause: ResetCause) {
+        let reset = self.platform.reset(flow, sequence);
+        let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
+        udp::send(&self.frames, &reset, to);
+        metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str()).increment(1);
+        let fields = [
+            ("flow", flow_text(Some(flow))),
+            ("cause", cause.as_str().into()),
+            (
+                "upstream_started",
+                self.decisions.upstream().started().into(),
+            ),
+        ];
+        self.log.line(now, "flow_reset", &fields);
+    }
+
+    /// Hands an opening packet back to a balancer.
+    fn hand_back(&mut self, now: Instant, to: SocketAddrV4, reason: Reason, packet: &[u8]) {
         let flow = self.platform.decode(packet).map(|head| head.client_flow());
         let report = self.decisions.report(now);
         metrics::counter!("sassafrasmast_returned", "reason" => reason.as_str()).increment(1);
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -322,6 +322,12 @@
         self.decisions.tick(now, &mut self.actions);
         self.carry_out(now, None);
         metrics::gauge!("sassafrasmast_flows").set(self.decisions.flow_count() as f64);
+        metrics::gauge!("sassafrasmast_openings_waiting")
+            .set(self.decisions.waiting_count() as f64);
+        metrics::gauge!("sassafrasmast_searches").set(self.decisions.search_count() as f64);
+        metrics::gauge!("sassafrasmast_members")
+            .set(self.decisions.members().iter().count() as f64);
+        metrics::gauge!("sassafrasmast_revision").set(self.revision() as f64);
     }
 
     fn tick_pause(&self) -> Duration {
@@ -343,6 +349,7 @@
                     service,
                 } => {
                     if let Some(packet) = packet {
+                        self.log_placement(now, to, purpose, packet);
                         self.deliver(to, purpose, service.as_deref(), packet);
                     }
                 }
@@ -351,7 +358,10 @@
                     purpose,
                     service,
                     packet,
-                } => self.deliver(to, purpose, service.as_deref(), &packet),
+                } => {
+                    self.log_placement(now, to, purpose, &packet);
+                    self.deliver(to, purpose, service.as_deref(), &packet);
+                }
                 Action::Probe(to) => self.send(to, Body::Probe),
                 Action::Reset {
                     flow,
@@ -391,6 +401,35 @@
         self.actions = actions;
     }
 
+    /// Logs where an opening packet goes, and what was known of the agent.
+    fn log_placement(&mut self, now: Instant, to: SocketAddrV4, purpose: Purpose, packet: &[u8]) {
+        metrics::counter!("sassafrasmast_packets", "purpose" => purpose.as_str()).increment(1);
+        if purpose != Purpose::Open {
+            return;
+        }
+        let flow = self.platform.decode(packet).map(|head| head.client_flow());
+        let member = self.decisions.members().get(to);
+        let age = member
+            .and_then(|member| member.heard_at)
+            .map(|at| now.saturating_duration_since(at).as_millis());
+        let fields = [
+            ("flow", flow_text(flow.as_ref())),
+            ("agent", to.to_string().into()),
+            ("service", member.map(|member| &*member.service).into()),
+            (
+                "upstream_state",
+                member.map(|member| member.report.state.as_str()).into(),
+            ),
+            ("load", member.map(|member| member.load(now)).into()),
+            (
+                "report_age_ms",
+                age.and_then(|age| u64::try_from(age).ok()).into(),
+            ),
+            ("revision", self.revision().into()),
+        ];
+        self.log.line(now, "flow_placed", &fields);
+    }
+
     fn deliver(
         &mut self,
         to: SocketAddrV4,
--- a/crates/forwarder/src/log.rs
+++ b/crates/forwarder/src/log.rs
@@ -17,11 +17,11 @@
 /// Lines that wait for the writer.
 const QUEUE: usize = 512;
 
-/// Lines of one kind a second.
-const LINES_PER_SECOND: u32 = 20;
+/// Lines of one kind a second: the new flows of a busy entry VM.
+const LINES_PER_SECOND: u32 = 100;
 
 /// Lines of one kind at once.
-const BURST: u32 = 60;
+const BURST: u32 = 200;
 
 /// Writes structured log lines.
 #[derive(Debug)]
--- a/crates/wire/src/flow/purpose.rs
+++ b/crates/wire/src/flow/purpose.rs
@@ -12,3 +12,18 @@
     /// The balancer asks all candidates whether the flow is theirs.
     Find,
 }
+
+impl Purpose {
+    /// The name in logs and metrics.
+    ///
+    /// ```
+    /// assert_eq!(sassafrasmast_wire::flow::Purpose::Find.as_str(), "find");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Known => "known",
+            Self::Find => "find",
+        }
+    }
+}
