--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -159,6 +159,12 @@
         self.stopping = true;
     }
 
+    /// Changes the bounds of the cold limit.
+    pub fn set_cold_bounds(&mut self, coverage: f64, slack: f64) {
+        self.settings.cold_coverage = coverage;
+        self.settings.cold_slack = slack;
+    }
+
     /// New flows that a cold upstream is given within a second. `None` without a limit: operators
     /// state no rate for the service, so its upstreams are only slower while they are cold.
     pub fn cold_limit(&self) -> Option<usize> {
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -31,6 +31,7 @@
     peer::{self, Pull, Snapshot},
     platform::{Call, Platform},
     registration::{Record, Registration},
+    reload::Reload,
     settings::{Settings, Upstream},
     signals::{Request, Signals},
     touch::Touch,
@@ -77,6 +78,7 @@
     actions: Vec<Action>,
     frame: Vec<u8>,
     touch: Touch,
+    reload: Reload,
     snapshots: watch::Sender<Arc<Snapshot>>,
     /// Whether the entry stands in the store.
     standing: Arc<AtomicBool>,
@@ -211,6 +213,7 @@
             actions: Vec::new(),
             frame: Vec::with_capacity(MAX_BYTES),
             touch: Touch::new(now, pulls, settings.peers.clone()),
+            reload: Reload::new(now),
             snapshots,
             standing,
             greeted_at: now,
@@ -388,12 +391,28 @@
                 self.publish(now);
                 self.log.line(now, "stop", &[]);
             }
-            Request::Reload => self.log.line(now, "reload", &[]),
+            Request::Reload => self.read_settings(now),
+        }
+    }
+
+    /// Reads the settings again and puts in force what has changed.
+    fn read_settings(&mut self, now: Instant) {
+        let platform = Arc::clone(&self.platform);
+        if self
+            .reload
+            .read(now, &*platform, &mut self.settings, &mut self.log)
+        {
+            self.touch.set_peers(self.settings.peers.clone());
+            self.decisions
+                .set_cold_bounds(self.settings.cold_coverage, self.settings.cold_slack);
         }
     }
 
     fn tick(&mut self) {
         let now = Instant::now();
+        if self.reload.is_due(now) {
+            self.read_settings(now);
+        }
         self.decisions.tick(now, &mut self.actions);
         self.carry_out(now, &[]);
         self.balancers
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -27,6 +27,7 @@
     log::Log,
     peer::{self, Listing, Pull, Snapshot},
     platform::{Call, Platform},
+    reload::Reload,
     settings::Settings,
     signals::{Request, Signals},
     touch::Touch,
@@ -58,6 +59,7 @@
     ready: Arc<AtomicBool>,
     stopping: bool,
     touch: Touch,
+    reload: Reload,
     snapshots: watch::Sender<Arc<Snapshot>>,
 }
 
@@ -153,6 +155,7 @@
             actions: Vec::new(),
             frame: Vec::with_capacity(MAX_BYTES),
             touch: Touch::new(now, pulls, settings.peers.clone()),
+            reload: Reload::new(now),
             snapshots,
             settings,
             platform,
@@ -312,12 +315,26 @@
                 self.update_ready();
                 self.log.line(now, "stop", &[]);
             }
-            Request::Reload => self.log.line(now, "reload", &[]),
+            Request::Reload => self.read_settings(now),
+        }
+    }
+
+    /// Reads the settings again and puts in force what has changed.
+    fn read_settings(&mut self, now: Instant) {
+        let platform = Arc::clone(&self.platform);
+        if self
+            .reload
+            .read(now, &*platform, &mut self.settings, &mut self.log)
+        {
+            self.touch.set_peers(self.settings.peers.clone());
         }
     }
 
     fn tick(&mut self) {
         let now = Instant::now();
+        if self.reload.is_due(now) {
+            self.read_settings(now);
+        }
         self.touch.tick(now, self.revision());
         self.decisions.tick(now, &mut self.actions);
         self.carry_out(now, None);
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peer;
 pub mod platform;
 pub mod registration;
+mod reload;
 pub mod settings;
 mod signals;
 mod touch;
--- a/crates/forwarder/src/platform.rs
+++ b/crates/forwarder/src/platform.rs
@@ -5,6 +5,8 @@
 use sassafrasmast_core::flow::{Head, Key, ZoneName, agent::Announcement, intent::Policy};
 use sassafrasmast_store::Store;
 
+use crate::settings::Settings;
+
 /// What an operator's document asks for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum OperatorChange {
@@ -36,6 +38,13 @@
     /// The platform's key-value store.
     fn store(&self) -> Arc<dyn Store>;
 
+    /// The process' settings as they stand now.
+    ///
+    /// # Errors
+    ///
+    /// When they cannot be read or are wrong.
+    fn settings(&self) -> anyhow::Result<Settings>;
+
     /// Prefix of the operators' documents in the store.
     fn operator_prefix(&self) -> &str;
 
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -58,6 +58,37 @@
     pub lease: Duration,
 }
 
+impl Settings {
+    /// Takes from `new` what may change while the process runs. Names what differs besides, which
+    /// only a new start puts in force.
+    ///
+    /// ```
+    /// use sassafrasmast_forwarder::Settings;
+    /// let mut settings = Settings::default();
+    /// let new = Settings { cold_slack: 5.0, zone: "b".into(), ..Settings::default() };
+    /// assert_eq!(settings.reload(new), ["zone"]);
+    /// assert_eq!(settings.cold_slack, 5.0);
+    /// ```
+    pub fn reload(&mut self, new: Self) -> Vec<&'static str> {
+        let fixed = [
+            ("name", self.name != new.name),
+            ("role", self.role != new.role),
+            ("zone", self.zone != new.zone),
+            ("packets", self.packets != new.packets),
+            ("frames", self.frames != new.frames),
+            ("ready", self.ready != new.ready),
+            ("metrics", self.metrics != new.metrics),
+            ("lease", self.lease != new.lease),
+            ("max_flow_age", self.max_flow_age != new.max_flow_age),
+        ];
+        self.peers = new.peers;
+        self.cold_coverage = new.cold_coverage;
+        self.cold_slack = new.cold_slack;
+        let differing = fixed.into_iter().filter(|(_, differs)| *differs);
+        differing.map(|(name, _)| name).collect()
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         let unset = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
--- a/crates/forwarder/src/touch.rs
+++ b/crates/forwarder/src/touch.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Asks these processes from now on.
+    pub fn set_peers(&mut self, peers: Vec<SocketAddrV4>) {
+        self.peers = peers;
+    }
+
     /// Notes what an event says of the store.
     pub fn note(&mut self, now: Instant, event: &Event) {
         match event {
