--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -156,7 +156,7 @@
     ) {
         let flow = head.client_flow();
         if head.opens() {
-            self.open(now, flow, bytes, actions);
+            self.open(now, flow, head.acknowledgement, bytes, actions);
             return;
         }
         let Some(connection) = self.flows.get_mut(&flow) else {
@@ -212,9 +212,16 @@
             .is_some_and(|route| route.kind == Kind::Safe)
     }
 
-    /// Places an opening packet or a copy of it.
-    fn open(&mut self, now: Instant, flow: Key, bytes: &[u8], actions: &mut Vec<Action>) {
-        if self.waiting.contains(&flow) {
+    /// Places an opening packet; `copy` counts its copies.
+    fn open(
+        &mut self,
+        now: Instant,
+        flow: Key,
+        copy: u32,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        if self.waiting.note_copy(&flow, copy) {
             return;
         }
         if self.flows.len() >= self.settings.max_flows && !self.flows.contains_key(&flow) {
@@ -225,7 +232,7 @@
             .flows
             .entry(flow)
             .or_insert_with(|| Connection::new(now));
-        connection.reopen(now);
+        connection.reopen(now, copy);
         let placement = match connection.accepted_by() {
             // The upstream's reply was lost; it repeats it for a copy.
             Some(to) => self.service(&flow).map(|service| (to, service)),
@@ -281,15 +288,24 @@
         obstacle: Obstacle,
         actions: &mut Vec<Action>,
     ) {
+        let copy = self.flows.get(&flow).map_or(0, Connection::copy);
         match obstacle {
+            // An earlier packet of this attempt went through another balancer, which may have
+            // opened the flow.
+            Obstacle::NoRoute | Obstacle::NoUpstream if copy > 0 => {
+                actions.push(Action::Drop(flow, Drop::Unsure));
+            }
             Obstacle::NoRoute => self.refuse(flow, ResetCause::NoRoute, actions),
             Obstacle::NoUpstream => self.refuse(flow, ResetCause::NoUpstream, actions),
             // Another agent has the packet and may still accept it.
             Obstacle::Outstanding => actions.push(Action::Drop(flow, Drop::Outstanding)),
+            Obstacle::Wait if self.waiting.len() >= self.settings.max_waiting && copy > 0 => {
+                actions.push(Action::Drop(flow, Drop::Unsure));
+            }
             Obstacle::Wait if self.waiting.len() >= self.settings.max_waiting => {
                 self.refuse(flow, ResetCause::Overloaded, actions);
             }
-            Obstacle::Wait => self.waiting.push(now, flow, bytes),
+            Obstacle::Wait => self.waiting.push(now, flow, copy, bytes),
         }
     }
 
@@ -317,9 +333,12 @@
                     service: Some(service),
                     packet: opening.packet,
                 }),
-                Err(Obstacle::Wait) if opening.is_over(now) => {
+                Err(Obstacle::Wait) if opening.is_over(now) && opening.is_whole() => {
                     self.refuse(flow, ResetCause::Overloaded, actions);
                 }
+                Err(Obstacle::Wait) if opening.is_over(now) => {
+                    actions.push(Action::Drop(flow, Drop::Unsure));
+                }
                 Err(Obstacle::Wait) => {
                     if let Ok(service) = self.service(&flow) {
                         self.members.refresh(now, &service, actions);
--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -83,6 +83,8 @@
 pub enum Drop {
     /// An agent that got the opening packet may still accept it, and there is no other one.
     Outstanding,
+    /// The opening packet cannot be placed here, but another balancer may have opened the flow.
+    Unsure,
     /// The home of the flow was not found, and it is not sure that there is none.
     NotFound,
     /// The table of flows is full.
@@ -101,6 +103,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Outstanding => "outstanding",
+            Self::Unsure => "unsure",
             Self::NotFound => "not_found",
             Self::TableFull => "table_full",
             Self::TooManySearches => "too_many_searches",
--- a/crates/core/src/flow/balancer/connection.rs
+++ b/crates/core/src/flow/balancer/connection.rs
@@ -24,6 +24,7 @@
     opened_at: Instant,
     seen_at: Instant,
     acknowledgement: u32,
+    copy: u32,
 }
 
 impl Connection {
@@ -35,12 +36,19 @@
             opened_at: now,
             seen_at: now,
             acknowledgement: 0,
+            copy: 0,
         }
     }
 
     /// Notes an opening packet or a copy of it.
-    pub fn reopen(&mut self, now: Instant) {
+    pub fn reopen(&mut self, now: Instant, copy: u32) {
         self.seen_at = now;
+        self.copy = copy;
+    }
+
+    /// Which copy of the opening packet came last.
+    pub fn copy(&self) -> u32 {
+        self.copy
     }
 
     /// Notes a packet of the client.
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -4,7 +4,7 @@
 
 use sassafrasmast_core::flow::{
     Balancer, Head, Key, Member, Purpose, Reason, Report, State,
-    balancer::{self, Action, ResetCause},
+    balancer::{self, Action, Drop, ResetCause},
     intent::Kind,
 };
 use sassafrasmast_wire::flow::Body;
@@ -125,6 +125,14 @@
     Member::listed(agent(port), SERVICE.into(), zone.into(), ready_report())
 }
 
+/// A copy of an opening packet.
+fn syn_copy(flow: Key, copy: u32) -> Head {
+    Head {
+        acknowledgement: copy,
+        ..syn(flow)
+    }
+}
+
 /// The agent that the only packet goes to.
 fn target(actions: &[Action]) -> SocketAddrV4 {
     match actions {
@@ -178,10 +186,15 @@
         ..ready_report()
     };
     let mut last = Vec::new();
-    for _ in 0..130 {
+    for step in 0..130 {
         rig.hear(agent(1), full);
         rig.hear(agent(2), full);
         last.extend(rig.tick(10));
+        match step {
+            20 => assert_eq!(rig.packet(&syn_copy(flow(1), 1)), []),
+            60 => assert_eq!(rig.packet(&syn_copy(flow(1), 2)), []),
+            _ => {}
+        }
     }
     let reset = Action::Reset {
         flow: flow(1),
@@ -192,6 +205,37 @@
     assert_eq!(last, [reset]);
 }
 
+#[test]
+fn a_flow_whose_copies_went_elsewhere_is_not_refused_here() {
+    let mut rig = Rig::new(&[(1, ZONE)]);
+    let full = Report {
+        busy: 12,
+        ..ready_report()
+    };
+    rig.hear(agent(1), full);
+    assert_eq!(rig.packet(&syn_copy(flow(1), 1)), []);
+    let mut last = Vec::new();
+    for _ in 0..130 {
+        rig.hear(agent(1), full);
+        last.extend(rig.tick(10));
+    }
+    last.retain(|action| !matches!(action, Action::Probe(_)));
+    assert_eq!(last, [Action::Drop(flow(1), Drop::Unsure)]);
+}
+
+#[test]
+fn a_copy_for_a_route_that_is_not_there_is_not_refused() {
+    let mut rig = Rig::new(&[(1, ZONE)]);
+    let stray = Key {
+        route: address("198.18.9.9:443"),
+        ..flow(1)
+    };
+    assert_eq!(
+        rig.packet(&syn_copy(stray, 1)),
+        [Action::Drop(stray, Drop::Unsure)]
+    );
+}
+
 #[test]
 fn a_waiting_flow_goes_to_the_first_upstream_with_room() {
     let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
