--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -205,8 +205,9 @@
             self.open(now, from, flow, delivery, actions);
             return;
         }
+        let is_certain = self.is_certain();
         match self.flows.get_mut(&flow) {
-            Some(known) if known.refutes(delivery.head) => {
+            Some(known) if known.refutes(delivery.head.acknowledgement) => {
                 actions.push(Action::Missing { to: from, flow });
             }
             Some(known) => {
@@ -220,7 +221,7 @@
                 }
                 actions.push(Action::ToUpstream);
             }
-            None if self.upstream.is_gone() || self.upstream.is_known_from_start() => {
+            None if is_certain => {
                 actions.push(Action::Missing { to: from, flow });
             }
             None => {
@@ -236,6 +237,30 @@
         }
     }
 
+    /// Answers a balancer that looks for the home of a flow, whose client acknowledged
+    /// `acknowledgement` last.
+    pub fn locate(
+        &self,
+        from: SocketAddrV4,
+        flow: Key,
+        acknowledgement: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        let to = from;
+        actions.push(match self.flows.get(&flow) {
+            Some(known) if known.refutes(acknowledgement) => Action::Absent { to, flow },
+            Some(known) if known.phase() == Phase::Unsure => Action::Unsure { to, flow },
+            Some(_) => Action::Found { to, flow },
+            None if self.is_certain() => Action::Absent { to, flow },
+            None => Action::Unsure { to, flow },
+        });
+    }
+
+    /// Whether the agent knows all flows of its upstream.
+    fn is_certain(&self) -> bool {
+        self.upstream.is_gone() || self.upstream.is_known_from_start()
+    }
+
     /// Decides on an opening packet.
     fn open(
         &mut self,
@@ -329,15 +354,17 @@
     /// Takes an upstream's reset of a flow that it was shown to find the flow's home: the flow is
     /// not here, and may well be open elsewhere. Tells whether this was one.
     fn disown(&mut self, flow: Key, actions: &mut Vec<Action>) -> bool {
-        let unsure = |known: &mut Flow| {
-            (known.phase() == Phase::Unsure).then(|| (known.sender(), known.take_kept()))
-        };
-        let Some((to, kept)) = self.flows.get_mut(&flow).and_then(unsure) else {
+        let is_unsure = |known: &Flow| known.phase() == Phase::Unsure;
+        if !self.flows.get(&flow).is_some_and(is_unsure) {
             return false;
-        };
-        self.flows.remove(&flow);
-        if let Some(packet) = kept {
-            actions.push(Action::MissingHeld { to, flow, packet });
+        }
+        if let Some(mut known) = self.flows.remove(&flow) {
+            let to = known.sender();
+            match (known.take_asker(), known.take_kept()) {
+                (Some(to), _) => actions.push(Action::Absent { to, flow }),
+                (None, Some(packet)) => actions.push(Action::MissingHeld { to, flow, packet }),
+                (None, None) => {}
+            }
         }
         true
     }
@@ -361,8 +388,12 @@
             return;
         }
         let to = known.sender();
+        let asker = known.take_asker();
         self.flows.remove(&flow);
-        actions.push(Action::Missing { to, flow });
+        actions.push(match asker {
+            Some(to) => Action::Absent { to, flow },
+            None => Action::Missing { to, flow },
+        });
     }
 
     /// Takes an announcement of the upstream. Tells what changed.
--- a/crates/core/src/flow/agent/action.rs
+++ b/crates/core/src/flow/agent/action.rs
@@ -45,6 +45,20 @@
         /// The flow.
         flow: Key,
     },
+    /// Tell a balancer that a flow is not here.
+    Absent {
+        /// The balancer.
+        to: SocketAddrV4,
+        /// The flow.
+        flow: Key,
+    },
+    /// Tell a balancer that only the upstream knows whether a flow is here.
+    Unsure {
+        /// The balancer.
+        to: SocketAddrV4,
+        /// The flow.
+        flow: Key,
+    },
     /// Tell a balancer that the packet's flow is not here, and hand the packet back.
     Missing {
         /// The balancer.
--- a/crates/core/src/flow/agent/flow.rs
+++ b/crates/core/src/flow/agent/flow.rs
@@ -156,9 +156,9 @@
     }
 
     /// Whether the client has chosen another upstream's reply.
-    pub fn refutes(&self, head: &Head) -> bool {
+    pub fn refutes(&self, acknowledgement: u32) -> bool {
         match (self.phase, self.accepted) {
-            (Phase::Accepted, Some(sequence)) => head.acknowledgement.wrapping_sub(sequence) > 1,
+            (Phase::Accepted, Some(sequence)) => acknowledgement.wrapping_sub(sequence) > 1,
             (Phase::Opening | Phase::Refused, _) => true,
             _ => false,
         }
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -273,7 +273,7 @@
                 connection.add_candidate(to);
                 Ok((to, service))
             }
-            None if settled && !self.members.may_serve(now, &service) => Err(Obstacle::NoUpstream),
+            None if settled && self.members.lacks(now, &service) => Err(Obstacle::NoUpstream),
             None if !connection.all_refused() => Err(Obstacle::Outstanding),
             None => Err(Obstacle::Wait),
         }
@@ -405,8 +405,18 @@
                 zone,
                 report,
             } => self.members.introduce(now, from, service, zone, *report),
+            Body::Absent { flow, report } => {
+                self.members.hear(now, from, *report);
+                self.rule_out(now, *flow, from, actions);
+            }
+            Body::Unsure { flow, report } => {
+                self.members.hear(now, from, *report);
+                if let Some(search) = self.searches.get_mut(flow) {
+                    search.show(from, actions);
+                }
+            }
             Body::Report(report) => self.members.hear(now, from, *report),
-            Body::Deliver { .. } | Body::Probe => {}
+            Body::Deliver { .. } | Body::Locate { .. } | Body::Probe => {}
         }
     }
 
@@ -465,7 +475,7 @@
             .and_then(|intent| intent.policy.routes.get(&flow.route));
         let order = self.members.search_order(&flow, route, first);
         let kind = route.map_or(Kind::Once, |route| route.kind);
-        let mut search = Search::new(now, order, kind, head.acknowledgement, bytes);
+        let mut search = Search::new(now, flow, order, kind, head.acknowledgement, bytes);
         search.ask(now, &mut self.members, actions);
         self.searches.insert(flow, search);
     }
@@ -493,11 +503,7 @@
         packet: &[u8],
         actions: &mut Vec<Action>,
     ) {
-        if let Some(search) = self.searches.get_mut(&flow) {
-            if search.rule_out(from) {
-                search.ask(now, &mut self.members, actions);
-            }
-        } else {
+        if !self.searches.contains_key(&flow) {
             if let Some(connection) = self.flows.get_mut(&flow) {
                 if connection.settled().is_some_and(|home| home != from) {
                     // A late answer of an agent that the flow has left behind.
@@ -506,9 +512,17 @@
                 connection.unsettle(from);
             }
             self.search(now, flow, head, packet, &[], actions);
-            if let Some(search) = self.searches.get_mut(&flow) {
-                search.rule_out(from);
-            }
+        }
+        self.rule_out(now, flow, from, actions);
+    }
+
+    /// A flow that is searched for is not at an agent's upstream.
+    fn rule_out(&mut self, now: Instant, flow: Key, from: SocketAddrV4, actions: &mut Vec<Action>) {
+        let Some(search) = self.searches.get_mut(&flow) else {
+            return;
+        };
+        if search.rule_out(from) && !search.has_asked_all() {
+            search.ask(now, &mut self.members, actions);
         }
         self.finish_search(now, flow, actions);
     }
--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -27,6 +27,15 @@
         /// The packet.
         packet: Box<[u8]>,
     },
+    /// Ask an agent whether a flow is at its upstream.
+    Locate {
+        /// The agent.
+        to: SocketAddrV4,
+        /// The flow.
+        flow: Key,
+        /// Number that the client acknowledged last.
+        acknowledgement: u32,
+    },
     /// Ask an agent for a report.
     Probe(SocketAddrV4),
     /// Reset a flow towards its client.
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -227,13 +227,15 @@
         member.load(now) + remote + state + shed
     }
 
-    /// Whether any upstream of the service is known that may take flows again.
-    pub fn may_serve(&self, now: Instant, service: &str) -> bool {
-        self.by_address.values().any(|member| {
+    /// Whether no upstream of the service is known, while some of others are: an empty list says
+    /// more of the list than of the upstreams.
+    pub fn lacks(&self, now: Instant, service: &str) -> bool {
+        let serves = |member: &Member| {
             &*member.service == service
                 && (member.listed || member.is_heard(now))
                 && member.report.state != State::Gone
-        })
+        };
+        !self.by_address.is_empty() && !self.by_address.values().any(serves)
     }
 
     /// Asks all upstreams of a service that are full for their load.
--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -6,16 +6,16 @@
 };
 
 use super::{Action, Members};
-use crate::flow::{Purpose, intent::Kind};
+use crate::flow::{Key, Purpose, intent::Kind};
 
 /// Agents asked in the first wave; each further wave is twice as large.
 const FIRST_WAVE: usize = 2;
 
-/// Time between waves while answers are missing: a round trip between zones and one wake-up.
-const WAVE_EVERY: Duration = Duration::from_millis(8);
+/// Time between waves while answers are missing: a round trip between zones and a few wake-ups.
+const WAVE_EVERY: Duration = Duration::from_millis(12);
 
 /// How often agents that have not answered are asked again once all were asked.
-const ASK_AGAIN_EVERY: Duration = Duration::from_millis(60);
+const ASK_AGAIN_EVERY: Duration = Duration::from_millis(100);
 
 /// Longest search. Clients repeat their packets within this time, which starts a new one.
 const LONGEST: Duration = Duration::from_secs(2);
@@ -41,6 +41,7 @@
 /// The search for the home of one flow.
 #[derive(Debug)]
 pub struct Search {
+    flow: Key,
     order: Vec<SocketAddrV4>,
     asked: usize,
     ruled_out: Vec<SocketAddrV4>,
@@ -49,7 +50,9 @@
     waved_at: Instant,
     kind: Kind,
     acknowledgement: u32,
-    /// The packet that is shown to the agents, then those that came after it.
+    /// Agents whose upstream was shown the first held packet.
+    shown: Vec<SocketAddrV4>,
+    /// Packets that wait for the home.
     held: Vec<Box<[u8]>>,
 }
 
@@ -57,12 +60,14 @@
     /// A search through `order` for a flow whose requests are of `kind`.
     pub fn new(
         now: Instant,
+        flow: Key,
         order: Vec<SocketAddrV4>,
         kind: Kind,
         acknowledgement: u32,
         packet: &[u8],
     ) -> Self {
         Self {
+            flow,
             order,
             asked: 0,
             ruled_out: Vec::new(),
@@ -71,6 +76,7 @@
             waved_at: now,
             kind,
             acknowledgement,
+            shown: Vec::new(),
             held: vec![packet.into()],
         }
     }
@@ -97,6 +103,11 @@
             .all(|asked| self.ruled_out.contains(asked))
     }
 
+    /// Whether each agent was asked at least once.
+    pub fn has_asked_all(&self) -> bool {
+        self.asked == self.order.len()
+    }
+
     /// Asks the next agents, or again those that have not answered.
     pub fn ask(&mut self, now: Instant, members: &mut Members, actions: &mut Vec<Action>) {
         let (start, end) = if self.asked < self.order.len() {
@@ -104,14 +115,26 @@
         } else {
             (0, self.order.len())
         };
-        let Some(packet) = self.held.first() else {
-            return;
-        };
         for &to in &self.order[start..end] {
             if self.ruled_out.contains(&to) {
                 continue;
             }
             members.expect_answer(now, to);
+            actions.push(Action::Locate {
+                to,
+                flow: self.flow,
+                acknowledgement: self.acknowledgement,
+            });
+        }
+        self.asked = end;
+        self.wave *= 2;
+        self.waved_at = now;
+    }
+
+    /// Shows the first packet to the upstream of an agent that does not know the answer itself.
+    pub fn show(&mut self, to: SocketAddrV4, actions: &mut Vec<Action>) {
+        if let Some(packet) = self.held.first() {
+            self.shown.push(to);
             actions.push(Action::Send {
                 to,
                 purpose: Purpose::Find,
@@ -119,9 +142,6 @@
                 packet: packet.clone(),
             });
         }
-        self.asked = end;
-        self.wave *= 2;
-        self.waved_at = now;
     }
 
     /// Whether agents are to be asked now.
@@ -152,7 +172,8 @@
                         .get(*agent)
                         .is_none_or(|member| member.is_unreachable(now, UNREACHABLE_AFTER)))
         };
-        if settled && self.asked == self.order.len() && self.order.iter().all(answered) {
+        let is_complete = !self.order.is_empty() && self.has_asked_all();
+        if settled && is_complete && self.order.iter().all(answered) {
             Verdict::Lost
         } else if now.saturating_duration_since(self.started_at) >= LONGEST {
             Verdict::GivenUp
@@ -161,9 +182,10 @@
         }
     }
 
-    /// Sends the packets that came after the first one to the flow's home.
+    /// Sends the held packets to the flow's home, but for the one that it was shown.
     pub fn release(self, to: SocketAddrV4, actions: &mut Vec<Action>) {
-        for packet in self.held.into_iter().skip(1) {
+        let known = usize::from(self.shown.contains(&to));
+        for packet in self.held.into_iter().skip(known) {
             actions.push(Action::Send {
                 to,
                 purpose: Purpose::Known,
--- a/crates/core/tests/flow/fixture.rs
+++ b/crates/core/tests/flow/fixture.rs
@@ -221,6 +221,12 @@
         actions
     }
 
+    pub fn locate(&mut self, flow: Key) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.agent.locate(self.balancer, flow, 8, &mut actions);
+        actions
+    }
+
     pub fn tick(&mut self, after: Duration) -> Vec<Action> {
         self.now += after;
         let mut actions = Vec::new();
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -290,6 +290,14 @@
                         .deliver(now, from, &delivery, &mut self.actions);
                     self.carry_out(now, packet);
                 }
+                Body::Locate {
+                    flow,
+                    acknowledgement,
+                } => {
+                    self.decisions
+                        .locate(from, flow, acknowledgement, &mut self.actions);
+                    self.carry_out(now, &[]);
+                }
                 Body::Probe => {
                     let report = self.decisions.report(now);
                     self.send(from, Body::Report(report));
@@ -465,6 +473,14 @@
                     sequence,
                     took,
                 } => self.report_acceptance(now, to, flow, sequence, took),
+                Action::Absent { to, flow } => {
+                    let report = self.decisions.report(now);
+                    self.send(to, Body::Absent { flow, report });
+                }
+                Action::Unsure { to, flow } => {
+                    let report = self.decisions.report(now);
+                    self.send(to, Body::Unsure { flow, report });
+                }
                 Action::Found { to, flow } => {
                     let report = self.decisions.report(now);
                     self.send(to, Body::Found { flow, report });
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -12,7 +12,7 @@
 use ::http::StatusCode;
 use sassafrasmast_core::flow::{
     Balancer, Intent, Key, Purpose,
-    balancer::{self, Action},
+    balancer::{self, Action, ResetCause},
 };
 use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
@@ -239,7 +239,7 @@
                     ],
                 );
             }
-            Body::Missing { flow, .. } => self.log.line(
+            Body::Missing { flow, .. } | Body::Absent { flow, .. } => self.log.line(
                 now,
                 "flow_missing",
                 &[
@@ -379,45 +379,52 @@
                     self.log_placement(now, to, purpose, &packet);
                     self.deliver(to, purpose, service.as_deref(), &packet);
                 }
+                Action::Locate {
+                    to,
+                    flow,
+                    acknowledgement,
+                } => self.send(
+                    to,
+                    Body::Locate {
+                        flow,
+                        acknowledgement,
+                    },
+                ),
                 Action::Probe(to) => self.send(to, Body::Probe),
                 Action::Reset {
                     flow,
                     sequence,
                     cause,
-                } => {
-                    let reset = self.platform.reset(&flow, sequence);
-                    let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
-                    udp::send(&self.packets, &reset, to);
-                    metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str())
-                        .increment(1);
-                    self.log.line(
-                        now,
-                        "flow_reset",
-                        &[
-                            ("flow", flow_text(Some(&flow))),
-                            ("cause", cause.as_str().into()),
-                            ("revision", self.revision().into()),
-                        ],
-                    );
-                }
+                } => self.reset(now, &flow, sequence, cause),
                 Action::Drop(flow, cause) => {
                     metrics::counter!("sassafrasmast_dropped", "cause" => cause.as_str())
                         .increment(1);
-                    self.log.line(
-                        now,
-                        "packet_dropped",
-                        &[
-                            ("flow", flow_text(Some(&flow))),
-                            ("cause", cause.as_str().into()),
-                            ("revision", self.revision().into()),
-                        ],
-                    );
+                    self.log_end(now, "packet_dropped", &flow, cause.as_str());
                 }
             }
         }
         self.actions = actions;
     }
 
+    /// Resets a flow towards its client.
+    fn reset(&mut self, now: Instant, flow: &Key, sequence: u32, cause: ResetCause) {
+        let reset = self.platform.reset(flow, sequence);
+        let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
+        udp::send(&self.packets, &reset, to);
+        metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str()).increment(1);
+        self.log_end(now, "flow_reset", flow, cause.as_str());
+    }
+
+    /// Logs that a flow or a packet ends here, and why.
+    fn log_end(&mut self, now: Instant, kind: &'static str, flow: &Key, cause: &'static str) {
+        let fields = [
+            ("flow", flow_text(Some(flow))),
+            ("cause", cause.into()),
+            ("revision", self.revision().into()),
+        ];
+        self.log.line(now, kind, &fields);
+    }
+
     /// Logs where an opening packet goes, and what was known of the agent.
     fn log_placement(&mut self, now: Instant, to: SocketAddrV4, purpose: Purpose, packet: &[u8]) {
         metrics::counter!("sassafrasmast_packets", "purpose" => purpose.as_str()).increment(1);
--- a/crates/forwarder/src/peer.rs
+++ b/crates/forwarder/src/peer.rs
@@ -17,8 +17,8 @@
 
 use crate::{follow::Event, registration::Record};
 
-/// Longest time for one exchange: a configuration of a megabyte between zones, with room.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time for one exchange: a configuration over a link of 10 Mbit/s that carries traffic besides.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Largest snapshot in bytes.
 const MAX_BYTES: usize = 8 * 1024 * 1024;
--- a/crates/wire/src/flow/body.rs
+++ b/crates/wire/src/flow/body.rs
@@ -16,6 +16,27 @@
         /// The client's packet.
         packet: &'a [u8],
     },
+    /// Balancer to agent: is this flow at your upstream?
+    Locate {
+        /// The flow.
+        flow: Key,
+        /// Number that the client acknowledged last.
+        acknowledgement: u32,
+    },
+    /// Agent to balancer, to [`Body::Locate`] or a packet that was shown: the flow is not here.
+    Absent {
+        /// The flow.
+        flow: Key,
+        /// The agent's report.
+        report: Report,
+    },
+    /// Agent to balancer, to [`Body::Locate`]: only the upstream can tell; show it a packet.
+    Unsure {
+        /// The flow.
+        flow: Key,
+        /// The agent's report.
+        report: Report,
+    },
     /// Agent to balancer: the upstream accepted a flow.
     Accepted {
         /// The flow.
--- a/crates/wire/src/flow/purpose.rs
+++ b/crates/wire/src/flow/purpose.rs
@@ -9,7 +9,7 @@
     Open,
     /// Its flow is believed to be at this agent's upstream.
     Known,
-    /// The balancer asks all candidates whether the flow is theirs.
+    /// It is shown to an upstream whose agent does not know whether the flow is there.
     Find,
 }
 
