--- a/crates/core/tests/flow/world.rs
+++ b/crates/core/tests/flow/world.rs
@@ -10,7 +10,7 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use sassafrasmast_core::flow::{
-    Agent, Balancer, Head, Intent, Key, Member, Purpose, Report, State,
+    Agent, Balancer, Head, Intent, Key, Member, Purpose, Reason, Report, State,
     agent::{self, Action as AgentAction, Announcement, Delivery},
     balancer::{self, Action},
     packet::Flags,
@@ -438,22 +438,18 @@
         let bytes = encode(&unbounced(current));
         let (to, body, packet) = match &action {
             AgentAction::Return { to, reason } => {
-                let (reason, packet) = (*reason, &bytes[..]);
-                let body = Body::Returned {
-                    reason,
-                    report,
-                    packet,
-                };
+                let body = returned(*reason, report, &bytes);
                 (*to, body, Some(unbounced(current)))
             }
             AgentAction::ReturnHeld { to, reason, packet } => {
-                let reason = *reason;
-                let body = Body::Returned {
-                    reason,
-                    report,
-                    packet,
-                };
-                (*to, body, Some(decode(packet)))
+                (*to, returned(*reason, report, packet), Some(decode(packet)))
+            }
+            AgentAction::Missing { to, flow } => {
+                let body = missing(*flow, report, &bytes);
+                (*to, body, Some(unbounced(current)))
+            }
+            AgentAction::MissingHeld { to, flow, packet } => {
+                (*to, missing(*flow, report, packet), Some(decode(packet)))
             }
             AgentAction::Accepted {
                 to, flow, sequence, ..
@@ -490,24 +486,6 @@
                 },
                 None,
             ),
-            AgentAction::Missing { to, flow } => {
-                let (flow, packet) = (*flow, &bytes[..]);
-                let body = Body::Missing {
-                    flow,
-                    report,
-                    packet,
-                };
-                (*to, body, Some(unbounced(current)))
-            }
-            AgentAction::MissingHeld { to, flow, packet } => {
-                let flow = *flow;
-                let body = Body::Missing {
-                    flow,
-                    report,
-                    packet,
-                };
-                (*to, body, Some(decode(packet)))
-            }
             AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => return,
         };
         self.tell(index, to, &body, packet);
@@ -782,6 +760,22 @@
     }
 }
 
+fn returned(reason: Reason, report: Report, packet: &[u8]) -> Body<'_> {
+    Body::Returned {
+        reason,
+        report,
+        packet,
+    }
+}
+
+fn missing(flow: Key, report: Report, packet: &[u8]) -> Body<'_> {
+    Body::Missing {
+        flow,
+        report,
+        packet,
+    }
+}
+
 fn unbounced(packet: Packet) -> Packet {
     Head {
         flags: Flags {
