--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -11,7 +11,7 @@
 mod upstream;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddrV4,
     sync::Arc,
     time::{Duration, Instant},
@@ -57,6 +57,8 @@
     flows: HashMap<Key, Flow>,
     /// Opening packets that the upstream has not answered yet.
     opening: Vec<Key>,
+    /// Flows that had work after their last packet.
+    working: HashSet<Key>,
     started_at: Instant,
     swept_at: Instant,
     stopping: bool,
@@ -74,6 +76,7 @@
             gate: Gate::default(),
             flows: HashMap::new(),
             opening: Vec::new(),
+            working: HashSet::new(),
             started_at: now,
             swept_at: now,
             stopping: false,
@@ -127,10 +130,24 @@
 
     /// Requests that the upstream works on or is about to get.
     fn busy(&self, now: Instant) -> usize {
+        let is_busy = |key: &&Key| self.is_busy(now, key);
+        self.working.iter().filter(is_busy).count()
+    }
+
+    /// Whether a flow has a request in progress or is about to get one.
+    fn is_busy(&self, now: Instant, key: &Key) -> bool {
         self.flows
-            .values()
-            .filter(|flow| flow.is_busy(now, BUSY_FOR))
-            .count()
+            .get(key)
+            .is_some_and(|flow| flow.is_busy(now, BUSY_FOR))
+    }
+
+    /// Notes whether a flow has work after one of its packets.
+    fn note_work(&mut self, now: Instant, key: Key) {
+        if self.is_busy(now, &key) {
+            self.working.insert(key);
+        } else {
+            self.working.remove(&key);
+        }
     }
 
     /// Whether the upstream has as many requests in progress as it answers in time.
@@ -203,9 +220,23 @@
         let flow = delivery.head.client_flow();
         if delivery.head.opens() {
             self.open(now, from, flow, delivery, actions);
-            return;
+        } else {
+            self.pass_on(now, from, flow, delivery, actions);
         }
+        self.note_work(now, flow);
+    }
+
+    /// Decides on a packet that does not open a flow.
+    fn pass_on(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        flow: Key,
+        delivery: &Delivery<'_>,
+        actions: &mut Vec<Action>,
+    ) {
         let is_certain = self.is_certain();
+        let has_room = self.flows.len() < self.settings.max_flows;
         match self.flows.get_mut(&flow) {
             Some(known) if known.refutes(delivery.head.acknowledgement) => {
                 actions.push(Action::Missing { to: from, flow });
@@ -224,6 +255,7 @@
             None if is_certain => {
                 actions.push(Action::Missing { to: from, flow });
             }
+            None if !has_room => actions.push(Action::ToUpstream),
             None => {
                 // This agent is younger than its upstream, which alone knows its flows.
                 let mut unsure = Flow::unsure(now, from, delivery.packet);
@@ -301,6 +333,9 @@
                 return Some(Reason::WrongService);
             }
         }
+        if self.flows.len() >= self.settings.max_flows {
+            return Some(Reason::Busy);
+        }
         if own.is_some_and(|intent| intent.is_out(&self.settings.zone)) {
             return Some(Reason::ZoneOut);
         }
@@ -319,8 +354,15 @@
         self.upstream.heard(now);
         if head.flags.bounced {
             self.bounced(now, head, actions);
-            return;
+            self.note_work(now, head.client_flow());
+        } else {
+            self.written(now, head, actions);
+            self.note_work(now, head.upstream_flow());
         }
+    }
+
+    /// The upstream wrote a packet.
+    fn written(&mut self, now: Instant, head: &Head, actions: &mut Vec<Action>) {
         let flow = head.upstream_flow();
         if head.flags.rst && self.disown(flow, actions) {
             return;
@@ -473,6 +515,12 @@
                     intent.policy.idle_timeout
                 });
             self.flows.retain(|_, flow| !flow.is_over(now, idle));
+            let flows = &self.flows;
+            self.working.retain(|key| {
+                flows
+                    .get(key)
+                    .is_some_and(|flow| flow.is_busy(now, BUSY_FOR))
+            });
         }
     }
 
--- a/crates/core/src/flow/agent/settings.rs
+++ b/crates/core/src/flow/agent/settings.rs
@@ -21,6 +21,8 @@
     pub cold_slack: f64,
     /// Part of the cold bound that is used: the rest covers packets that queue on their way.
     pub cold_use: f64,
+    /// Flows kept: far more than an upstream holds, about 200 bytes each.
+    pub max_flows: usize,
     /// Flows idle for longer are forgotten while no intent says otherwise.
     pub idle_timeout: Duration,
 }
@@ -34,6 +36,7 @@
             cold_coverage: 1.0,
             cold_slack: 0.0,
             cold_use: 0.8,
+            max_flows: 20_000,
             idle_timeout: Duration::from_secs(15),
         }
     }
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -307,14 +307,18 @@
         member.is_unreachable(now, UNREACHABLE_AFTER)
     }
 
-    /// Probes agents that are silent, so that they come back into use, and agents that only
-    /// their answers keep in use.
+    /// Probes agents that are new, so that their load is known before it is needed, agents that
+    /// are silent, so that they come back into use, and agents that only their answers keep in use.
     pub fn probe(&mut self, now: Instant, actions: &mut Vec<Action>) {
         for member in self.by_address.values_mut() {
             let since = member
                 .probed_at
                 .map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-            let is_due = if member.is_silent(now) && member.listed {
+            let is_new = member.listed && member.heard_at.is_none() && member.probed_at.is_none();
+            let is_due = if is_new {
+                member.expect_answer(now);
+                true
+            } else if member.is_silent(now) && member.listed {
                 since >= PROBE_EVERY
             } else {
                 !member.listed && member.is_heard(now) && since >= PROBE_UNLISTED_EVERY
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -313,6 +313,20 @@
     assert_eq!(rig.agent.report(rig.now).busy, 1);
 }
 
+#[test]
+fn a_flood_of_opening_packets_does_not_grow_without_bound() {
+    let mut rig = AgentRig::ready();
+    for client in 0..2_u8 {
+        for port in 0..=u16::MAX {
+            let mut stray = flow(port);
+            stray.client.set_ip([100, 64, 9, client].into());
+            rig.deliver(Purpose::Open, &syn(stray));
+            rig.hear_upstream(&bounced(syn(stray)));
+        }
+    }
+    assert!(rig.agent.flow_count() <= 20_000);
+}
+
 #[test]
 fn an_opening_packet_without_an_answer_is_handed_back() {
     let mut rig = AgentRig::ready();
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -502,6 +502,14 @@
     assert_eq!(rig.open(flow(1)), agent(1));
 }
 
+#[test]
+fn an_agent_that_was_never_heard_is_probed_once() {
+    let mut rig = Rig::new(&[(1, ZONE)]);
+    assert_eq!(rig.tick(5), [Action::Probe(agent(1))]);
+    rig.hear(agent(1), ready_report());
+    assert_eq!(rig.tick(5_000), []);
+}
+
 #[test]
 fn a_route_that_is_not_there_is_refused_at_once() {
     let mut rig = Rig::new(&[(1, ZONE)]);
