--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -8,7 +8,9 @@
 mod action;
 mod connection;
 mod members;
+mod opening;
 mod search;
+mod seeking;
 mod settings;
 mod waiting;
 
@@ -29,24 +31,11 @@
     settings::Settings,
     waiting::Waiting,
 };
-use super::{Head, Intent, Key, Member, Purpose, Reason, ServiceName, intent::Kind};
+use super::{Head, Intent, Key, Member, Purpose, intent::Kind};
 
 /// How often forgotten flows are looked for.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
 
-/// Why an opening packet cannot be placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Obstacle {
-    /// No route leads from the address that the client asked for.
-    NoRoute,
-    /// The service has no upstream.
-    NoUpstream,
-    /// No upstream takes the flow now; one may soon.
-    Wait,
-    /// No further upstream takes the flow, and one that got the packet has not answered.
-    Outstanding,
-}
-
 /// A balancer's state. Inputs append what is to be done to `actions`.
 #[derive(Debug)]
 pub struct Balancer {
@@ -212,144 +201,6 @@
             .is_some_and(|route| route.kind == Kind::Safe)
     }
 
-    /// Places an opening packet; `copy` counts its copies.
-    fn open(
-        &mut self,
-        now: Instant,
-        flow: Key,
-        copy: u32,
-        bytes: &[u8],
-        actions: &mut Vec<Action>,
-    ) {
-        if self.waiting.note_copy(&flow, copy) {
-            return;
-        }
-        if self.flows.len() >= self.settings.max_flows && !self.flows.contains_key(&flow) {
-            actions.push(Action::Drop(flow, Drop::TableFull));
-            return;
-        }
-        let connection = self
-            .flows
-            .entry(flow)
-            .or_insert_with(|| Connection::new(now));
-        connection.reopen(now, copy);
-        let placement = match connection.accepted_by() {
-            // The upstream's reply was lost; it repeats it for a copy.
-            Some(to) => self.service(&flow).map(|service| (to, service)),
-            None => self.place(now, flow),
-        };
-        match placement {
-            Ok((to, service)) => actions.push(Action::Forward {
-                to,
-                purpose: Purpose::Open,
-                service: Some(service),
-            }),
-            Err(obstacle) => self.obstructed(now, flow, bytes, obstacle, actions),
-        }
-    }
-
-    /// The service that a new flow goes to.
-    fn service(&self, flow: &Key) -> Result<ServiceName, Obstacle> {
-        let intent = self.intent.as_ref().ok_or(Obstacle::Wait)?;
-        let route = intent.policy.routes.get(&flow.route);
-        route
-            .and_then(|route| route.service(flow))
-            .cloned()
-            .ok_or(Obstacle::NoRoute)
-    }
-
-    /// Chooses an agent that has not had a flow's opening packet yet.
-    fn place(&mut self, now: Instant, flow: Key) -> Result<(SocketAddrV4, ServiceName), Obstacle> {
-        let service = self.service(&flow)?;
-        let settled = self.knows_members_for(now);
-        let (Some(intent), Some(connection)) = (&self.intent, self.flows.get_mut(&flow)) else {
-            return Err(Obstacle::Wait);
-        };
-        let tried = connection.candidates();
-        let zones_out = &intent.zones_out;
-        match self.members.choose(now, &flow, &service, &tried, zones_out) {
-            Some(to) => {
-                self.members.placed(now, to);
-                connection.add_candidate(to);
-                Ok((to, service))
-            }
-            None if settled && self.members.lacks(now, &service) => Err(Obstacle::NoUpstream),
-            None if !connection.all_refused() => Err(Obstacle::Outstanding),
-            None => Err(Obstacle::Wait),
-        }
-    }
-
-    /// Deals with an opening packet that cannot be placed now.
-    fn obstructed(
-        &mut self,
-        now: Instant,
-        flow: Key,
-        bytes: &[u8],
-        obstacle: Obstacle,
-        actions: &mut Vec<Action>,
-    ) {
-        let copy = self.flows.get(&flow).map_or(0, Connection::copy);
-        match obstacle {
-            // An earlier packet of this attempt went through another balancer, which may have
-            // opened the flow.
-            Obstacle::NoRoute | Obstacle::NoUpstream if copy > 0 => {
-                actions.push(Action::Drop(flow, Drop::Unsure));
-            }
-            Obstacle::NoRoute => self.refuse(flow, ResetCause::NoRoute, actions),
-            Obstacle::NoUpstream => self.refuse(flow, ResetCause::NoUpstream, actions),
-            // Another agent has the packet and may still accept it.
-            Obstacle::Outstanding => actions.push(Action::Drop(flow, Drop::Outstanding)),
-            Obstacle::Wait if self.waiting.len() >= self.settings.max_waiting && copy > 0 => {
-                actions.push(Action::Drop(flow, Drop::Unsure));
-            }
-            Obstacle::Wait if self.waiting.len() >= self.settings.max_waiting => {
-                self.refuse(flow, ResetCause::Overloaded, actions);
-            }
-            Obstacle::Wait => self.waiting.push(now, flow, copy, bytes),
-        }
-    }
-
-    /// Refuses a new flow. Nothing of it has run.
-    fn refuse(&mut self, flow: Key, cause: ResetCause, actions: &mut Vec<Action>) {
-        self.flows.remove(&flow);
-        actions.push(Action::Reset {
-            flow,
-            sequence: 0,
-            cause,
-        });
-    }
-
-    /// Tries again to place the opening packets that wait, in the order of their arrival.
-    fn place_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for opening in self.waiting.take() {
-            let flow = opening.flow;
-            if let Some(connection) = self.flows.get_mut(&flow) {
-                connection.forgive();
-            }
-            match self.place(now, flow) {
-                Ok((to, service)) => actions.push(Action::Send {
-                    to,
-                    purpose: Purpose::Open,
-                    service: Some(service),
-                    packet: opening.packet,
-                }),
-                Err(Obstacle::Wait) if opening.is_over(now) && opening.is_whole() => {
-                    self.refuse(flow, ResetCause::Overloaded, actions);
-                }
-                Err(Obstacle::Wait) if opening.is_over(now) => {
-                    actions.push(Action::Drop(flow, Drop::Unsure));
-                }
-                Err(Obstacle::Wait) => {
-                    if let Ok(service) = self.service(&flow) {
-                        self.members.refresh(now, &service, actions);
-                    }
-                    self.waiting.put_back(opening);
-                }
-                Err(obstacle) => self.obstructed(now, flow, &opening.packet, obstacle, actions),
-            }
-        }
-    }
-
     /// Whether the list of agents has been in hand for long enough to say that nobody can serve.
     fn knows_members_for(&self, now: Instant) -> bool {
         self.synced_since
@@ -420,139 +271,6 @@
         }
     }
 
-    /// An agent handed an opening packet back.
-    fn returned(
-        &mut self,
-        now: Instant,
-        from: SocketAddrV4,
-        flow: Key,
-        reason: Reason,
-        packet: &[u8],
-        actions: &mut Vec<Action>,
-    ) {
-        if reason == Reason::Shed {
-            self.members.shed(now, from);
-        }
-        let Some(connection) = self.flows.get_mut(&flow) else {
-            return;
-        };
-        connection.refuse(from);
-        if connection.accepted_by().is_some() {
-            return;
-        }
-        match self.place(now, flow) {
-            Ok((to, service)) => actions.push(Action::Send {
-                to,
-                purpose: Purpose::Open,
-                service: Some(service),
-                packet: packet.into(),
-            }),
-            Err(obstacle) => self.obstructed(now, flow, packet, obstacle, actions),
-        }
-    }
-
-    /// Starts or continues the search for the home of a flow.
-    fn search(
-        &mut self,
-        now: Instant,
-        flow: Key,
-        head: &Head,
-        bytes: &[u8],
-        first: &[SocketAddrV4],
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(search) = self.searches.get_mut(&flow) {
-            search.hold(bytes);
-            return;
-        }
-        if self.searches.len() >= self.settings.max_searches {
-            actions.push(Action::Drop(flow, Drop::TooManySearches));
-            return;
-        }
-        let route = self
-            .intent
-            .as_ref()
-            .and_then(|intent| intent.policy.routes.get(&flow.route));
-        let order = self.members.search_order(&flow, route, first);
-        let kind = route.map_or(Kind::Once, |route| route.kind);
-        let mut search = Search::new(now, flow, order, kind, head.acknowledgement, bytes);
-        search.ask(now, &mut self.members, actions);
-        self.searches.insert(flow, search);
-    }
-
-    /// An agent owns a flow.
-    fn found(&mut self, now: Instant, flow: Key, from: SocketAddrV4, actions: &mut Vec<Action>) {
-        if self.flows.len() < self.settings.max_flows || self.flows.contains_key(&flow) {
-            self.flows
-                .entry(flow)
-                .or_insert_with(|| Connection::new(now))
-                .settle(from);
-        }
-        if let Some(search) = self.searches.remove(&flow) {
-            search.release(from, actions);
-        }
-    }
-
-    /// An agent does not hold a flow.
-    fn missing(
-        &mut self,
-        now: Instant,
-        flow: Key,
-        from: SocketAddrV4,
-        head: &Head,
-        packet: &[u8],
-        actions: &mut Vec<Action>,
-    ) {
-        if !self.searches.contains_key(&flow) {
-            if let Some(connection) = self.flows.get_mut(&flow) {
-                if connection.settled().is_some_and(|home| home != from) {
-                    // A late answer of an agent that the flow has left behind.
-                    return;
-                }
-                connection.unsettle(from);
-            }
-            self.search(now, flow, head, packet, &[], actions);
-        }
-        self.rule_out(now, flow, from, actions);
-    }
-
-    /// A flow that is searched for is not at an agent's upstream.
-    fn rule_out(&mut self, now: Instant, flow: Key, from: SocketAddrV4, actions: &mut Vec<Action>) {
-        let Some(search) = self.searches.get_mut(&flow) else {
-            return;
-        };
-        if search.rule_out(from) && !search.has_asked_all() {
-            search.ask(now, &mut self.members, actions);
-        }
-        self.finish_search(now, flow, actions);
-    }
-
-    /// Ends a search that has no one left to ask.
-    fn finish_search(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
-        let settled = self.knows_members_for(now);
-        let Some(search) = self.searches.get_mut(&flow) else {
-            return;
-        };
-        search.extend(&self.members);
-        match search.verdict(now, &self.members, settled) {
-            Verdict::Open => {}
-            Verdict::Lost => {
-                let sequence = search.acknowledgement();
-                self.searches.remove(&flow);
-                self.flows.remove(&flow);
-                actions.push(Action::Reset {
-                    flow,
-                    sequence,
-                    cause: ResetCause::Lost,
-                });
-            }
-            Verdict::GivenUp => {
-                self.searches.remove(&flow);
-                actions.push(Action::Drop(flow, Drop::NotFound));
-            }
-        }
-    }
-
     /// Does what is due: waves of searches, probes, forgetting.
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let due: Vec<Key> = self
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -1,35 +1,32 @@
 //! The agent's process: frames of balancers in, packets of the upstream out.
 
+mod announcements;
+mod output;
+
 use std::{
     collections::HashMap,
     net::SocketAddrV4,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::AtomicBool},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use ::http::StatusCode;
 use sassafrasmast_core::flow::{
-    Agent, Key, Reason, State,
-    agent::{self, Action, Announcement, Change, Delivery},
-    balancer::ResetCause,
+    Agent, State,
+    agent::{self, Action, Change, Delivery},
 };
 use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, oneshot, watch},
+    sync::{mpsc, watch},
 };
 
+use self::announcements::Told;
 use crate::{
-    balancer::flow_text,
     follow::{Event, Follower},
-    http::{self, Answer},
     log::Log,
     peer::{self, Pull, Snapshot},
-    platform::{Call, Platform},
+    platform::Platform,
     registration::{Record, Registration},
     reload::Reload,
     settings::{Settings, Upstream},
@@ -50,18 +47,9 @@
 /// Events that wait for the loop.
 const EVENTS: usize = 256;
 
-/// How often balancers are told of this agent while its entry does not stand.
-const GREET_EVERY: Duration = Duration::from_millis(400);
-
 /// Balancers that were heard within this time are told of news.
 const BALANCER_HEARD: Duration = Duration::from_secs(20);
 
-/// What the HTTP side hands to the loop.
-enum Told {
-    Announcement(Announcement, oneshot::Sender<()>),
-    Deregister(String, oneshot::Sender<()>),
-}
-
 /// An agent's process.
 struct Process<P> {
     settings: Settings,
@@ -105,9 +93,9 @@
     let (snapshots, latest) = watch::channel(Arc::default());
     peer::serve(settings.frames, latest).await?;
     let (told, mut tellings) = mpsc::channel(EVENTS);
-    serve_upstream(upstream.announcements, &platform, told.clone()).await?;
+    announcements::serve(upstream.announcements, &platform, told.clone()).await?;
     if settings.ready != upstream.announcements {
-        serve_upstream(settings.ready, &platform, told).await?;
+        announcements::serve(settings.ready, &platform, told).await?;
     }
     crate::metrics::serve(settings.metrics, metrics).await?;
     let mut process = Process::start(settings, upstream, platform, pulls, snapshots)?;
@@ -136,37 +124,6 @@
     }
 }
 
-/// Answers the upstream's announcements and readiness.
-async fn serve_upstream<P: Platform>(
-    address: SocketAddrV4,
-    platform: &Arc<P>,
-    told: mpsc::Sender<Told>,
-) -> anyhow::Result<()> {
-    let platform = Arc::clone(platform);
-    http::serve(address, move |received| {
-        let call = platform.call(&received.method, &received.path, &received.body);
-        let told = told.clone();
-        async move {
-            let (done, noted) = oneshot::channel();
-            let telling = match call {
-                Call::Ready => return Answer::new(StatusCode::OK, ""),
-                Call::Announce(announcement) => Told::Announcement(announcement, done),
-                Call::Deregister(id) => Told::Deregister(id, done),
-                Call::Invalid(reason) => return Answer::new(StatusCode::BAD_REQUEST, reason),
-                Call::Unknown => return Answer::new(StatusCode::NOT_FOUND, ""),
-            };
-            // Acknowledged only once the loop has put it in force.
-            let sent = told.send(telling).await.is_ok();
-            if sent && noted.await.is_ok() {
-                Answer::new(StatusCode::OK, "{}")
-            } else {
-                Answer::new(StatusCode::SERVICE_UNAVAILABLE, "")
-            }
-        }
-    })
-    .await
-}
-
 impl<P: Platform> Process<P> {
     /// Binds sockets and starts the registration.
     fn start(
@@ -433,161 +390,6 @@
         metrics::gauge!("sassafrasmast_busy").set(f64::from(report.busy));
         metrics::gauge!("sassafrasmast_revision").set(self.decisions.revision() as f64);
     }
-
-    /// Tells balancers that this agent exists while the store does not say so.
-    fn greet(&mut self, now: Instant) {
-        let is_due = now.saturating_duration_since(self.greeted_at) >= GREET_EVERY;
-        if self.standing.load(Ordering::Relaxed) || !is_due {
-            return;
-        }
-        self.greeted_at = now;
-        let report = self.decisions.report(now);
-        let service = self.upstream.service.clone();
-        let zone = self.settings.zone.clone();
-        for to in self.settings.peers.clone() {
-            let body = Body::Hello {
-                service: &service,
-                zone: &zone,
-                report,
-            };
-            self.send(to, body);
-        }
-    }
-
-    /// Carries out what was decided; `packet` is the one that was just handled.
-    fn carry_out(&mut self, now: Instant, packet: &[u8]) {
-        let mut actions = std::mem::take(&mut self.actions);
-        for action in actions.drain(..) {
-            match action {
-                Action::ToUpstream => {
-                    udp::send(&self.outbound, packet, self.upstream.address);
-                }
-                Action::ToClient => self.send_to_client(packet),
-                Action::Return { to, reason } => self.hand_back(now, to, reason, packet),
-                Action::ReturnHeld { to, reason, packet } => {
-                    self.hand_back(now, to, reason, &packet);
-                }
-                Action::Accepted {
-                    to,
-                    flow,
-                    sequence,
-                    took,
-                } => self.report_acceptance(now, to, flow, sequence, took),
-                Action::Absent { to, flow } => {
-                    let report = self.decisions.report(now);
-                    self.send(to, Body::Absent { flow, report });
-                }
-                Action::Unsure { to, flow } => {
-                    let report = self.decisions.report(now);
-                    self.send(to, Body::Unsure { flow, report });
-                }
-                Action::Found { to, flow } => {
-                    let report = self.decisions.report(now);
-                    self.send(to, Body::Found { flow, report });
-                }
-                Action::Missing { to, flow } => self.disown(now, to, flow, packet),
-                Action::MissingHeld { to, flow, packet } => self.disown(now, to, flow, &packet),
-                Action::Reset {
-                    flow,
-                    sequence,
-                    cause,
-                } => self.reset(now, &flow, sequence, cause),
-            }
-        }
-        self.actions = actions;
-    }
-
-    /// Tells a balancer that the upstream accepted a flow.
-    fn report_acceptance(
-        &mut self,
-        now: Instant,
-        to: SocketAddrV4,
-        flow: Key,
-        sequence: u32,
-        took: Duration,
-    ) {
-        metrics::histogram!("sassafrasmast_accept_seconds").record(took);
-        let report = self.decisions.report(now);
-        let fields = [
-            ("flow", flow_text(Some(&flow))),
-            ("balancer", to.to_string().into()),
-            ("upstream", self.decisions.upstream().id().into()),
-            ("upstream_started", report.upstream.into()),
-            ("upstream_state", report.state.as_str().into()),
-            ("busy", report.busy.into()),
-        ];
-        self.log.line(now, "flow_accepted", &fields);
-        let body = Body::Accepted {
-            flow,
-            sequence,
-            report,
-        };
-        self.send(to, body);
-    }
-
-    /// Resets a flow towards its client.
-    fn reset(&mut self, now: Instant, flow: &Key, sequence: u32, cause: ResetCause) {
-        let reset = self.platform.reset(flow, sequence);
-        let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
-        udp::send(&self.frames, &reset, to);
-        metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str()).increment(1);
-        let fields = [
-            ("flow", flow_text(Some(flow))),
-            ("cause", cause.as_str().into()),
-            (
-                "upstream_started",
-                self.decisions.upstream().started().into(),
-            ),
-        ];
-        self.log.line(now, "flow_reset", &fields);
-    }
-
-    /// Hands an opening packet back to a balancer.
-    fn hand_back(&mut self, now: Instant, to: SocketAddrV4, reason: Reason, packet: &[u8]) {
-        let flow = self.platform.decode(packet).map(|head| head.client_flow());
-        let report = self.decisions.report(now);
-        metrics::counter!("sassafrasmast_returned", "reason" => reason.as_str()).increment(1);
-        let fields = [
-            ("flow", flow_text(flow.as_ref())),
-            ("reason", reason.as_str().into()),
-            ("upstream_state", report.state.as_str().into()),
-            ("balancer", to.to_string().into()),
-        ];
-        self.log.line(now, "flow_returned", &fields);
-        let body = Body::Returned {
-            reason,
-            report,
-            packet,
-        };
-        self.send(to, body);
-    }
-
-    /// Tells a balancer that a packet's flow is not here.
-    fn disown(&mut self, now: Instant, to: SocketAddrV4, flow: Key, packet: &[u8]) {
-        let report = self.decisions.report(now);
-        let body = Body::Missing {
-            flow,
-            report,
-            packet,
-        };
-        self.send(to, body);
-    }
-
-    fn send_to_client(&self, packet: &[u8]) {
-        if let Some(head) = self.platform.decode(packet) {
-            let to = SocketAddrV4::new(*head.destination.ip(), self.settings.packets.port());
-            udp::send(&self.frames, packet, to);
-        }
-    }
-
-    fn send(&mut self, to: SocketAddrV4, body: Body<'_>) {
-        let frame = Frame::new(self.decisions.revision(), body);
-        if frame.encode(&mut self.frame).is_err() {
-            metrics::counter!("sassafrasmast_frames_too_large").increment(1);
-            return;
-        }
-        udp::send(&self.frames, &self.frame, to);
-    }
 }
 
 /// This start of the process: the time of day, which only orders starts of one VM.
--- /dev/null
+++ b/crates/forwarder/src/agent/announcements.rs
@@ -0,0 +1,49 @@
+//! What the upstream tells its agent over HTTP.
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use ::http::StatusCode;
+use sassafrasmast_core::flow::agent::Announcement;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    http::{self, Answer},
+    platform::{Call, Platform},
+};
+
+/// What the HTTP side hands to the loop.
+pub(super) enum Told {
+    Announcement(Announcement, oneshot::Sender<()>),
+    Deregister(String, oneshot::Sender<()>),
+}
+
+/// Answers the upstream's announcements and readiness.
+pub(super) async fn serve<P: Platform>(
+    address: SocketAddrV4,
+    platform: &Arc<P>,
+    told: mpsc::Sender<Told>,
+) -> anyhow::Result<()> {
+    let platform = Arc::clone(platform);
+    http::serve(address, move |received| {
+        let call = platform.call(&received.method, &received.path, &received.body);
+        let told = told.clone();
+        async move {
+            let (done, noted) = oneshot::channel();
+            let telling = match call {
+                Call::Ready => return Answer::new(StatusCode::OK, ""),
+                Call::Announce(announcement) => Told::Announcement(announcement, done),
+                Call::Deregister(id) => Told::Deregister(id, done),
+                Call::Invalid(reason) => return Answer::new(StatusCode::BAD_REQUEST, reason),
+                Call::Unknown => return Answer::new(StatusCode::NOT_FOUND, ""),
+            };
+            // Acknowledged only once the loop has put it in force.
+            let sent = told.send(telling).await.is_ok();
+            if sent && noted.await.is_ok() {
+                Answer::new(StatusCode::OK, "{}")
+            } else {
+                Answer::new(StatusCode::SERVICE_UNAVAILABLE, "")
+            }
+        }
+    })
+    .await
+}
--- /dev/null
+++ b/crates/forwarder/src/agent/output.rs
@@ -0,0 +1,173 @@
+//! Carries out what an agent decided: packets, frames, resets and their log lines.
+
+use std::{
+    net::SocketAddrV4,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use sassafrasmast_core::flow::{Key, Reason, agent::Action, balancer::ResetCause};
+use sassafrasmast_wire::flow::{Body, Frame};
+
+use super::Process;
+use crate::{balancer::flow_text, platform::Platform, udp};
+
+/// How often balancers are told of this agent while its entry does not stand.
+const GREET_EVERY: Duration = Duration::from_millis(400);
+
+impl<P: Platform> Process<P> {
+    /// Tells balancers that this agent exists while the store does not say so.
+    pub(super) fn greet(&mut self, now: Instant) {
+        let is_due = now.saturating_duration_since(self.greeted_at) >= GREET_EVERY;
+        if self.standing.load(Ordering::Relaxed) || !is_due {
+            return;
+        }
+        self.greeted_at = now;
+        let report = self.decisions.report(now);
+        let service = self.upstream.service.clone();
+        let zone = self.settings.zone.clone();
+        for to in self.settings.peers.clone() {
+            let body = Body::Hello {
+                service: &service,
+                zone: &zone,
+                report,
+            };
+            self.send(to, body);
+        }
+    }
+
+    /// Carries out what was decided; `packet` is the one that was just handled.
+    pub(super) fn carry_out(&mut self, now: Instant, packet: &[u8]) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::ToUpstream => {
+                    udp::send(&self.outbound, packet, self.upstream.address);
+                }
+                Action::ToClient => self.send_to_client(packet),
+                Action::Return { to, reason } => self.hand_back(now, to, reason, packet),
+                Action::ReturnHeld { to, reason, packet } => {
+                    self.hand_back(now, to, reason, &packet);
+                }
+                Action::Accepted {
+                    to,
+                    flow,
+                    sequence,
+                    took,
+                } => self.report_acceptance(now, to, flow, sequence, took),
+                Action::Absent { to, flow } => {
+                    let report = self.decisions.report(now);
+                    self.send(to, Body::Absent { flow, report });
+                }
+                Action::Unsure { to, flow } => {
+                    let report = self.decisions.report(now);
+                    self.send(to, Body::Unsure { flow, report });
+                }
+                Action::Found { to, flow } => {
+                    let report = self.decisions.report(now);
+                    self.send(to, Body::Found { flow, report });
+                }
+                Action::Missing { to, flow } => self.disown(now, to, flow, packet),
+                Action::MissingHeld { to, flow, packet } => self.disown(now, to, flow, &packet),
+                Action::Reset {
+                    flow,
+                    sequence,
+                    cause,
+                } => self.reset(now, &flow, sequence, cause),
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// Tells a balancer that the upstream accepted a flow.
+    fn report_acceptance(
+        &mut self,
+        now: Instant,
+        to: SocketAddrV4,
+        flow: Key,
+        sequence: u32,
+        took: Duration,
+    ) {
+        metrics::histogram!("sassafrasmast_accept_seconds").record(took);
+        let report = self.decisions.report(now);
+        let fields = [
+            ("flow", flow_text(Some(&flow))),
+            ("balancer", to.to_string().into()),
+            ("upstream", self.decisions.upstream().id().into()),
+            ("upstream_started", report.upstream.into()),
+            ("upstream_state", report.state.as_str().into()),
+            ("busy", report.busy.into()),
+        ];
+        self.log.line(now, "flow_accepted", &fields);
+        let body = Body::Accepted {
+            flow,
+            sequence,
+            report,
+        };
+        self.send(to, body);
+    }
+
+    /// Resets a flow towards its client.
+    fn reset(&mut self, now: Instant, flow: &Key, sequence: u32, cause: ResetCause) {
+        let reset = self.platform.reset(flow, sequence);
+        let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
+        udp::send(&self.frames, &reset, to);
+        metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str()).increment(1);
+        let fields = [
+            ("flow", flow_text(Some(flow))),
+            ("cause", cause.as_str().into()),
+            (
+                "upstream_started",
+                self.decisions.upstream().started().into(),
+            ),
+        ];
+        self.log.line(now, "flow_reset", &fields);
+    }
+
+    /// Hands an opening packet back to a balancer.
+    fn hand_back(&mut self, now: Instant, to: SocketAddrV4, reason: Reason, packet: &[u8]) {
+        let flow = self.platform.decode(packet).map(|head| head.client_flow());
+        let report = self.decisions.report(now);
+        metrics::counter!("sassafrasmast_returned", "reason" => reason.as_str()).increment(1);
+        let fields = [
+            ("flow", flow_text(flow.as_ref())),
+            ("reason", reason.as_str().into()),
+            ("upstream_state", report.state.as_str().into()),
+            ("balancer", to.to_string().into()),
+        ];
+        self.log.line(now, "flow_returned", &fields);
+        let body = Body::Returned {
+            reason,
+            report,
+            packet,
+        };
+        self.send(to, body);
+    }
+
+    /// Tells a balancer that a packet's flow is not here.
+    fn disown(&mut self, now: Instant, to: SocketAddrV4, flow: Key, packet: &[u8]) {
+        let report = self.decisions.report(now);
+        let body = Body::Missing {
+            flow,
+            report,
+            packet,
+        };
+        self.send(to, body);
+    }
+
+    fn send_to_client(&self, packet: &[u8]) {
+        if let Some(head) = self.platform.decode(packet) {
+            let to = SocketAddrV4::new(*head.destination.ip(), self.settings.packets.port());
+            udp::send(&self.frames, packet, to);
+        }
+    }
+
+    pub(super) fn send(&mut self, to: SocketAddrV4, body: Body<'_>) {
+        let frame = Frame::new(self.decisions.revision(), body);
+        if frame.encode(&mut self.frame).is_err() {
+            metrics::counter!("sassafrasmast_frames_too_large").increment(1);
+            return;
+        }
+        udp::send(&self.frames, &self.frame, to);
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/balancer/output.rs
@@ -0,0 +1,182 @@
+//! Carries out what a balancer decided: frames, resets and their log lines.
+
+use std::{net::SocketAddrV4, time::Instant};
+
+use sassafrasmast_core::flow::{
+    Key, Purpose,
+    balancer::{Action, ResetCause},
+};
+use sassafrasmast_wire::flow::{Body, Frame};
+
+use super::{Process, flow_text};
+use crate::{platform::Platform, udp};
+
+impl<P: Platform> Process<P> {
+    /// Logs what an agent decided on a flow.
+    pub(super) fn log_frame(&mut self, now: Instant, from: SocketAddrV4, body: &Body<'_>) {
+        match body {
+            Body::Returned {
+                reason,
+                report,
+                packet,
+            } => {
+                let flow = self.platform.decode(packet).map(|head| head.client_flow());
+                metrics::counter!("sassafrasmast_returned", "reason" => reason.as_str())
+                    .increment(1);
+                self.log.line(
+                    now,
+                    "flow_returned",
+                    &[
+                        ("flow", flow_text(flow.as_ref())),
+                        ("agent", from.to_string().into()),
+                        ("reason", reason.as_str().into()),
+                        ("upstream_state", report.state.as_str().into()),
+                    ],
+                );
+            }
+            Body::Missing { flow, .. } | Body::Absent { flow, .. } => self.log.line(
+                now,
+                "flow_missing",
+                &[
+                    ("flow", flow_text(Some(flow))),
+                    ("agent", from.to_string().into()),
+                ],
+            ),
+            Body::Found { flow, .. } => self.log.line(
+                now,
+                "flow_found",
+                &[
+                    ("flow", flow_text(Some(flow))),
+                    ("agent", from.to_string().into()),
+                ],
+            ),
+            _ => {}
+        }
+    }
+
+    /// Carries out what was decided; `packet` is the one that was just handled.
+    pub(super) fn carry_out(&mut self, now: Instant, packet: Option<&[u8]>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Forward {
+                    to,
+                    purpose,
+                    service,
+                } => {
+                    if let Some(packet) = packet {
+                        self.log_placement(now, to, purpose, packet);
+                        self.deliver(to, purpose, service.as_deref(), packet);
+                    }
+                }
+                Action::Send {
+                    to,
+                    purpose,
+                    service,
+                    packet,
+                } => {
+                    self.log_placement(now, to, purpose, &packet);
+                    self.deliver(to, purpose, service.as_deref(), &packet);
+                }
+                Action::Locate {
+                    to,
+                    flow,
+                    acknowledgement,
+                } => self.send(
+                    to,
+                    Body::Locate {
+                        flow,
+                        acknowledgement,
+                    },
+                ),
+                Action::Probe(to) => self.send(to, Body::Probe),
+                Action::Reset {
+                    flow,
+                    sequence,
+                    cause,
+                } => self.reset(now, &flow, sequence, cause),
+                Action::Drop(flow, cause) => {
+                    metrics::counter!("sassafrasmast_dropped", "cause" => cause.as_str())
+                        .increment(1);
+                    self.log_end(now, "packet_dropped", &flow, cause.as_str());
+                }
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// Resets a flow towards its client.
+    fn reset(&mut self, now: Instant, flow: &Key, sequence: u32, cause: ResetCause) {
+        let reset = self.platform.reset(flow, sequence);
+        let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
+        udp::send(&self.packets, &reset, to);
+        metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str()).increment(1);
+        self.log_end(now, "flow_reset", flow, cause.as_str());
+    }
+
+    /// Logs that a flow or a packet ends here, and why.
+    fn log_end(&mut self, now: Instant, kind: &'static str, flow: &Key, cause: &'static str) {
+        let fields = [
+            ("flow", flow_text(Some(flow))),
+            ("cause", cause.into()),
+            ("revision", self.revision().into()),
+        ];
+        self.log.line(now, kind, &fields);
+    }
+
+    /// Logs where an opening packet goes, and what was known of the agent.
+    fn log_placement(&mut self, now: Instant, to: SocketAddrV4, purpose: Purpose, packet: &[u8]) {
+        metrics::counter!("sassafrasmast_packets", "purpose" => purpose.as_str()).increment(1);
+        if purpose != Purpose::Open {
+            return;
+        }
+        let flow = self.platform.decode(packet).map(|head| head.client_flow());
+        let member = self.decisions.members().get(to);
+        let age = member
+            .and_then(|member| member.heard_at)
+            .map(|at| now.saturating_duration_since(at).as_millis());
+        let fields = [
+            ("flow", flow_text(flow.as_ref())),
+            ("agent", to.to_string().into()),
+            ("service", member.map(|member| &*member.service).into()),
+            (
+                "upstream_state",
+                member.map(|member| member.report.state.as_str()).into(),
+            ),
+            ("load", member.map(|member| member.load(now)).into()),
+            (
+                "report_age_ms",
+                age.and_then(|age| u64::try_from(age).ok()).into(),
+            ),
+            ("revision", self.revision().into()),
+        ];
+        self.log.line(now, "flow_placed", &fields);
+    }
+
+    fn deliver(
+        &mut self,
+        to: SocketAddrV4,
+        purpose: Purpose,
+        service: Option<&str>,
+        packet: &[u8],
+    ) {
+        let service = service.unwrap_or_default();
+        self.send(
+            to,
+            Body::Deliver {
+                purpose,
+                service,
+                packet,
+            },
+        );
+    }
+
+    fn send(&mut self, to: SocketAddrV4, body: Body<'_>) {
+        let frame = Frame::new(self.revision(), body);
+        if frame.encode(&mut self.frame).is_err() {
+            metrics::counter!("sassafrasmast_frames_too_large").increment(1);
+            return;
+        }
+        udp::send(&self.frames, &self.frame, to);
+    }
+}
