--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -152,7 +152,7 @@
             self.search(now, flow, head, bytes, &[], actions);
             return;
         };
-        connection.touch(now, head);
+        connection.touch(now);
         match connection.home(head) {
             Some(to) => self.follow(now, flow, to, head, bytes, actions),
             None => {
--- a/crates/core/src/flow/balancer/connection.rs
+++ b/crates/core/src/flow/balancer/connection.rs
@@ -23,7 +23,6 @@
     home: Option<SocketAddrV4>,
     opened_at: Instant,
     seen_at: Instant,
-    acknowledgement: u32,
     copy: u32,
 }
 
@@ -35,7 +34,6 @@
             home: None,
             opened_at: now,
             seen_at: now,
-            acknowledgement: 0,
             copy: 0,
         }
     }
@@ -52,9 +50,8 @@
     }
 
     /// Notes a packet of the client.
-    pub fn touch(&mut self, now: Instant, head: &Head) {
+    pub fn touch(&mut self, now: Instant) {
         self.seen_at = now;
-        self.acknowledgement = head.acknowledgement;
     }
 
     /// Agents that got the opening packet.
--- a/crates/core/src/flow/intent/route.rs
+++ b/crates/core/src/flow/intent/route.rs
@@ -1,7 +1,5 @@
 //! A route.
 
-use std::time::Duration;
-
 use serde::{Deserialize, Serialize};
 
 use super::Backend;
@@ -22,8 +20,6 @@
 pub struct Route {
     /// Whether its requests may be repeated.
     pub kind: Kind,
-    /// Longest time that clients wait for an answer.
-    pub deadline: Duration,
     /// Services that new flows go to.
     pub backends: Vec<Backend>,
 }
--- a/crates/core/tests/flow/fixture.rs
+++ b/crates/core/tests/flow/fixture.rs
@@ -109,10 +109,7 @@
             .collect(),
         ..Route::default()
     };
-    let service = Service {
-        cold_for: Duration::from_secs(2),
-        cold_rate,
-    };
+    let service = Service { cold_rate };
     Arc::new(Intent {
         revision,
         policy: Policy {
