refactor: one way to advance the intent, to look a route up and to accept connections

Agent and balancer replaced the intent by the same lines; HTTP and peers accepted by the same loop; the balancer worked out its pause twice; an accessor and a test's flow stood unused or again.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -101,15 +101,7 @@
 
     /// Puts a newer intent in force; an older one is passed over.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
-        if self
-            .intent
-            .as_ref()
-            .is_some_and(|own| own.revision >= intent.revision)
-        {
-            return false;
-        }
-        self.intent = Some(intent);
-        true
+        Intent::advance(&mut self.intent, intent)
     }
 
     /// What the agent tells of itself.
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -63,11 +63,6 @@
         self.slots
     }
 
-    /// When a packet or an announcement last came from it.
-    pub fn heard_at(&self) -> Option<Instant> {
-        self.heard_at
-    }
-
     /// Whether it has left or was never there.
     pub fn is_gone(&self) -> bool {
         self.gone
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -2,8 +2,8 @@
 //!
 //! An opening packet is placed by load among the best ranked upstreams of its service; each copy
 //! goes to another one. Packets of an open flow follow the agent that was learnt from the agents'
-//! own words. The home of a flow that this balancer does not know is searched for: the packet is
-//! shown to the agents one wave after the other until one of them owns it.
+//! own words. The home of a flow that this balancer does not know is searched for: agents are
+//! asked one wave after the other until one of them owns it.
 
 mod action;
 mod connection;
@@ -31,7 +31,10 @@
     settings::Settings,
     waiting::Waiting,
 };
-use super::{Head, Intent, Key, Member, Purpose, intent::Kind};
+use super::{
+    Head, Intent, Key, Member, Purpose,
+    intent::{Kind, Route},
+};
 
 /// How often forgotten flows are looked for.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
@@ -97,15 +100,7 @@
 
     /// Puts a newer intent in force; an older one is passed over.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
-        if self
-            .intent
-            .as_ref()
-            .is_some_and(|own| own.revision >= intent.revision)
-        {
-            return false;
-        }
-        self.intent = Some(intent);
-        true
+        Intent::advance(&mut self.intent, intent)
     }
 
     /// Takes the store's whole list of agents.
@@ -195,12 +190,16 @@
 
     /// Whether the requests of a flow may be repeated.
     fn is_safe(&self, flow: &Key) -> bool {
-        self.intent
-            .as_ref()
-            .and_then(|intent| intent.policy.routes.get(&flow.route))
+        self.route(flow)
             .is_some_and(|route| route.kind == Kind::Safe)
     }
 
+    /// The route of a flow.
+    fn route(&self, flow: &Key) -> Option<&Route> {
+        let intent = self.intent.as_ref()?;
+        intent.policy.routes.get(&flow.route)
+    }
+
     /// Whether the list of agents has been in hand for long enough to say that nobody can serve.
     fn knows_members_for(&self, now: Instant) -> bool {
         self.synced_since
--- a/crates/core/src/flow/balancer/seeking.rs
+++ b/crates/core/src/flow/balancer/seeking.rs
@@ -24,10 +24,7 @@
             actions.push(Action::Drop(flow, Drop::TooManySearches));
             return;
         }
-        let route = self
-            .intent
-            .as_ref()
-            .and_then(|intent| intent.policy.routes.get(&flow.route));
+        let route = self.route(&flow);
         let order = self.members.search_order(&flow, route, first);
         let kind = route.map_or(Kind::Once, |route| route.kind);
         let mut search = Search::new(now, flow, order, kind, head.acknowledgement, bytes);
--- a/crates/core/src/flow/intent.rs
+++ b/crates/core/src/flow/intent.rs
@@ -5,7 +5,7 @@
 mod route;
 mod service;
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +29,17 @@
 }
 
 impl Intent {
+    /// Replaces the intent in force by a newer one and tells whether it was newer.
+    pub(super) fn advance(current: &mut Option<Arc<Self>>, next: Arc<Self>) -> bool {
+        let is_newer = current
+            .as_ref()
+            .is_none_or(|current| next.revision > current.revision);
+        if is_newer {
+            *current = Some(next);
+        }
+        is_newer
+    }
+
     /// Whether operators have taken the zone out.
     pub fn is_out(&self, zone: &str) -> bool {
         self.zones_out.contains(zone)
--- a/crates/core/tests/flow/world.rs
+++ b/crates/core/tests/flow/world.rs
@@ -18,8 +18,7 @@
 use sassafrasmast_wire::flow::{Body, Frame};
 
 use crate::fixture::{
-    OTHER_SERVICE, OTHER_ZONE, SERVICE, ZONE, bounced, client_head, intent, ms, route_address,
-    upstream_head,
+    OTHER_SERVICE, OTHER_ZONE, SERVICE, ZONE, bounced, client_head, flow, intent, ms, upstream_head,
 };
 
 /// One way between any two processes.
@@ -745,13 +744,6 @@
     }
 }
 
-fn flow(port: u16) -> Key {
-    Key {
-        client: SocketAddrV4::new([100, 64, 0, 1].into(), port),
-        route: route_address(),
-    }
-}
-
 fn deliver(purpose: Purpose, service: Option<&str>) -> Body<'_> {
     Body::Deliver {
         purpose,
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -100,7 +100,7 @@
             Some(event) = events.recv() => process.event(event),
             () = tokio::time::sleep_until(tick_at) => {
                 process.tick();
-                tick_at = tokio::time::Instant::now() + process.tick_pause();
+                tick_at = tokio::time::Instant::now() + SLOW_TICK;
             }
             request = signals.next() => process.signal(request),
         }
@@ -306,14 +306,6 @@
         metrics::gauge!("sassafrasmast_revision").set(self.revision() as f64);
     }
 
-    fn tick_pause(&self) -> Duration {
-        if self.decisions.is_pressed() {
-            FAST_TICK
-        } else {
-            SLOW_TICK
-        }
-    }
-
     fn revision(&self) -> u64 {
         self.decisions.intent().map_or(0, |intent| intent.revision)
     }
--- a/crates/forwarder/src/http.rs
+++ b/crates/forwarder/src/http.rs
@@ -3,12 +3,12 @@
 use std::{convert::Infallible, net::SocketAddrV4, sync::Arc, time::Duration};
 
 use ::http::{Method, Request, Response, StatusCode};
-use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+
+use crate::tcp;
 
 /// Longest time for the head of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -16,9 +16,6 @@
 /// Largest body in bytes: an announcement has a few hundred.
 const MAX_BODY: usize = 64 * 1024;
 
-/// Pause after a failed accept, which is mostly for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// A request whose body was read.
 #[derive(Debug, Clone)]
 pub struct Received {
@@ -59,17 +56,11 @@
     H: Fn(Received) -> F + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
 {
-    let listener = TcpListener::bind(address)
-        .await
-        .with_context(|| format!("http: cannot bind {address}"))?;
+    let listener = tcp::bind("http", address).await?;
     let handler = Arc::new(handler);
     tokio::spawn(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                metrics::counter!("sassafrasmast_accept_errors").increment(1);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
+            let stream = tcp::accept(&listener).await;
             let handler = Arc::clone(&handler);
             tokio::spawn(async move {
                 let service = service_fn(move |request| {
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -23,6 +23,7 @@
 mod reload;
 pub mod settings;
 mod signals;
+mod tcp;
 mod touch;
 pub mod udp;
 
--- a/crates/forwarder/src/peer.rs
+++ b/crates/forwarder/src/peer.rs
@@ -10,12 +10,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     sync::{mpsc, watch},
     time::timeout,
 };
 
-use crate::{follow::Event, registration::Record};
+use crate::{follow::Event, registration::Record, tcp};
 
 /// Longest time for one exchange: a configuration over a link of 10 Mbit/s that carries traffic besides.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -23,9 +23,6 @@
 /// Largest snapshot in bytes.
 const MAX_BYTES: usize = 8 * 1024 * 1024;
 
-/// Pause after a failed accept, which is mostly for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// An agent that a process knows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Listing {
@@ -63,16 +60,10 @@
     address: SocketAddrV4,
     snapshots: watch::Receiver<Arc<Snapshot>>,
 ) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(address)
-        .await
-        .with_context(|| format!("peer: cannot bind {address}"))?;
+    let listener = tcp::bind("peer", address).await?;
     tokio::spawn(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                metrics::counter!("sassafrasmast_accept_errors").increment(1);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
+            let stream = tcp::accept(&listener).await;
             let snapshot = Arc::clone(&snapshots.borrow());
             tokio::spawn(async move {
                 let answered = timeout(EXCHANGE_TIMEOUT, answer(stream, &snapshot)).await;
--- /dev/null
+++ b/crates/forwarder/src/tcp.rs
@@ -0,0 +1,27 @@
+//! TCP listeners.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use anyhow::Context;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a failed accept, which is mostly for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Listens at `address`; `part` names what for.
+pub(crate) async fn bind(part: &str, address: SocketAddrV4) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("{part}: cannot bind {address}"))
+}
+
+/// The next connection.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            return stream;
+        }
+        metrics::counter!("sassafrasmast_accept_errors").increment(1);
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
