feat(cli): status of forwarding processes; check of platform settings and deploy files

Operators had to read metrics to see what a forwarding process knows, and a wrong deploy file showed only when a deployment was started.

--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -1,7 +1,9 @@
-//! Checking settings files of the daemon.
+//! Checking settings files: the daemon's, the users' platform's and those of `deploy/`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
+use anyhow::Context;
+use sassafrasmast_platform::deploy;
 use sassafrasmastd::options::Settings;
 
 use crate::exit::Exit;
@@ -10,8 +12,8 @@
 pub fn run(files: &[PathBuf]) -> Exit {
     let mut exit = Exit::Done;
     for file in files {
-        match Settings::read(file) {
-            Ok(_) => println!("{}: settings are valid", file.display()),
+        match check(file) {
+            Ok(what) => println!("{}: {what}", file.display()),
             Err(error) => {
                 eprintln!("{error:#}");
                 exit = Exit::Usage;
@@ -20,3 +22,19 @@
     }
     exit
 }
+
+/// Checks a file. Returns what was found to be right.
+///
+/// # Errors
+///
+/// Names the file, the key and the reason.
+pub fn check(file: &Path) -> anyhow::Result<String> {
+    let name = || file.display().to_string();
+    let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {}", name()))?;
+    if let Some(kind) = deploy::Kind::of(&text) {
+        kind.check(&text).with_context(name)?;
+        return Ok(format!("{} is valid", kind.as_str()));
+    }
+    Settings::read(file)?;
+    Ok("settings are valid".to_owned())
+}
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -52,6 +52,13 @@
     },
     /// Show the fleet.
     Status(Common),
+    /// Show what processes of flow forwarding say of themselves.
+    Processes {
+        /// Their metrics addresses.
+        processes: Vec<SocketAddr>,
+        /// Print JSON.
+        json: bool,
+    },
     /// Show the events of all processes.
     Timeline {
         /// Where to ask and how to print.
@@ -114,7 +121,7 @@
             Some(name) if help => return Self::help(name),
             Some("plan") => Self::plan(&mut given),
             Some("confirm") => Self::confirm(&mut given),
-            Some("status") => Ok(Self::Status(Common::parse(&mut given)?)),
+            Some("status") => Self::status(&mut given),
             Some("timeline") => Self::timeline(&mut given),
             Some("replay") => Self::replay(&mut given),
             Some("explain") => Self::explain(&mut given),
@@ -165,6 +172,15 @@
         })
     }
 
+    fn status(given: &mut Arguments) -> anyhow::Result<Self> {
+        let processes: Vec<SocketAddr> = given.values_from_str("--process")?;
+        if processes.is_empty() {
+            return Ok(Self::Status(Common::parse(given)?));
+        }
+        let json = given.contains("--json");
+        Ok(Self::Processes { processes, json })
+    }
+
     fn timeline(given: &mut Arguments) -> anyhow::Result<Self> {
         Ok(Self::Timeline {
             common: Common::parse(given)?,
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -14,7 +14,7 @@
     timeline      shows the events of all processes in one order
     replay        runs a recorded time line through the decision core
     explain       tells the story of one flow from logs
-    config check  checks a settings file of the daemon
+    config check  checks settings files and those of deploy/
     certificate   makes a certificate for development
 
 OPTIONS:
@@ -85,6 +85,12 @@
 
 USAGE:
     sassafrasmast status [--json] [--api ADDR]...
+    sassafrasmast status [--json] --process ADDR...
+
+OPTIONS:
+    --process ADDR    a process of flow forwarding, by its metrics address; may be given several
+                      times. Shows its version, flows, upstreams and touch with the store and
+                      with other processes.
 ";
 
 /// Help of `timeline`.
@@ -121,10 +127,14 @@
 
 /// Help of `config`.
 pub const CONFIG: &str = "\
-sassafrasmast config check: checks a settings file of the daemon
+sassafrasmast config check: checks settings files
 
 USAGE:
     sassafrasmast config check FILE...
+
+A FILE holds settings of the daemon, settings that the users' platform gives a process of flow
+forwarding, or is one of the deploy/ directory: system.toml, or a day of days/. What it is follows
+from its contents. Errors name the file, the key and the reason.
 ";
 
 /// Help of `certificate`.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod explain;
 pub mod help;
 pub mod plan;
+pub mod processes;
 pub mod replay;
 pub mod run;
 pub mod status;
--- /dev/null
+++ b/crates/cli/src/processes.rs
@@ -0,0 +1,92 @@
+//! Showing what processes of flow forwarding say of themselves.
+
+use std::{fmt::Write, net::SocketAddr};
+
+use sassafrasmast_forwarder::{
+    Status,
+    status::{self, Upstream},
+};
+
+use crate::{client::Client, exit::Exit};
+
+/// Prints what each process says. Those that do not answer are named, the others shown.
+///
+/// # Errors
+///
+/// If a status cannot be encoded.
+pub async fn run(processes: &[SocketAddr], json: bool) -> anyhow::Result<Exit> {
+    let mut exit = Exit::Done;
+    for &address in processes {
+        match Client::new(vec![address]).get::<Status>(status::PATH).await {
+            Ok(status) if json => println!("{}", serde_json::to_string(&status)?),
+            Ok(status) => print!("{}", table(&status)),
+            Err(error) => {
+                eprintln!("{error}");
+                exit = Exit::Partial;
+            }
+        }
+    }
+    Ok(exit)
+}
+
+/// The status of a process as text.
+pub fn table(status: &Status) -> String {
+    let Status {
+        name, role, zone, ..
+    } = status;
+    let mut text = format!(
+        "{role} {name} in zone {zone}: version {} at revision {}, {} flows\n",
+        status.version, status.revision, status.flows
+    );
+    for zone in &status.zones_out {
+        line(&mut text, &format!("zone {zone} is out"));
+    }
+    let store = &status.store;
+    let reason = store.reason.as_deref().unwrap_or("unknown");
+    let touch = if store.answers {
+        format!("store answers since {} ms", store.since_ms)
+    } else {
+        format!("store silent since {} ms: {reason}", store.since_ms)
+    };
+    line(&mut text, &touch);
+    for peer in &status.peers {
+        let outcome = peer.failure.as_ref().map_or_else(
+            || "answered".to_owned(),
+            |failure| format!("failed ({failure})"),
+        );
+        let peer = format!("peer {} {outcome} {} ms ago", peer.address, peer.heard_ms);
+        line(&mut text, &peer);
+    }
+    for upstream in &status.upstreams {
+        line(&mut text, &row(upstream));
+    }
+    text
+}
+
+fn row(upstream: &Upstream) -> String {
+    let report = &upstream.report;
+    let heard = upstream
+        .heard_ms
+        .map_or_else(String::new, |age| format!(", heard {age} ms ago"));
+    format!(
+        "upstream at agent {} of {} in {}: {}{}, {} of {} slots busy, {} flows{heard}{}",
+        upstream.agent,
+        upstream.service,
+        upstream.zone,
+        report.state.as_str(),
+        if report.stopping {
+            " (agent stops)"
+        } else {
+            ""
+        },
+        report.busy,
+        report.slots,
+        report.flows,
+        if upstream.listed { "" } else { ", not listed" },
+    )
+}
+
+fn line(text: &mut String, line: &str) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "{line}");
+}
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     certificate, check, client::Client, command::Command, confirm, exit::Exit, explain, plan,
-    replay, status, timeline,
+    processes, replay, status, timeline,
 };
 
 /// Runs `command`.
@@ -38,6 +38,7 @@
             confirm::run(&client, &file, operation, wait, common.json).await
         }
         Command::Status(common) => status::run(&Client::new(common.api), common.json).await,
+        Command::Processes { processes, json } => processes::run(&processes, json).await,
         Command::Timeline {
             common,
             processes,
--- /dev/null
+++ b/crates/cli/tests/check.rs
@@ -0,0 +1,143 @@
+//! Files that `config check` takes, and what it says of wrong ones.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+use expect_test::expect;
+use sassafrasmast::check;
+
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// What is said of a file with this text.
+fn told(name: &str, text: &str) -> String {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).expect("written");
+    let told = match check::check(&path) {
+        Ok(valid) => format!("{name}: {valid}\n"),
+        Err(error) => format!("{error:#}\n"),
+    };
+    told.replace(&*path.to_string_lossy(), name)
+}
+
+const SYSTEM: &str = r#"
+build = "cargo build"
+[roles.balancer]
+run = "target/release/sassafrasmast-forward balancer"
+on = "frontend"
+serves = ["frontend"]
+"#;
+
+const SETTINGS: &str = r#"
+nodeName = "side-1"
+ip = "10.1.0.10"
+zone = "a"
+portRange = [7720, 7735]
+app = "10.1.0.10:8080"
+service = "bookings"
+[listen]
+dataAddr = "10.1.0.10:8172"
+readyAddr = "10.1.0.10:8167"
+control = "10.1.0.10:8166"
+outbound = "10.1.0.10:8168"
+[platform]
+address = "10.200.1.7:8169"
+"#;
+
+#[test]
+fn the_files_of_the_repository_are_valid() {
+    let days = fs::read_dir(repository().join("deploy/days")).expect("days");
+    let mut files: Vec<PathBuf> = days.map(|entry| entry.expect("a file").path()).collect();
+    assert!(files.len() >= 10, "days are missing");
+    files.push(repository().join("deploy/system.toml"));
+    for file in files {
+        if let Err(error) = check::check(&file) {
+            panic!("{error:#}");
+        }
+    }
+}
+
+#[test]
+fn a_wrong_deploy_file_is_told_by_key_and_reason() {
+    let change = |from: &str, to: &str| told("system.toml", &SYSTEM.replace(from, to));
+    let twice = format!(
+        "{SYSTEM}{}",
+        SYSTEM[SYSTEM.find('[').unwrap()..].replace("balancer]", "second]")
+    );
+    let told = [
+        change("", ""),
+        change("cargo build", " "),
+        change("on = \"frontend\"", "on = \"frontend\"\nshare = 1.5"),
+        change(
+            "on = \"frontend\"",
+            "on = \"frontend\"\nshare = 0.5\ncount = 1",
+        ),
+        change(
+            "on = \"frontend\"",
+            "on = \"frontend\"\nmetrics = \"metrics\"",
+        ),
+        change("forward balancer", "forward router"),
+        told("system.toml", &twice),
+    ];
+    expect![[r#"
+        system.toml: deploy file is valid
+        system.toml: build: is empty
+        system.toml: roles.balancer: share: 1.5 is not above 0 and at most 1
+        system.toml: roles.balancer: count: share is given as well
+        system.toml: roles.balancer: metrics: PORT/PATH is expected, not "metrics"
+        system.toml: roles.balancer: run: a program and balancer or agent are expected, not "target/release/sassafrasmast-forward router"
+        system.toml: roles.second.serves: another role of the class serves Frontend
+    "#]].assert_eq(&told.concat());
+}
+
+#[test]
+fn wrong_settings_of_the_platform_are_told_by_key_and_reason() {
+    let change = |from: &str, to: &str| told("node.toml", &SETTINGS.replace(from, to));
+    let told = [
+        change("", ""),
+        change("10.1.0.10:8166", "10.1.0.10"),
+        change("control =", "other ="),
+        change("[listen]", "[bounds]\nflowMaxS = -1\n[listen]"),
+    ];
+    expect![[r#"
+        node.toml: settings file of the platform is valid
+        node.toml: TOML parse error at line 11, column 11
+           |
+        11 | control = "10.1.0.10"
+           |           ^^^^^^^^^^^
+        invalid IPv4 socket address syntax
+
+        node.toml: listen.control is missing
+        node.toml: bounds.flowMaxS is no duration: cannot convert float seconds to Duration: value is negative
+    "#]].assert_eq(&told.concat());
+}
+
+#[test]
+fn a_wrong_day_is_told_by_entry_key_and_reason() {
+    let day = |entry: &str| {
+        told(
+            "day.toml",
+            &format!("slot = \"trouble\"\nfaults = [{{ {entry} }}]\n"),
+        )
+    };
+    let told = [
+        day("at = 1, kind = \"burst\", x = 2.0"),
+        day("at = 1, kind = \"bursts\""),
+        day("at = 1"),
+        day("kind = \"burst\""),
+        day("at = 1, kind = \"burst\", share = 1.5"),
+        day("at = 1, kind = \"burst\", for_s = \"5\""),
+    ];
+    expect![[r#"
+        day.toml: day is valid
+        day.toml: faults[0]: kind: "bursts" is no known kind
+        day.toml: faults[0]: kind: a text is expected
+        day.toml: faults[0]: at: is missing
+        day.toml: faults[0]: share: 1.5 is above 1
+        day.toml: faults[0]: for_s: a number is expected
+    "#]]
+    .assert_eq(&told.concat());
+}
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -110,6 +110,7 @@
         "",
         "plot",
         "status --api nowhere",
+        "status --process nowhere",
         "confirm --api 127.0.0.1:7002",
         "config",
         "config check",
@@ -124,6 +125,7 @@
         a command is missing, see --help
         unknown command "plot", see --help
         failed to parse 'nowhere': invalid socket address syntax
+        failed to parse 'nowhere': invalid socket address syntax
         a plan file is missing, see --help: free-standing argument is missing
         config has one command, check; see --help
         a settings file is missing, see --help
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -6,7 +6,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddrV4,
-    sync::{Arc, atomic::AtomicBool},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -31,6 +34,7 @@
     reload::Reload,
     settings::{Settings, Upstream},
     signals::{Request, Signals},
+    status::{self, Status},
     touch::Touch,
     udp,
 };
@@ -97,7 +101,7 @@
     if settings.ready != upstream.announcements {
         announcements::serve(settings.ready, &platform, told).await?;
     }
-    crate::metrics::serve(settings.metrics, metrics).await?;
+    let mut questions = crate::metrics::serve(settings.metrics, metrics).await?;
     let mut process = Process::start(settings, upstream, platform, pulls, snapshots)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
@@ -117,6 +121,7 @@
                 tick_at = tokio::time::Instant::now() + SLOW_TICK;
             }
             request = signals.next() => process.signal(request),
+            Some(question) = questions.recv() => process.answer(question),
         }
         if process.decisions.is_opening() {
             tick_at = tick_at.min(tokio::time::Instant::now() + FAST_TICK);
@@ -390,6 +395,35 @@
         metrics::gauge!("sassafrasmast_busy").set(f64::from(report.busy));
         metrics::gauge!("sassafrasmast_revision").set(self.decisions.revision() as f64);
     }
+
+    /// Tells operators how this process sees things.
+    fn answer(&mut self, question: status::Question) {
+        let now = Instant::now();
+        let report = self.decisions.report(now);
+        let intent = self.decisions.intent().map(Arc::as_ref);
+        let own = status::Upstream {
+            agent: self.settings.frames,
+            service: self.upstream.service.to_string(),
+            zone: self.settings.zone.to_string(),
+            listed: self.standing.load(Ordering::Relaxed),
+            heard_ms: None,
+            report,
+        };
+        let mut status = Status {
+            flows: report.flows.into(),
+            upstreams: vec![own],
+            ..Status::new(now, &self.settings, intent, &self.touch)
+        };
+        let balancers = self.balancers.iter();
+        status
+            .peers
+            .extend(balancers.map(|(address, at)| status::Peer {
+                address: *address,
+                heard_ms: status::age_ms(now, *at),
+                failure: None,
+            }));
+        status.send(question);
+    }
 }
 
 /// This start of the process: the time of day, which only orders starts of one VM.
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -31,6 +31,7 @@
     reload::Reload,
     settings::Settings,
     signals::{Request, Signals},
+    status::{self, Status, Upstream},
     touch::Touch,
     udp,
 };
@@ -84,7 +85,7 @@
     let (snapshots, latest) = watch::channel(Arc::default());
     peer::serve(settings.frames, latest).await?;
     serve_ready(&settings, &platform, &ready).await?;
-    crate::metrics::serve(settings.metrics, metrics).await?;
+    let mut questions = crate::metrics::serve(settings.metrics, metrics).await?;
     let mut process = Process::start(settings, platform, ready, pulls, snapshots)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
@@ -103,6 +104,7 @@
                 tick_at = tokio::time::Instant::now() + SLOW_TICK;
             }
             request = signals.next() => process.signal(request),
+            Some(question) = questions.recv() => process.answer(question),
         }
         if process.decisions.is_pressed() {
             tick_at = tick_at.min(tokio::time::Instant::now() + FAST_TICK);
@@ -306,6 +308,21 @@
         metrics::gauge!("sassafrasmast_revision").set(self.revision() as f64);
     }
 
+    /// Tells operators how this process sees things.
+    fn answer(&self, question: status::Question) {
+        let now = Instant::now();
+        let intent = self.decisions.intent().map(Arc::as_ref);
+        let members = self.decisions.members().iter();
+        let mut upstreams: Vec<_> = members.map(|member| Upstream::of(now, member)).collect();
+        upstreams.sort_by_key(|upstream| upstream.agent);
+        let status = Status {
+            flows: self.decisions.flow_count() as u64,
+            upstreams,
+            ..Status::new(now, &self.settings, intent, &self.touch)
+        };
+        status.send(question);
+    }
+
     fn revision(&self) -> u64 {
         self.decisions.intent().map_or(0, |intent| intent.revision)
     }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`registration`]: an agent's entry in the store.
 //! - [`peer`]: what processes tell each other while the store does not answer.
 //! - [`http`]: readiness, announcements and metrics.
+//! - [`status`]: what a process tells operators of itself.
 //! - [`log`]: structured log lines of bounded volume.
 
 pub mod agent;
@@ -23,6 +24,7 @@
 mod reload;
 pub mod settings;
 mod signals;
+pub mod status;
 mod tcp;
 mod touch;
 pub mod udp;
@@ -35,6 +37,7 @@
     log::Log,
     platform::Platform,
     settings::{Role, Settings},
+    status::Status,
 };
 
 /// Runs the role that the settings name until the process is told to stop.
--- a/crates/forwarder/src/metrics.rs
+++ b/crates/forwarder/src/metrics.rs
@@ -1,11 +1,18 @@
-//! Counters and histograms of the process.
+//! Counters and histograms of the process, served beside its status.
 
 use std::net::SocketAddrV4;
 
 use ::http::StatusCode;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::sync::{mpsc, oneshot};
 
-use crate::http::{self, Answer};
+use crate::{
+    http::{self, Answer},
+    status,
+};
+
+/// Questions for the status that may wait: operators ask by hand.
+const QUESTIONS: usize = 4;
 
 /// Bounds of the histograms of times, in seconds.
 const TIME_BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1.0, 5.0];
@@ -24,7 +31,8 @@
     Ok(handle)
 }
 
-/// Serves what was recorded, if an address is set.
+/// Serves what was recorded and the status of the process, if an address is set. Questions for
+/// the status go to the loop that owns it.
 ///
 /// # Errors
 ///
@@ -32,13 +40,37 @@
 pub async fn serve(
     address: Option<SocketAddrV4>,
     recorded: PrometheusHandle,
-) -> anyhow::Result<()> {
-    let Some(address) = address else {
-        return Ok(());
+) -> anyhow::Result<mpsc::Receiver<status::Question>> {
+    let (sender, questions) = mpsc::channel(QUESTIONS);
+    if let Some(address) = address {
+        http::serve(address, move |received| {
+            let sender = sender.clone();
+            let recorded = recorded.clone();
+            async move {
+                if received.path == status::PATH {
+                    status(&sender).await
+                } else {
+                    Answer::new(StatusCode::OK, recorded.render())
+                }
+            }
+        })
+        .await?;
+    }
+    Ok(questions)
+}
+
+/// Asks the process for its status.
+async fn status(questions: &mpsc::Sender<status::Question>) -> Answer {
+    let (sender, answer) = oneshot::channel();
+    let text = match questions.try_send(sender) {
+        Ok(()) => match answer.await {
+            Ok(status) => serde_json::to_string(&status).map_err(|error| error.to_string()),
+            Err(error) => Err(error.to_string()),
+        },
+        Err(error) => Err(error.to_string()),
     };
-    http::serve(address, move |_| {
-        let text = recorded.render();
-        async move { Answer::new(StatusCode::OK, text) }
-    })
-    .await
+    match text {
+        Ok(text) => Answer::new(StatusCode::OK, text),
+        Err(reason) => Answer::new(StatusCode::SERVICE_UNAVAILABLE, reason),
+    }
 }
