fix(core): ask silent agents again only once they are heard

After a loss of power balancers behind links of 10 Mbit/s sent up to 80,000 questions a second: each of some 200 searches asked all 59 agents again every 100 ms while these were starting.

Ruled out: a watch that stands still (revisions differ because each read takes the store's revision), lost resets as such (they were sent, the link dropped them).

Now each agent gets a question once and one repetition. After that silent agents are only probed, as before, and asked as soon as they are heard.

--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -14,7 +14,8 @@
 /// Time between waves while answers are missing: a round trip between zones and a few wake-ups.
 const WAVE_EVERY: Duration = Duration::from_millis(12);
 
-/// How often agents that have not answered are asked again once all were asked.
+/// How often agents that have not answered are asked again once all were asked. Silent ones are
+/// only probed after the first time: questions that nobody answers would fill a slow link.
 const ASK_AGAIN_EVERY: Duration = Duration::from_millis(100);
 
 /// Longest search. Clients repeat their packets within this time, which starts a new one.
@@ -46,6 +47,8 @@
     asked: usize,
     ruled_out: Vec<SocketAddrV4>,
     wave: usize,
+    /// Whether agents were asked for a second time.
+    repeated: bool,
     started_at: Instant,
     waved_at: Instant,
     kind: Kind,
@@ -72,6 +75,7 @@
             asked: 0,
             ruled_out: Vec::new(),
             wave: FIRST_WAVE,
+            repeated: false,
             started_at: now,
             waved_at: now,
             kind,
@@ -110,13 +114,20 @@
 
     /// Asks the next agents, or again those that have not answered.
     pub fn ask(&mut self, now: Instant, members: &mut Members, actions: &mut Vec<Action>) {
-        let (start, end) = if self.asked < self.order.len() {
-            (self.asked, (self.asked + self.wave).min(self.order.len()))
-        } else {
+        let repeats = self.has_asked_all();
+        let (start, end) = if repeats {
             (0, self.order.len())
+        } else {
+            (self.asked, (self.asked + self.wave).min(self.order.len()))
         };
+        let only_heard = repeats && self.repeated;
+        self.repeated = repeats;
         for &to in &self.order[start..end] {
-            if self.ruled_out.contains(&to) {
+            let is_silent = || {
+                let member = members.get(to);
+                member.is_some_and(|member| member.listed && member.heard_at <= Some(self.waved_at))
+            };
+            if self.ruled_out.contains(&to) || (only_heard && is_silent()) {
                 continue;
             }
             members.expect_answer(now, to);
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -433,6 +433,34 @@
     assert_eq!(rig.miss(agent(2), flow(1)), [reset]);
 }
 
+#[test]
+fn searches_do_not_flood_agents_that_are_silent() {
+    const AGENTS: u16 = 50;
+    const FLOWS: u16 = 100;
+    let agents: Vec<_> = (1..=AGENTS).map(|port| (port, ZONE)).collect();
+    let mut rig = Rig::new(&agents);
+    let mut questions = 0;
+    let mut count = |actions: &[Action]| {
+        let asked = |action: &&Action| matches!(action, Action::Locate { .. });
+        questions += actions.iter().filter(asked).count();
+    };
+    for client in 1..=FLOWS {
+        count(&rig.packet(&data(flow(client), 8)));
+    }
+    for _ in 0..1_900 / 5 {
+        count(&rig.tick(5));
+    }
+    // Once each, and once more in case that the first question was lost.
+    let most = usize::from(AGENTS) * usize::from(FLOWS) * 2;
+    assert!(questions <= most, "{questions} questions");
+
+    // An agent that answers again is asked for what it did not answer.
+    rig.hear(agent(7), ready_report());
+    let asked: Vec<_> = rig.tick(100);
+    let again = |action: &&Action| matches!(action, Action::Locate { to, .. } if *to == agent(7));
+    assert_eq!(asked.iter().filter(again).count(), usize::from(FLOWS));
+}
+
 #[test]
 fn an_agent_that_is_gone_does_not_keep_a_repeatable_flow_waiting() {
     let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
