fix(core): searches keep to half of the link and pass silent agents over

A balancer that took over a zone's flows after a loss of power still asked 60,000 questions in 0.6 s: 324 searches at 59 agents, most of which had not started yet. Its link of 10 Mbit/s stood still for 3 s.

- a token bucket for questions, half of the VM's link (limits of the platform's settings)
- searches go on in the order of their age, so that the first ones end first
- an agent that is silent already is not asked; it is probed anyway, and asked once heard

Ruled out: shorter waves (the balancer is limited by bytes, not by time).

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -35,10 +35,14 @@
     Head, Intent, Key, Member, Purpose,
     intent::{Kind, Route},
 };
+use crate::balancer::Bucket;
 
 /// How often forgotten flows are looked for.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
 
+/// Part of a second's questions that may be asked at once.
+const QUESTIONS_AT_ONCE: u32 = 10;
+
 /// A balancer's state. Inputs append what is to be done to `actions`.
 #[derive(Debug)]
 pub struct Balancer {
@@ -47,6 +51,8 @@
     members: Members,
     flows: HashMap<Key, Connection>,
     searches: HashMap<Key, Search>,
+    /// Budget of the searches.
+    questions: Bucket,
     waiting: Waiting,
     /// Since when the store's list of agents has been in hand.
     synced_since: Option<Instant>,
@@ -56,8 +62,10 @@
 impl Balancer {
     /// A balancer that knows nothing yet.
     pub fn new(now: Instant, settings: Settings) -> Self {
+        let rate = settings.questions_per_second;
         Self {
             members: Members::new(settings.zone.clone()),
+            questions: Bucket::new(now, rate, rate / QUESTIONS_AT_ONCE),
             settings,
             intent: None,
             flows: HashMap::new(),
@@ -272,18 +280,7 @@
 
     /// Does what is due: waves of searches, probes, forgetting.
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let due: Vec<Key> = self
-            .searches
-            .iter()
-            .filter(|(_, search)| search.is_due(now))
-            .map(|(flow, _)| *flow)
-            .collect();
-        for flow in due {
-            if let Some(search) = self.searches.get_mut(&flow) {
-                search.ask(now, &mut self.members, actions);
-            }
-            self.finish_search(now, flow, actions);
-        }
+        self.continue_searches(now, actions);
         self.place_waiting(now, actions);
         self.members.probe(now, actions);
         if now.saturating_duration_since(self.swept_at) >= SWEEP_EVERY {
--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -6,7 +6,10 @@
 };
 
 use super::{Action, Members};
-use crate::flow::{Key, Purpose, intent::Kind};
+use crate::{
+    balancer::Bucket,
+    flow::{Key, Purpose, intent::Kind},
+};
 
 /// Agents asked in the first wave; each further wave is twice as large.
 const FIRST_WAVE: usize = 2;
@@ -15,7 +18,7 @@
 const WAVE_EVERY: Duration = Duration::from_millis(12);
 
 /// How often agents that have not answered are asked again once all were asked. Silent ones are
-/// only probed after the first time: questions that nobody answers would fill a slow link.
+/// only probed, after one repetition at most: questions without answers would fill a slow link.
 const ASK_AGAIN_EVERY: Duration = Duration::from_millis(100);
 
 /// Longest search. Clients repeat their packets within this time, which starts a new one.
@@ -44,7 +47,10 @@
 pub struct Search {
     flow: Key,
     order: Vec<SocketAddrV4>,
+    /// How far down the order agents were asked, or passed over since they are silent.
     asked: usize,
+    /// Agents that got a question.
+    questioned: Vec<SocketAddrV4>,
     ruled_out: Vec<SocketAddrV4>,
     wave: usize,
     /// Whether agents were asked for a second time.
@@ -73,6 +79,7 @@
             flow,
             order,
             asked: 0,
+            questioned: Vec::new(),
             ruled_out: Vec::new(),
             wave: FIRST_WAVE,
             repeated: false,
@@ -102,9 +109,8 @@
         if !self.ruled_out.contains(&agent) {
             self.ruled_out.push(agent);
         }
-        self.order[..self.asked]
-            .iter()
-            .all(|asked| self.ruled_out.contains(asked))
+        let mut questioned = self.questioned.iter();
+        questioned.all(|agent| self.ruled_out.contains(agent))
     }
 
     /// Whether each agent was asked at least once.
@@ -112,24 +118,49 @@
         self.asked == self.order.len()
     }
 
-    /// Asks the next agents, or again those that have not answered.
-    pub fn ask(&mut self, now: Instant, members: &mut Members, actions: &mut Vec<Action>) {
+    /// When the search began.
+    pub fn started_at(&self) -> Instant {
+        self.started_at
+    }
+
+    /// Asks the next agents, or again those that have not answered, as far as `questions` allows.
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        members: &mut Members,
+        questions: &mut Bucket,
+        actions: &mut Vec<Action>,
+    ) {
         let repeats = self.has_asked_all();
         let (start, end) = if repeats {
             (0, self.order.len())
         } else {
             (self.asked, (self.asked + self.wave).min(self.order.len()))
         };
-        let only_heard = repeats && self.repeated;
+        let first_repetition = repeats && !self.repeated;
         self.repeated = repeats;
-        for &to in &self.order[start..end] {
-            let is_silent = || {
-                let member = members.get(to);
-                member.is_some_and(|member| member.listed && member.heard_at <= Some(self.waved_at))
-            };
-            if self.ruled_out.contains(&to) || (only_heard && is_silent()) {
+        for index in start..end {
+            let to = self.order[index];
+            let was_questioned = self.questioned.contains(&to);
+            let is_worthwhile = members.get(to).is_none_or(|member| {
+                !member.listed
+                    || if repeats {
+                        member.heard_at >= Some(self.waved_at)
+                            || (first_repetition && was_questioned)
+                    } else {
+                        !member.is_silent(now)
+                    }
+            });
+            if self.ruled_out.contains(&to) || !is_worthwhile {
                 continue;
             }
+            if !questions.take(now, 1) {
+                self.asked = self.asked.max(index);
+                return;
+            }
+            if !was_questioned {
+                self.questioned.push(to);
+            }
             members.expect_answer(now, to);
             actions.push(Action::Locate {
                 to,
--- a/crates/core/src/flow/balancer/seeking.rs
+++ b/crates/core/src/flow/balancer/seeking.rs
@@ -28,7 +28,7 @@
         let order = self.members.search_order(&flow, route, first);
         let kind = route.map_or(Kind::Once, |route| route.kind);
         let mut search = Search::new(now, flow, order, kind, head.acknowledgement, bytes);
-        search.ask(now, &mut self.members, actions);
+        search.ask(now, &mut self.members, &mut self.questions, actions);
         self.searches.insert(flow, search);
     }
 
@@ -86,11 +86,29 @@
             return;
         };
         if search.rule_out(from) && !search.has_asked_all() {
-            search.ask(now, &mut self.members, actions);
+            search.ask(now, &mut self.members, &mut self.questions, actions);
         }
         self.finish_search(now, flow, actions);
     }
 
+    /// Asks further agents in each search that is due, the oldest first: it ends first.
+    pub(super) fn continue_searches(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due = self
+            .searches
+            .iter()
+            .filter(|(_, search)| search.is_due(now));
+        let mut due: Vec<(Instant, Key)> = due
+            .map(|(flow, search)| (search.started_at(), *flow))
+            .collect();
+        due.sort_unstable();
+        for (_, flow) in due {
+            if let Some(search) = self.searches.get_mut(&flow) {
+                search.ask(now, &mut self.members, &mut self.questions, actions);
+            }
+            self.finish_search(now, flow, actions);
+        }
+    }
+
     /// Ends a search that has no one left to ask.
     pub(super) fn finish_search(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
         let settled = self.knows_members_for(now);
--- a/crates/core/src/flow/balancer/settings.rs
+++ b/crates/core/src/flow/balancer/settings.rs
@@ -13,6 +13,8 @@
     pub max_flows: usize,
     /// Searches that run at the same time.
     pub max_searches: usize,
+    /// Questions of searches a second, so that they leave room on the VM's link.
+    pub questions_per_second: u32,
     /// Opening packets that wait at the same time: a second's worth of a busy entry VM.
     pub max_waiting: usize,
     /// Flows idle for longer are forgotten while no intent says otherwise.
@@ -30,6 +32,7 @@
             zone: "".into(),
             max_flows: 50_000,
             max_searches: 4_096,
+            questions_per_second: 10_000,
             max_waiting: 2_048,
             idle_timeout: Duration::from_secs(15),
             max_flow_age: Duration::from_secs(60),
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -461,6 +461,40 @@
     assert_eq!(asked.iter().filter(again).count(), usize::from(FLOWS));
 }
 
+#[test]
+fn searches_leave_room_on_a_slow_link() {
+    const AGENTS: u16 = 60;
+    const FLOWS: u16 = 300;
+    let agents: Vec<_> = (1..=AGENTS).map(|port| (port, ZONE)).collect();
+    let mut rig = Rig::new(&agents);
+    let rate = balancer::Settings::default().questions_per_second as usize;
+    let mut asked = Vec::new();
+    let mut ended = Vec::new();
+    for client in 1..=FLOWS {
+        asked.extend(rig.packet(&data(flow(client), 8)));
+    }
+    for elapsed in (0..2_000).step_by(5) {
+        let mut answers = Vec::new();
+        let mut questions = 0;
+        for action in std::mem::take(&mut asked) {
+            match action {
+                Action::Locate { to, flow, .. } => {
+                    questions += 1;
+                    answers.extend(rig.miss(to, flow));
+                }
+                Action::Reset { flow, .. } => ended.push((elapsed, flow)),
+                _ => {}
+            }
+        }
+        assert!(questions <= rate / 5, "{questions} questions at once");
+        asked = answers;
+        asked.extend(rig.tick(5));
+    }
+    // 18,000 questions at 10,000 a second, the first flows long before the last.
+    assert_eq!(ended.len(), usize::from(FLOWS));
+    assert!(ended[ended.len() / 4].0 < 900, "{ended:?}");
+}
+
 #[test]
 fn an_agent_that_is_gone_does_not_keep_a_repeatable_flow_waiting() {
     let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -147,6 +147,7 @@
             balancer::Settings {
                 zone: settings.zone.clone(),
                 max_flow_age: settings.max_flow_age,
+                questions_per_second: settings.questions_per_second(),
                 ..balancer::Settings::default()
             },
         );
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -7,6 +7,12 @@
 
 use sassafrasmast_core::flow::{ServiceName, ZoneName};
 
+/// Bytes of a search's question on the link, heads of datagrams included.
+const QUESTION_BYTES: u64 = 64;
+
+/// Part of the link that questions of searches may take: requests need the other half.
+const LINK_SHARE: u64 = 2;
+
 /// What the process does.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Role {
@@ -56,9 +62,16 @@
     pub max_flow_age: Duration,
     /// Time to live of an agent's entry in the store.
     pub lease: Duration,
+    /// Bytes a second that the VM's link carries.
+    pub link: u64,
 }
 
 impl Settings {
+    /// Questions of searches a second that leave room on the link for the traffic itself.
+    pub fn questions_per_second(&self) -> u32 {
+        u32::try_from(self.link / QUESTION_BYTES / LINK_SHARE).unwrap_or(u32::MAX)
+    }
+
     /// Takes from `new` what may change while the process runs. Names what differs besides, which
     /// only a new start puts in force.
     ///
@@ -79,6 +92,7 @@
             ("ready", self.ready != new.ready),
             ("metrics", self.metrics != new.metrics),
             ("lease", self.lease != new.lease),
+            ("link", self.link != new.link),
             ("max_flow_age", self.max_flow_age != new.max_flow_age),
         ];
         self.peers = new.peers;
@@ -105,6 +119,7 @@
             cold_slack: 0.0,
             max_flow_age: Duration::from_secs(60),
             lease: Duration::from_secs(9),
+            link: 1_250_000,
         }
     }
 }
