feat(core): searches go on in common rounds, questions share frames

- a frame asks an agent about up to 64 flows, an answer names as many
- more than eight searches go on together every 40 ms and ask all agents in two rounds
- answers cost one look-up: a search counts what is left instead of comparing lists
- the log makes no fields for lines beyond its budget

Tests: questions_of_many_searches_share_frames, the_most_questions_and_answers_fit_one_frame.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -6,6 +6,7 @@
 //! asked one wave after the other until one of them owns it.
 
 mod action;
+mod candidate;
 mod connection;
 mod members;
 mod opening;
@@ -25,6 +26,7 @@
 
 pub use self::{
     action::{Action, Drop, ResetCause},
+    candidate::Candidate,
     connection::Connection,
     members::Members,
     search::{Search, Verdict},
@@ -53,6 +55,8 @@
     searches: HashMap<Key, Search>,
     /// Budget of the searches.
     questions: Bucket,
+    /// When searches last went on.
+    searched_at: Instant,
     waiting: Waiting,
     /// Since when the store's list of agents has been in hand.
     synced_since: Option<Instant>,
@@ -70,6 +74,7 @@
             intent: None,
             flows: HashMap::new(),
             searches: HashMap::new(),
+            searched_at: now,
             waiting: Waiting::default(),
             synced_since: None,
             swept_at: now,
@@ -263,14 +268,18 @@
                 zone,
                 report,
             } => self.members.introduce(now, from, service, zone, *report),
-            Body::Absent { flow, report } => {
+            Body::Absent { flows, report } => {
                 self.members.hear(now, from, *report);
-                self.rule_out(now, *flow, from, actions);
+                for flow in flows {
+                    self.rule_out(now, *flow, from, actions);
+                }
             }
-            Body::Unsure { flow, report } => {
+            Body::Unsure { flows, report } => {
                 self.members.hear(now, from, *report);
-                if let Some(search) = self.searches.get_mut(flow) {
-                    search.show(from, actions);
+                for flow in flows {
+                    if let Some(search) = self.searches.get_mut(flow) {
+                        search.show(from, actions);
+                    }
                 }
             }
             Body::Report(report) => self.members.hear(now, from, *report),
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -53,6 +53,7 @@
 pub struct Members {
     zone: ZoneName,
     by_address: HashMap<SocketAddrV4, Member>,
+    additions: u64,
 }
 
 impl Members {
@@ -61,6 +62,7 @@
         Self {
             zone,
             by_address: HashMap::new(),
+            additions: 0,
         }
     }
 
@@ -69,6 +71,11 @@
         self.by_address.values()
     }
 
+    /// How often an address was added, for those who keep a list of their own.
+    pub fn additions(&self) -> u64 {
+        self.additions
+    }
+
     /// One member.
     pub fn get(&self, address: SocketAddrV4) -> Option<&Member> {
         self.by_address.get(&address)
@@ -102,15 +109,20 @@
                     known.report = member.report;
                 }
             }
-            _ => {
-                self.by_address.insert(member.address, member);
-            }
+            _ => self.insert(member),
         }
     }
 
     /// Takes an agent that another balancer knows, unless it is known here.
     pub fn add(&mut self, member: Member) {
-        self.by_address.entry(member.address).or_insert(member);
+        if !self.by_address.contains_key(&member.address) {
+            self.insert(member);
+        }
+    }
+
+    fn insert(&mut self, member: Member) {
+        self.additions += 1;
+        self.by_address.insert(member.address, member);
     }
 
     /// Takes an agent that speaks for itself while the store does not list it.
@@ -132,7 +144,7 @@
                 unlisted_at: Some(now),
                 ..Member::listed(address, service.into(), zone.into(), report)
             };
-            self.by_address.insert(address, member);
+            self.insert(member);
         }
         self.hear(now, address, report);
     }
--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -1,11 +1,12 @@
 //! The search for the home of one flow.
 
 use std::{
+    collections::HashSet,
     net::SocketAddrV4,
     time::{Duration, Instant},
 };
 
-use super::{Action, Members};
+use super::{Action, Candidate, Members};
 use crate::{
     balancer::Bucket,
     flow::{Key, Purpose, intent::Kind},
@@ -14,6 +15,10 @@
 /// Agents asked in the first wave; each further wave is twice as large.
 const FIRST_WAVE: usize = 2;
 
+/// How many times as many agents are asked at once in a crowd of searches: their questions share
+/// frames, and rounds are few.
+const CROWD_GROWTH: usize = 4;
+
 /// Time between waves while answers are missing: a round trip between zones and a few wake-ups.
 const WAVE_EVERY: Duration = Duration::from_millis(12);
 
@@ -46,12 +51,14 @@
 #[derive(Debug)]
 pub struct Search {
     flow: Key,
-    order: Vec<SocketAddrV4>,
+    /// In the order in which they are asked.
+    candidates: Vec<Candidate>,
     /// How far down the order agents were asked, or passed over since they are silent.
     asked: usize,
-    /// Agents that got a question.
-    questioned: Vec<SocketAddrV4>,
-    ruled_out: Vec<SocketAddrV4>,
+    /// Candidates that are not ruled out.
+    open: usize,
+    /// [`Members::additions`] that the candidates reflect.
+    additions: u64,
     wave: usize,
     /// Whether agents were asked for a second time.
     repeated: bool,
@@ -66,21 +73,23 @@
 }
 
 impl Search {
-    /// A search through `order` for a flow whose requests are of `kind`.
+    /// A search through `order`, which holds all `members`, for a flow whose requests are of
+    /// `kind`.
     pub fn new(
         now: Instant,
         flow: Key,
         order: Vec<SocketAddrV4>,
+        members: &Members,
         kind: Kind,
         acknowledgement: u32,
         packet: &[u8],
     ) -> Self {
         Self {
             flow,
-            order,
+            open: order.len(),
+            candidates: order.into_iter().map(Candidate::new).collect(),
             asked: 0,
-            questioned: Vec::new(),
-            ruled_out: Vec::new(),
+            additions: members.additions(),
             wave: FIRST_WAVE,
             repeated: false,
             started_at: now,
@@ -104,18 +113,31 @@
         self.acknowledgement
     }
 
-    /// Notes that the flow is not at an agent. Tells whether all that were asked have answered.
-    pub fn rule_out(&mut self, agent: SocketAddrV4) -> bool {
-        if !self.ruled_out.contains(&agent) {
-            self.ruled_out.push(agent);
+    /// Notes that the flow is not at an agent.
+    pub fn rule_out(&mut self, agent: SocketAddrV4) {
+        let mut candidates = self.candidates.iter_mut();
+        if let Some(candidate) = candidates.find(|candidate| candidate.address == agent)
+            && !candidate.ruled_out
+        {
+            candidate.ruled_out = true;
+            self.open -= 1;
         }
-        let mut questioned = self.questioned.iter();
-        questioned.all(|agent| self.ruled_out.contains(agent))
+    }
+
+    /// Whether all agents that were asked have answered.
+    pub fn is_answered(&self) -> bool {
+        let mut asked = self.candidates[..self.asked].iter();
+        asked.all(|candidate| candidate.ruled_out || !candidate.questioned)
+    }
+
+    /// Whether no agent is left that may have the flow.
+    pub fn is_exhausted(&self) -> bool {
+        self.open == 0
     }
 
     /// Whether each agent was asked at least once.
     pub fn has_asked_all(&self) -> bool {
-        self.asked == self.order.len()
+        self.asked == self.candidates.len()
     }
 
     /// When the search began.
@@ -124,52 +146,51 @@
     }
 
     /// Asks the next agents, or again those that have not answered, as far as `questions` allows.
+    /// In a `crowd` of searches each asks more agents at once.
     pub fn ask(
         &mut self,
         now: Instant,
+        crowd: bool,
         members: &mut Members,
         questions: &mut Bucket,
         actions: &mut Vec<Action>,
     ) {
         let repeats = self.has_asked_all();
+        let wave = self
+            .wave
+            .saturating_mul(if crowd { CROWD_GROWTH } else { 1 });
         let (start, end) = if repeats {
-            (0, self.order.len())
+            (0, self.candidates.len())
         } else {
-            (self.asked, (self.asked + self.wave).min(self.order.len()))
+            let end = self.asked.saturating_add(wave).min(self.candidates.len());
+            (self.asked, end)
         };
-        let first_repetition = repeats && !self.repeated;
+        let first = repeats && !self.repeated;
         self.repeated = repeats;
         for index in start..end {
-            let to = self.order[index];
-            let was_questioned = self.questioned.contains(&to);
-            let is_worthwhile = members.get(to).is_none_or(|member| {
-                !member.listed
-                    || if repeats {
-                        member.heard_at >= Some(self.waved_at)
-                            || (first_repetition && was_questioned)
-                    } else {
-                        !member.is_silent(now)
-                    }
-            });
-            if self.ruled_out.contains(&to) || !is_worthwhile {
+            let candidate = &mut self.candidates[index];
+            let is_worthwhile = if repeats {
+                candidate.is_worth_repeating(self.waved_at, first, members)
+            } else {
+                candidate.is_worth_asking(now, members)
+            };
+            if !is_worthwhile {
                 continue;
             }
             if !questions.take(now, 1) {
                 self.asked = self.asked.max(index);
                 return;
             }
-            if !was_questioned {
-                self.questioned.push(to);
-            }
-            members.expect_answer(now, to);
+            candidate.questioned = true;
+            members.expect_answer(now, candidate.address);
             actions.push(Action::Locate {
-                to,
+                to: candidate.address,
                 flow: self.flow,
                 acknowledgement: self.acknowledgement,
             });
         }
         self.asked = end;
-        self.wave *= 2;
+        self.wave = wave.saturating_mul(2);
         self.waved_at = now;
     }
 
@@ -188,34 +209,41 @@
 
     /// Whether agents are to be asked now.
     pub fn is_due(&self, now: Instant) -> bool {
-        let pause = if self.asked < self.order.len() {
-            WAVE_EVERY
-        } else {
-            ASK_AGAIN_EVERY
+        let pause = match self.asked {
+            _ if self.has_asked_all() => ASK_AGAIN_EVERY,
+            0 => Duration::ZERO,
+            _ => WAVE_EVERY,
         };
         now.saturating_duration_since(self.waved_at) >= pause
     }
 
     /// Takes agents into the search that were not known when it began.
     pub fn extend(&mut self, members: &Members) {
+        if self.additions == members.additions() {
+            return;
+        }
+        self.additions = members.additions();
+        let known: HashSet<_> = self.candidates.iter().map(|known| known.address).collect();
         for member in members.iter() {
-            if !self.order.contains(&member.address) {
-                self.order.push(member.address);
+            if !known.contains(&member.address) {
+                self.candidates.push(Candidate::new(member.address));
+                self.open += 1;
             }
         }
     }
 
     /// How the search stands. Before the list of agents is `settled` nothing is lost.
     pub fn verdict(&self, now: Instant, members: &Members, settled: bool) -> Verdict {
-        let answered = |agent: &SocketAddrV4| {
-            self.ruled_out.contains(agent)
-                || (self.kind == Kind::Safe
-                    && members
-                        .get(*agent)
-                        .is_none_or(|member| member.is_unreachable(now, UNREACHABLE_AFTER)))
+        let is_unreachable = |candidate: &Candidate| {
+            let member = members.get(candidate.address);
+            candidate.ruled_out
+                || member.is_none_or(|member| member.is_unreachable(now, UNREACHABLE_AFTER))
+        };
+        let is_nowhere = || {
+            self.is_exhausted()
+                || (self.kind == Kind::Safe && self.candidates.iter().all(is_unreachable))
         };
-        let is_complete = !self.order.is_empty() && self.has_asked_all();
-        if settled && is_complete && self.order.iter().all(answered) {
+        if settled && !self.candidates.is_empty() && self.has_asked_all() && is_nowhere() {
             Verdict::Lost
         } else if now.saturating_duration_since(self.started_at) >= LONGEST {
             Verdict::GivenUp
--- a/crates/core/src/flow/balancer/seeking.rs
+++ b/crates/core/src/flow/balancer/seeking.rs
@@ -1,10 +1,21 @@
 //! Searches for the homes of flows that this balancer does not know.
 
-use std::{net::SocketAddrV4, time::Instant};
+use std::{
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
 
 use super::{Action, Balancer, Connection, Drop, ResetCause, Search, Verdict};
 use crate::flow::{Head, Key, intent::Kind};
 
+/// Searches beyond which agents are asked in common rounds, so that questions share frames: a
+/// balancer that knows its flows has fewer.
+const CROWD: usize = 8;
+
+/// Time between common rounds. With all agents asked in two rounds, a flow that is lost is known as
+/// such before its client repeats a packet, after 200 ms.
+const ROUND_EVERY: Duration = Duration::from_millis(40);
+
 impl Balancer {
     /// Starts or continues the search for the home of a flow.
     pub(super) fn search(
@@ -27,8 +38,19 @@
         let route = self.route(&flow);
         let order = self.members.search_order(&flow, route, first);
         let kind = route.map_or(Kind::Once, |route| route.kind);
-        let mut search = Search::new(now, flow, order, kind, head.acknowledgement, bytes);
-        search.ask(now, &mut self.members, &mut self.questions, actions);
+        let acknowledgement = head.acknowledgement;
+        let mut search = Search::new(
+            now,
+            flow,
+            order,
+            &self.members,
+            kind,
+            acknowledgement,
+            bytes,
+        );
+        if !self.is_crowded() {
+            search.ask(now, false, &mut self.members, &mut self.questions, actions);
+        }
         self.searches.insert(flow, search);
     }
 
@@ -82,17 +104,31 @@
         from: SocketAddrV4,
         actions: &mut Vec<Action>,
     ) {
+        let crowd = self.is_crowded();
         let Some(search) = self.searches.get_mut(&flow) else {
             return;
         };
-        if search.rule_out(from) && !search.has_asked_all() {
-            search.ask(now, &mut self.members, &mut self.questions, actions);
+        search.rule_out(from);
+        if !crowd && !search.has_asked_all() && search.is_answered() {
+            search.ask(now, false, &mut self.members, &mut self.questions, actions);
+        }
+        if search.is_exhausted() {
+            self.finish_search(now, flow, actions);
         }
-        self.finish_search(now, flow, actions);
+    }
+
+    /// Whether so many searches run that they go on in common rounds.
+    fn is_crowded(&self) -> bool {
+        self.searches.len() > CROWD
     }
 
     /// Asks further agents in each search that is due, the oldest first: it ends first.
     pub(super) fn continue_searches(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let crowd = self.is_crowded();
+        if crowd && now.saturating_duration_since(self.searched_at) < ROUND_EVERY {
+            return;
+        }
+        self.searched_at = now;
         let due = self
             .searches
             .iter()
@@ -103,7 +139,7 @@
         due.sort_unstable();
         for (_, flow) in due {
             if let Some(search) = self.searches.get_mut(&flow) {
-                search.ask(now, &mut self.members, &mut self.questions, actions);
+                search.ask(now, crowd, &mut self.members, &mut self.questions, actions);
             }
             self.finish_search(now, flow, actions);
         }
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -1,6 +1,6 @@
 //! Where a balancer sends packets.
 
-use std::{net::SocketAddrV4, time::Instant};
+use std::{collections::HashSet, net::SocketAddrV4, time::Instant};
 
 use sassafrasmast_core::flow::{
     Balancer, Head, Key, Member, Purpose, Reason, Report, State,
@@ -109,7 +109,8 @@
 
     fn miss(&mut self, from: SocketAddrV4, flow: Key) -> Vec<Action> {
         let report = ready_report();
-        self.frame(from, &Body::Absent { flow, report }, None)
+        let flows = vec![flow];
+        self.frame(from, &Body::Absent { flows, report }, None)
     }
 }
 
@@ -386,7 +387,14 @@
         packet: b"packet".as_slice().into(),
     };
     assert_eq!(
-        rig.frame(agent(1), &Body::Unsure { flow, report }, None),
+        rig.frame(
+            agent(1),
+            &Body::Unsure {
+                flows: vec![flow],
+                report
+            },
+            None
+        ),
         [shown]
     );
     // It took the packet that it was shown.
@@ -495,6 +503,44 @@
     assert!(ended[ended.len() / 4].0 < 900, "{ended:?}");
 }
 
+#[test]
+fn questions_of_many_searches_share_frames() {
+    const AGENTS: u16 = 60;
+    const FLOWS: u16 = 40;
+    let agents: Vec<_> = (1..=AGENTS).map(|port| (port, ZONE)).collect();
+    let mut rig = Rig::new(&agents);
+    let mut frames = 0;
+    let mut lost = 0;
+    let mut actions = Vec::new();
+    for client in 1..=FLOWS {
+        actions.extend(rig.packet(&data(flow(client), 8)));
+    }
+    for _ in 0..200 / 5 {
+        let mut answers = Vec::new();
+        let mut asked = HashSet::new();
+        for action in std::mem::take(&mut actions) {
+            match action {
+                Action::Locate { to, flow, .. } => {
+                    asked.insert(to);
+                    answers.extend(rig.miss(to, flow));
+                }
+                Action::Reset { .. } => lost += 1,
+                _ => {}
+            }
+        }
+        // Questions of one step to one agent go out together.
+        frames += asked.len();
+        actions = answers;
+        actions.extend(rig.tick(5));
+    }
+    assert_eq!(
+        lost, FLOWS,
+        "each is known to be lost before its client repeats a packet"
+    );
+    // A frame for each question would be 2,400.
+    assert!(frames * 4 <= usize::from(AGENTS * FLOWS), "{frames} frames");
+}
+
 #[test]
 fn an_agent_that_is_gone_does_not_keep_a_repeatable_flow_waiting() {
     let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
--- a/crates/core/tests/flow/world.rs
+++ b/crates/core/tests/flow/world.rs
@@ -15,7 +15,7 @@
     balancer::{self, Action},
     packet::Flags,
 };
-use sassafrasmast_wire::flow::{Body, Frame};
+use sassafrasmast_wire::flow::{Body, Frame, Question};
 
 use crate::fixture::{
     OTHER_SERVICE, OTHER_ZONE, SERVICE, ZONE, bounced, client_head, flow, intent, ms, upstream_head,
@@ -355,10 +355,13 @@
                     flow,
                     acknowledgement,
                 } => {
-                    let body = Body::Locate {
+                    let question = Question {
                         flow: *flow,
                         acknowledgement: *acknowledgement,
                     };
+                    let body = Body::Locate {
+                        questions: vec![question],
+                    };
                     (*to, body, client_head(*flow, Flags::default(), 0, 0))
                 }
                 Action::Probe(to) => (
@@ -399,12 +402,15 @@
                 self.agents[index].deliver(now, from, &delivery, &mut actions);
                 self.agent_actions(index, actions, *packet);
             }
-            Body::Locate {
-                flow,
-                acknowledgement,
-            } => {
+            Body::Locate { questions } => {
                 let from = balancer_address(from);
-                self.agents[index].locate(from, flow, acknowledgement, &mut actions);
+                for Question {
+                    flow,
+                    acknowledgement,
+                } in questions
+                {
+                    self.agents[index].locate(from, flow, acknowledgement, &mut actions);
+                }
                 self.agent_actions(index, actions, *packet);
             }
             Body::Probe => {
@@ -472,7 +478,7 @@
             AgentAction::Absent { to, flow } => (
                 *to,
                 Body::Absent {
-                    flow: *flow,
+                    flows: vec![*flow],
                     report,
                 },
                 None,
@@ -480,7 +486,7 @@
             AgentAction::Unsure { to, flow } => (
                 *to,
                 Body::Unsure {
-                    flow: *flow,
+                    flows: vec![*flow],
                     report,
                 },
                 None,
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -18,7 +18,7 @@
     agent::{self, Action, Change, Delivery},
 };
 use sassafrasmast_store::Range;
-use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
+use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES, Question};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -252,12 +252,15 @@
                         .deliver(now, from, &delivery, &mut self.actions);
                     self.carry_out(now, packet);
                 }
-                Body::Locate {
-                    flow,
-                    acknowledgement,
-                } => {
-                    self.decisions
-                        .locate(from, flow, acknowledgement, &mut self.actions);
+                Body::Locate { questions } => {
+                    for Question {
+                        flow,
+                        acknowledgement,
+                    } in questions
+                    {
+                        self.decisions
+                            .locate(from, flow, acknowledgement, &mut self.actions);
+                    }
                     self.carry_out(now, &[]);
                 }
                 Body::Probe => {
--- a/crates/forwarder/src/agent/output.rs
+++ b/crates/forwarder/src/agent/output.rs
@@ -1,13 +1,14 @@
 //! Carries out what an agent decided: packets, frames, resets and their log lines.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddrV4,
     sync::atomic::Ordering,
     time::{Duration, Instant},
 };
 
-use sassafrasmast_core::flow::{Key, Reason, agent::Action, balancer::ResetCause};
-use sassafrasmast_wire::flow::{Body, Frame};
+use sassafrasmast_core::flow::{Key, Reason, Report, agent::Action, balancer::ResetCause};
+use sassafrasmast_wire::flow::{Body, Frame, Question};
 
 use super::Process;
 use crate::{balancer::flow_text, platform::Platform, udp};
@@ -39,6 +40,8 @@
     /// Carries out what was decided; `packet` is the one that was just handled.
     pub(super) fn carry_out(&mut self, now: Instant, packet: &[u8]) {
         let mut actions = std::mem::take(&mut self.actions);
+        let mut absent: BTreeMap<SocketAddrV4, Vec<Key>> = BTreeMap::new();
+        let mut unsure: BTreeMap<SocketAddrV4, Vec<Key>> = BTreeMap::new();
         for action in actions.drain(..) {
             match action {
                 Action::ToUpstream => {
@@ -55,14 +58,8 @@
                     sequence,
                     took,
                 } => self.report_acceptance(now, to, flow, sequence, took),
-                Action::Absent { to, flow } => {
-                    let report = self.decisions.report(now);
-                    self.send(to, Body::Absent { flow, report });
-                }
-                Action::Unsure { to, flow } => {
-                    let report = self.decisions.report(now);
-                    self.send(to, Body::Unsure { flow, report });
-                }
+                Action::Absent { to, flow } => absent.entry(to).or_default().push(flow),
+                Action::Unsure { to, flow } => unsure.entry(to).or_default().push(flow),
                 Action::Found { to, flow } => {
                     let report = self.decisions.report(now);
                     self.send(to, Body::Found { flow, report });
@@ -77,6 +74,23 @@
             }
         }
         self.actions = actions;
+        self.answer_all(now, absent, |flows, report| Body::Absent { flows, report });
+        self.answer_all(now, unsure, |flows, report| Body::Unsure { flows, report });
+    }
+
+    /// Answers questions of searches, few frames to each balancer.
+    fn answer_all(
+        &mut self,
+        now: Instant,
+        answers: BTreeMap<SocketAddrV4, Vec<Key>>,
+        body: impl Fn(Vec<Key>, Report) -> Body<'static>,
+    ) {
+        for (to, flows) in answers {
+            for part in flows.chunks(Question::MAX_PER_FRAME) {
+                let report = self.decisions.report(now);
+                self.send(to, body(part.to_vec(), report));
+            }
+        }
     }
 
     /// Tells a balancer that the upstream accepted a flow.
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -3,6 +3,8 @@
 mod output;
 
 use std::{
+    collections::BTreeMap,
+    net::SocketAddrV4,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -16,7 +18,7 @@
     balancer::{self, Action},
 };
 use sassafrasmast_store::Range;
-use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
+use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES, Question};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -58,6 +60,8 @@
     log: Log,
     actions: Vec<Action>,
     frame: Vec<u8>,
+    /// Questions that wait for the end of the present decision, by agent.
+    questions: BTreeMap<SocketAddrV4, Vec<Question>>,
     ready: Arc<AtomicBool>,
     stopping: bool,
     touch: Touch,
@@ -158,6 +162,7 @@
             log: Log::start(&settings.name)?,
             actions: Vec::new(),
             frame: Vec::with_capacity(MAX_BYTES),
+            questions: BTreeMap::new(),
             touch: Touch::new(now, pulls, settings.peers.clone()),
             reload: Reload::new(now),
             snapshots,
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -6,7 +6,7 @@
     Key, Purpose,
     balancer::{Action, ResetCause},
 };
-use sassafrasmast_wire::flow::{Body, Frame};
+use sassafrasmast_wire::flow::{Body, Frame, Question};
 
 use super::{Process, flow_text};
 use crate::{platform::Platform, udp};
@@ -34,14 +34,12 @@
                     ],
                 );
             }
-            Body::Missing { flow, .. } | Body::Absent { flow, .. } => self.log.line(
-                now,
-                "flow_missing",
-                &[
-                    ("flow", flow_text(Some(flow))),
-                    ("agent", from.to_string().into()),
-                ],
-            ),
+            Body::Missing { flow, .. } => self.log_missing(now, from, flow),
+            Body::Absent { flows, .. } => {
+                for flow in flows {
+                    self.log_missing(now, from, flow);
+                }
+            }
             Body::Found { flow, .. } => self.log.line(
                 now,
                 "flow_found",
@@ -54,6 +52,18 @@
         }
     }
 
+    /// Logs that a flow is not at an agent's upstream.
+    fn log_missing(&mut self, now: Instant, from: SocketAddrV4, flow: &Key) {
+        if !self.log.has_room(now, "flow_missing") {
+            return;
+        }
+        let fields = [
+            ("flow", flow_text(Some(flow))),
+            ("agent", from.to_string().into()),
+        ];
+        self.log.line(now, "flow_missing", &fields);
+    }
+
     /// Carries out what was decided; `packet` is the one that was just handled.
     pub(super) fn carry_out(&mut self, now: Instant, packet: Option<&[u8]>) {
         let mut actions = std::mem::take(&mut self.actions);
@@ -82,13 +92,10 @@
                     to,
                     flow,
                     acknowledgement,
-                } => self.send(
-                    to,
-                    Body::Locate {
-                        flow,
-                        acknowledgement,
-                    },
-                ),
+                } => self.questions.entry(to).or_default().push(Question {
+                    flow,
+                    acknowledgement,
+                }),
                 Action::Probe(to) => self.send(to, Body::Probe),
                 Action::Reset {
                     flow,
@@ -103,6 +110,17 @@
             }
         }
         self.actions = actions;
+        self.ask();
+    }
+
+    /// Sends the questions that have come together, few frames to each agent.
+    fn ask(&mut self) {
+        for (to, questions) in std::mem::take(&mut self.questions) {
+            for part in questions.chunks(Question::MAX_PER_FRAME) {
+                let questions = part.to_vec();
+                self.send(to, Body::Locate { questions });
+            }
+        }
     }
 
     /// Resets a flow towards its client.
--- a/crates/forwarder/src/log.rs
+++ b/crates/forwarder/src/log.rs
@@ -38,6 +38,16 @@
     left_out: u64,
 }
 
+impl Kind {
+    /// A full budget.
+    fn new(now: Instant) -> Self {
+        Self {
+            bucket: Bucket::new(now, LINES_PER_SECOND, BURST),
+            left_out: 0,
+        }
+    }
+}
+
 impl Log {
     /// A log of the process `name`. Starts the thread that writes.
     ///
@@ -56,12 +66,18 @@
         })
     }
 
+    /// Whether a line of `kind` would be written; counts it as left out if not. Spares the making
+    /// of fields where there are many lines.
+    pub fn has_room(&mut self, now: Instant, kind: &'static str) -> bool {
+        let state = self.kinds.entry(kind).or_insert_with(|| Kind::new(now));
+        let has_room = state.bucket.has(now, 1);
+        state.left_out += u64::from(!has_room);
+        has_room
+    }
+
     /// Writes a line of `kind`, unless the kind's budget is spent.
     pub fn line(&mut self, now: Instant, kind: &'static str, fields: &[(&'static str, Value)]) {
-        let state = self.kinds.entry(kind).or_insert_with(|| Kind {
-            bucket: Bucket::new(now, LINES_PER_SECOND, BURST),
-            left_out: 0,
-        });
+        let state = self.kinds.entry(kind).or_insert_with(|| Kind::new(now));
         if !state.bucket.take(now, 1) {
             state.left_out += 1;
             return;
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -7,8 +7,8 @@
 
 use sassafrasmast_core::flow::{ServiceName, ZoneName};
 
-/// Bytes of a search's question on the link, heads of datagrams included.
-const QUESTION_BYTES: u64 = 64;
+/// Bytes of a search's question on the link, with its part of the datagram's head.
+const QUESTION_BYTES: u64 = 32;
 
 /// Part of the link that questions of searches may take: requests need the other half.
 const LINK_SHARE: u64 = 2;
--- a/crates/wire/src/flow.rs
+++ b/crates/wire/src/flow.rs
@@ -4,6 +4,7 @@
 mod frame;
 mod key;
 mod purpose;
+mod question;
 mod reason;
 mod report;
 mod state;
@@ -13,6 +14,7 @@
     frame::{Frame, MAX_BYTES, VERSION},
     key::Key,
     purpose::Purpose,
+    question::Question,
     reason::Reason,
     report::Report,
     state::State,
--- a/crates/wire/src/flow/body.rs
+++ b/crates/wire/src/flow/body.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Key, Purpose, Reason, Report};
+use super::{Key, Purpose, Question, Reason, Report};
 
 /// Content of a [`super::Frame`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,24 +16,24 @@
         /// The client's packet.
         packet: &'a [u8],
     },
-    /// Balancer to agent: is this flow at your upstream?
+    /// Balancer to agent: are these flows at your upstream? At most
+    /// [`Question::MAX_PER_FRAME`].
     Locate {
-        /// The flow.
-        flow: Key,
-        /// Number that the client acknowledged last.
-        acknowledgement: u32,
+        /// The flows.
+        questions: Vec<Question>,
     },
-    /// Agent to balancer, to [`Body::Locate`] or a packet that was shown: the flow is not here.
+    /// Agent to balancer, to [`Body::Locate`]: these flows are not here.
     Absent {
-        /// The flow.
-        flow: Key,
+        /// The flows.
+        flows: Vec<Key>,
         /// The agent's report.
         report: Report,
     },
-    /// Agent to balancer, to [`Body::Locate`]: only the upstream can tell; show it a packet.
+    /// Agent to balancer, to [`Body::Locate`]: only the upstream can tell; show it a packet of
+    /// each.
     Unsure {
-        /// The flow.
-        flow: Key,
+        /// The flows.
+        flows: Vec<Key>,
         /// The agent's report.
         report: Report,
     },
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -84,3 +84,42 @@
     assert_eq!(keys().reset_token(7, b"cid"), old.reset_token(7, b"cid"));
     assert_ne!(keys().reset_token(7, b"cid"), keys().reset_token(8, b"cid"));
 }
+
+#[test]
+fn the_most_questions_and_answers_fit_one_frame() {
+    use sassafrasmast_wire::flow::{Body, Frame, Key, MAX_BYTES, Question, Report};
+    let largest = std::net::SocketAddrV4::new([255; 4].into(), u16::MAX);
+    let flow = Key {
+        client: largest,
+        route: largest,
+    };
+    let question = Question {
+        flow,
+        acknowledgement: u32::MAX,
+    };
+    let report = Report {
+        agent: u64::MAX,
+        upstream: u64::MAX,
+        slots: u16::MAX,
+        busy: u16::MAX,
+        flows: u32::MAX,
+        headroom: u16::MAX,
+        ..Report::default()
+    };
+    let bodies = [
+        Body::Locate {
+            questions: vec![question; Question::MAX_PER_FRAME],
+        },
+        Body::Absent {
+            flows: vec![flow; Question::MAX_PER_FRAME],
+            report,
+        },
+    ];
+    for body in bodies {
+        let frame = Frame::new(u64::MAX, body);
+        let mut bytes = Vec::new();
+        frame.encode(&mut bytes).expect("it fits");
+        assert!(bytes.len() <= MAX_BYTES);
+        assert_eq!(Frame::decode(&bytes).expect("it decodes"), frame);
+    }
+}
