perf(core): waiting openings of a full service look for room once a round

Each opening that waits looked at all members of its service every 5 ms. Once one of a service finds no room in a round, the others of the service wait without looking.

--- a/crates/core/src/flow/balancer/opening.rs
+++ b/crates/core/src/flow/balancer/opening.rs
@@ -128,8 +128,15 @@
 
     /// Tries again to place the opening packets that wait, in the order of their arrival.
     pub(super) fn place_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        // Services of which no upstream has room: who comes later need not look again.
+        let mut full: Vec<ServiceName> = Vec::new();
         for opening in self.waiting.take() {
             let flow = opening.flow;
+            let service = self.service(&flow);
+            if !opening.is_over(now) && service.as_ref().is_ok_and(|name| full.contains(name)) {
+                self.waiting.put_back(opening);
+                continue;
+            }
             if let Some(connection) = self.flows.get_mut(&flow) {
                 connection.forgive();
             }
@@ -147,8 +154,9 @@
                     actions.push(Action::Drop(flow, Drop::Unsure));
                 }
                 Err(Obstacle::Wait) => {
-                    if let Ok(service) = self.service(&flow) {
+                    if let Ok(service) = service {
                         self.members.refresh(now, &service, actions);
+                        full.push(service);
                     }
                     self.waiting.put_back(opening);
                 }
