feat(core): an agent that started with its upstream knows all its flows

After a loss of power an agent starts 25 to 300 ms after its upstream and hears an announcement whose sequence is above 1.

A killed process is back after 0.53 s at the earliest (30 kills on both sites). So an upstream that started less than 350 ms before its agent never had another one.

Ruled out: processor time of the balancer (no tick came later than 23 ms), lost answers.

Tests: an_agent_that_started_with_its_upstream_knows_its_flows. In an_agent_that_restarts_beside_a_cold_upstream_waits_for_a_window agent and upstream had the same start by the fixture's default; the agent now starts a minute later, as its name says.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -47,6 +47,11 @@
 /// A request that got no answer for this long no longer counts as work: longer than clients wait.
 const BUSY_FOR: Duration = Duration::from_secs(3);
 
+/// Time in which the platform starts a killed process anew, half a second, less what clocks and
+/// announcements may be off. An upstream that started less than this before its agent has never
+/// had another one.
+const RESTART_TAKES: Duration = Duration::from_millis(350);
+
 /// An agent's state. Inputs append what is to be done to `actions`.
 #[derive(Debug)]
 pub struct Agent {
@@ -60,6 +65,8 @@
     /// Flows that had work after their last packet.
     working: HashSet<Key>,
     started_at: Instant,
+    /// When the upstream was first heard, and how much longer it was cold then.
+    first_heard: Option<(Instant, Duration)>,
     swept_at: Instant,
     stopping: bool,
     /// State, start of the upstream and whether the agent stops, as balancers were told last.
@@ -78,6 +85,7 @@
             opening: Vec::new(),
             working: HashSet::new(),
             started_at: now,
+            first_heard: None,
             swept_at: now,
             stopping: false,
             reported: None,
@@ -194,7 +202,7 @@
         };
         // What an earlier process of this agent let through is not known.
         let is_young = now.saturating_duration_since(self.started_at) < gate::WINDOW;
-        if is_young && !self.upstream.is_known_from_start() {
+        if is_young && !self.is_known_from_start() {
             return 0;
         }
         self.gate.headroom(now, limit)
@@ -282,7 +290,34 @@
 
     /// Whether the agent knows all flows of its upstream.
     fn is_certain(&self) -> bool {
-        self.upstream.is_gone() || self.upstream.is_known_from_start()
+        self.upstream.is_gone() || self.is_known_from_start()
+    }
+
+    /// Whether this process has seen all that its upstream has got since its start.
+    fn is_known_from_start(&self) -> bool {
+        self.upstream.is_known_from_start()
+            || self
+                .head_start()
+                .is_some_and(|ahead| ahead <= RESTART_TAKES)
+    }
+
+    /// How long before this process its upstream started: the longer one of what their times of
+    /// day say, which may have been set in between, and of what the upstream's coldness says,
+    /// which may have begun anew. `None` if one of them says nothing.
+    fn head_start(&self) -> Option<Duration> {
+        let (heard_at, cold_left) = self.first_heard?;
+        let services = &self.intent.as_ref()?.policy.services;
+        let cold_for = services.get(&self.settings.service)?.cold_for;
+        if cold_for.is_zero() || cold_left.is_zero() {
+            return None;
+        }
+        let own_age = heard_at.saturating_duration_since(self.started_at);
+        let by_coldness = cold_for.saturating_sub(cold_left).saturating_sub(own_age);
+        let by_clock = self
+            .settings
+            .incarnation
+            .saturating_sub(self.upstream.started());
+        Some(by_coldness.max(Duration::from_millis(by_clock)))
     }
 
     /// Decides on an opening packet.
@@ -438,6 +473,9 @@
         actions: &mut Vec<Action>,
     ) -> Change {
         let change = self.upstream.announce(now, announcement);
+        if change == Change::First {
+            self.first_heard = Some((now, announcement.cold_left));
+        }
         if change == Change::Restarted {
             self.reset_flows(now, actions);
         }
--- a/crates/core/src/flow/agent/settings.rs
+++ b/crates/core/src/flow/agent/settings.rs
@@ -13,7 +13,7 @@
     pub service: ServiceName,
     /// The availability zone of this VM.
     pub zone: ZoneName,
-    /// This start of the agent.
+    /// This start of the agent: the VM's time of day in milliseconds, as for upstreams.
     pub incarnation: Incarnation,
     /// Part of its cold rate up to which an upstream may be loaded.
     pub cold_coverage: f64,
--- a/crates/core/src/flow/intent/service.rs
+++ b/crates/core/src/flow/intent/service.rs
@@ -1,5 +1,7 @@
 //! A service.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 /// What holds for all upstreams of a service.
@@ -7,4 +9,6 @@
 pub struct Service {
     /// Requests a second that a cold upstream bears.
     pub cold_rate: f64,
+    /// Time for which an upstream is cold after its start; zero if operators state none.
+    pub cold_for: Duration,
 }
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -111,6 +111,36 @@
     );
 }
 
+/// An agent that started at 100 s by the time of day and hears 10 ms later that its upstream
+/// started at `started` milliseconds and is cold for `cold_left` more. Services are cold for 2 s.
+fn heard_late(started: u64, cold_left: u64) -> AgentRig {
+    let mut rig = AgentRig::started_at(100_000);
+    rig.now += ms(10);
+    rig.announce(&Announcement {
+        cold_left: ms(cold_left),
+        ..announcement(started, 9)
+    });
+    rig
+}
+
+#[test]
+fn an_agent_that_started_with_its_upstream_knows_its_flows() {
+    let answer = |rig: &mut AgentRig| rig.locate(flow(1));
+    let to = AgentRig::unheard().balancer;
+    let absent = [Action::Absent { to, flow: flow(1) }];
+    let unsure = [Action::Unsure { to, flow: flow(1) }];
+    // 300 ms before the agent, by both measures.
+    assert_eq!(answer(&mut heard_late(99_700, 1_690)), absent);
+    // Started earlier, and an agent before this one may have opened flows.
+    assert_eq!(answer(&mut heard_late(99_500, 1_490)), unsure);
+    // Made cold anew when its zone was taken out.
+    assert_eq!(answer(&mut heard_late(60_000, 1_900)), unsure);
+    // The time of day was set back in between.
+    assert_eq!(answer(&mut heard_late(99_900, 300)), unsure);
+    // No longer cold: its age is not known.
+    assert_eq!(answer(&mut heard_late(99_900, 0)), unsure);
+}
+
 #[test]
 fn the_client_that_chose_another_upstream_is_sent_there() {
     let mut rig = AgentRig::ready();
@@ -238,7 +268,7 @@
 
 #[test]
 fn an_agent_that_restarts_beside_a_cold_upstream_waits_for_a_window() {
-    let mut rig = AgentRig::unheard();
+    let mut rig = AgentRig::started_at(60_000);
     assert!(rig.agent.set_intent(intent(2, &[(SERVICE, 1)], 10.0)));
     rig.announce(&Announcement {
         cold_left: ms(5_000),
--- a/crates/core/tests/flow/fixture.rs
+++ b/crates/core/tests/flow/fixture.rs
@@ -109,7 +109,10 @@
             .collect(),
         ..Route::default()
     };
-    let service = Service { cold_rate };
+    let service = Service {
+        cold_rate,
+        cold_for: ms(2_000),
+    };
     Arc::new(Intent {
         revision,
         policy: Policy {
@@ -161,13 +164,18 @@
 impl AgentRig {
     /// An agent that has not heard of its upstream yet.
     pub fn unheard() -> Self {
+        Self::started_at(1)
+    }
+
+    /// As [`Self::unheard`], started at this time of day in milliseconds.
+    pub fn started_at(incarnation: u64) -> Self {
         let now = Instant::now();
         let mut agent = Agent::new(
             now,
             agent::Settings {
                 service: SERVICE.into(),
                 zone: ZONE.into(),
-                incarnation: 1,
+                incarnation,
                 cold_coverage: 1.5,
                 cold_slack: 5.0,
                 ..agent::Settings::default()
--- a/crates/core/tests/flow/world.rs
+++ b/crates/core/tests/flow/world.rs
@@ -24,6 +24,9 @@
 /// One way between any two processes.
 const DELAY: Duration = Duration::from_millis(1);
 
+/// Shortest time in which a process that has ended is started anew, in milliseconds.
+const RESTART_MS: u64 = 500;
+
 /// Rate and slack of the cold limit in these worlds; the sum bounds a second.
 const COLD_RATE: f64 = 10.0;
 const COLD_BOUND: usize = 20;
@@ -687,7 +690,8 @@
         ));
         match kind {
             0 => self.balancers[balancer] = self.new_balancer(balancer),
-            1 => {
+            // Processes take time to start: an agent that ends with its upstream is back later.
+            1 if self.now.as_millis() as u64 >= self.upstreams[agent].started + RESTART_MS => {
                 self.agents[agent] = self.new_agent(agent);
                 let started = self.upstreams[agent].started;
                 // The announcement is repeated at once to the new process.
@@ -697,7 +701,7 @@
                 // The upstream starts anew, cold, and announces itself at once.
                 let upstream = &mut self.upstreams[agent];
                 *upstream = Upstream {
-                    started: upstream.started + 1,
+                    started: self.now.as_millis() as u64 + 1,
                     cold_until: self.now + ms(2_000),
                     ..Upstream::default()
                 };
