fix(core): an agent is unreachable only while others answer

An agent now counts as unreachable once a probe to another agent, sent 0.55 s after the question that it owes an answer to, was answered. Two agents that answer are probed each 100 ms while one is silent. A balancer that hears nobody any more resets nothing and says that it is not ready, so that routers use others.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -68,7 +68,7 @@
     pub fn new(now: Instant, settings: Settings) -> Self {
         let rate = settings.questions_per_second;
         Self {
-            members: Members::new(settings.zone.clone()),
+            members: Members::new(now, settings.zone.clone()),
             questions: Bucket::new(now, rate, rate / QUESTIONS_AT_ONCE),
             settings,
             intent: None,
@@ -81,9 +81,11 @@
         }
     }
 
-    /// Whether it can place flows: it has the operators' intent and the list of agents.
-    pub fn is_ready(&self) -> bool {
-        self.intent.is_some() && self.synced_since.is_some()
+    /// Whether it can place flows: it has the operators' intent and the list of agents, and hears
+    /// of them.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        let is_informed = self.intent.is_some() && self.synced_since.is_some();
+        is_informed && !self.members.is_cut_off(now)
     }
 
     /// The intent in force.
@@ -283,7 +285,8 @@
                 }
             }
             Body::Report(report) => self.members.hear(now, from, *report),
-            Body::Deliver { .. } | Body::Locate { .. } | Body::Probe => {}
+            Body::Answer { sent, report } => self.members.answer(now, from, *sent, *report),
+            Body::Deliver { .. } | Body::Locate { .. } | Body::Probe { .. } => {}
         }
     }
 
@@ -292,6 +295,7 @@
         self.continue_searches(now, actions);
         self.place_waiting(now, actions);
         self.members.probe(now, actions);
+        self.members.compare(now, actions);
         if now.saturating_duration_since(self.swept_at) >= SWEEP_EVERY {
             self.swept_at = now;
             self.sweep(now);
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -44,6 +44,16 @@
 /// five probes, and less than the second repetition of a client's packet.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(550);
 
+/// Silence of an agent from which on others are probed to compare it with.
+const COMPARE_AFTER: Duration = Duration::from_millis(250);
+
+/// Agents that a silent one is compared with: one answer may be lost.
+const COMPARED: usize = 2;
+
+/// Time without any frame after which a balancer takes itself to be cut off: two of the checks
+/// by which routers learn of it.
+const CUT_OFF_AFTER: Duration = Duration::from_secs(1);
+
 /// An agent that the store does not list and that nobody hears is forgotten after this time: no
 /// flow is older.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -54,15 +64,27 @@
     zone: ZoneName,
     by_address: HashMap<SocketAddrV4, Member>,
     additions: u64,
+    /// When this balancer started.
+    started_at: Instant,
+    /// When the latest probe was sent that was answered.
+    proven_at: Option<Instant>,
+    /// When an agent was last heard.
+    heard_at: Option<Instant>,
+    /// When agents that answer were last probed to compare silent ones with.
+    compared_at: Option<Instant>,
 }
 
 impl Members {
     /// None yet, seen from `zone`.
-    pub fn new(zone: ZoneName) -> Self {
+    pub fn new(now: Instant, zone: ZoneName) -> Self {
         Self {
             zone,
             by_address: HashMap::new(),
             additions: 0,
+            started_at: now,
+            proven_at: None,
+            heard_at: None,
+            compared_at: None,
         }
     }
 
@@ -161,9 +183,40 @@
     pub fn hear(&mut self, now: Instant, from: SocketAddrV4, report: Report) {
         if let Some(member) = self.by_address.get_mut(&from) {
             member.hear(now, report);
+            self.heard_at = Some(now);
         }
     }
 
+    /// What a probe sent now carries.
+    pub fn stamp(&self, now: Instant) -> u64 {
+        let age = now.saturating_duration_since(self.started_at);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// An agent answered a probe that carried `stamp`.
+    pub fn answer(&mut self, now: Instant, from: SocketAddrV4, stamp: u64, report: Report) {
+        self.hear(now, from, report);
+        let sent = self.started_at.checked_add(Duration::from_millis(stamp));
+        // Probes of the future are those of an earlier process.
+        let sent = sent.filter(|sent| *sent <= now);
+        self.proven_at = self.proven_at.max(sent);
+    }
+
+    /// When the latest probe was sent that was answered.
+    pub fn proven_at(&self) -> Option<Instant> {
+        self.proven_at
+    }
+
+    /// Whether this balancer itself seems to be cut off: agents owe answers and none is heard any
+    /// more, though some were.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        let hears_nobody = self
+            .heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) >= CUT_OFF_AFTER);
+        let mut members = self.by_address.values();
+        hears_nobody && members.any(|member| member.is_quiet(now, CUT_OFF_AFTER))
+    }
+
     /// Notes that an agent got a packet that it answers.
     pub fn expect_answer(&mut self, now: Instant, address: SocketAddrV4) {
         if let Some(member) = self.by_address.get_mut(&address) {
@@ -305,6 +358,7 @@
         address: SocketAddrV4,
         actions: &mut Vec<Action>,
     ) -> bool {
+        let proven = self.proven_at;
         let Some(member) = self.by_address.get_mut(&address) else {
             return false;
         };
@@ -316,7 +370,7 @@
             member.probed_at = Some(now);
             actions.push(Action::Probe(address));
         }
-        member.is_unreachable(now, UNREACHABLE_AFTER)
+        member.is_unreachable(proven, UNREACHABLE_AFTER)
     }
 
     /// Probes agents that are new, so that their load is known before it is needed, agents that
@@ -342,6 +396,26 @@
         }
     }
 
+    /// Probes agents that answer, so that the silence of others can be told from this side's.
+    pub fn compare(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let is_due = self
+            .compared_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= PROBE_EVERY);
+        let mut members = self.by_address.values();
+        if !is_due || !members.any(|member| member.is_quiet(now, COMPARE_AFTER)) {
+            return;
+        }
+        self.compared_at = Some(now);
+        let answering = self.by_address.values();
+        let mut answering: Vec<_> = answering
+            .filter(|member| member.heard_at.is_some() && !member.is_silent(now))
+            .map(|member| (Reverse(member.heard_at), member.address))
+            .collect();
+        answering.sort_unstable();
+        let compared = answering.iter().take(COMPARED);
+        actions.extend(compared.map(|(_, address)| Action::Probe(*address)));
+    }
+
     /// Forgets agents that are gone.
     pub fn sweep(&mut self, now: Instant) {
         self.by_address.retain(|_, member| {
--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -237,7 +237,9 @@
         let is_unreachable = |candidate: &Candidate| {
             let member = members.get(candidate.address);
             candidate.ruled_out
-                || member.is_none_or(|member| member.is_unreachable(now, UNREACHABLE_AFTER))
+                || member.is_none_or(|member| {
+                    member.is_unreachable(members.proven_at(), UNREACHABLE_AFTER)
+                })
         };
         let is_nowhere = || {
             self.is_exhausted()
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -96,20 +96,26 @@
 
     /// Whether the agent owes an answer for too long.
     pub fn is_silent(&self, now: Instant) -> bool {
-        self.unanswered_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= SILENT_AFTER)
+        self.is_quiet(now, SILENT_AFTER)
     }
 
-    /// Whether the agent has answered nothing for `long`. One that is being restarted as planned
-    /// has some time to come back, while its flows wait.
-    pub fn is_unreachable(&self, now: Instant, long: Duration) -> bool {
+    /// Whether the agent has answered nothing for `long`, while another one has answered a probe
+    /// that was sent later than that, at `proven`: otherwise the silence may be this side's. One
+    /// that is being restarted as planned has some time to come back, while its flows wait.
+    pub fn is_unreachable(&self, proven: Option<Instant>, long: Duration) -> bool {
         let patience = if self.report.stopping {
             RESTART_TIME
         } else {
             long
         };
         self.unanswered_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= patience)
+            .is_some_and(|since| proven >= Some(since + patience))
+    }
+
+    /// Whether the agent has answered nothing for `long`, whoever's fault it is.
+    pub fn is_quiet(&self, now: Instant, long: Duration) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= long)
     }
 
     /// Whether the agent was heard directly a short time ago.
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -263,9 +263,9 @@
                     }
                     self.carry_out(now, &[]);
                 }
-                Body::Probe => {
+                Body::Probe { sent } => {
                     let report = self.decisions.report(now);
-                    self.send(from, Body::Report(report));
+                    self.send(from, Body::Answer { sent, report });
                 }
                 _ => metrics::counter!("sassafrasmast_frames_unexpected").increment(1),
             }
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -247,7 +247,7 @@
             }
             Event::PeerFailed(..) | Event::Regained | Event::Lost(_) | Event::Refused(_) => {}
         }
-        self.update_ready();
+        self.update_ready(now);
         self.publish();
     }
 
@@ -269,9 +269,13 @@
         }));
     }
 
-    fn update_ready(&self) {
-        let ready = self.decisions.is_ready() && !self.stopping;
-        self.ready.store(ready, Ordering::Relaxed);
+    fn update_ready(&mut self, now: Instant) {
+        let ready = self.decisions.is_ready(now) && !self.stopping;
+        if self.ready.swap(ready, Ordering::Relaxed) != ready {
+            let cut_off = self.decisions.members().is_cut_off(now);
+            let fields = [("ready", ready.into()), ("cut_off", cut_off.into())];
+            self.log.line(now, "ready_changed", &fields);
+        }
     }
 
     fn signal(&mut self, request: Request) {
@@ -279,7 +283,7 @@
         match request {
             Request::Stop => {
                 self.stopping = true;
-                self.update_ready();
+                self.update_ready(now);
                 self.log.line(now, "stop", &[]);
             }
             Request::Reload => self.read_settings(now),
@@ -305,6 +309,7 @@
         self.touch.tick(now, self.revision());
         self.decisions.tick(now, &mut self.actions);
         self.carry_out(now, None);
+        self.update_ready(now);
         metrics::gauge!("sassafrasmast_flows").set(self.decisions.flow_count() as f64);
         metrics::gauge!("sassafrasmast_openings_waiting")
             .set(self.decisions.waiting_count() as f64);
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -96,7 +96,10 @@
                     flow,
                     acknowledgement,
                 }),
-                Action::Probe(to) => self.send(to, Body::Probe),
+                Action::Probe(to) => {
+                    let sent = self.decisions.members().stamp(now);
+                    self.send(to, Body::Probe { sent });
+                }
                 Action::Reset {
                     flow,
                     sequence,
--- a/crates/wire/src/flow/body.rs
+++ b/crates/wire/src/flow/body.rs
@@ -81,8 +81,18 @@
         /// The agent's report.
         report: Report,
     },
-    /// Agent to balancer: its state or load has changed, or it was probed.
+    /// Agent to balancer: its state or load has changed.
     Report(Report),
     /// Balancer to agent: report.
-    Probe,
+    Probe {
+        /// When it was sent, in milliseconds since the balancer's start.
+        sent: u64,
+    },
+    /// Agent to balancer, to [`Body::Probe`].
+    Answer {
+        /// As in the probe.
+        sent: u64,
+        /// The agent's report.
+        report: Report,
+    },
 }
--- a/crates/wire/src/flow/frame.rs
+++ b/crates/wire/src/flow/frame.rs
@@ -43,7 +43,7 @@
     ///
     /// ```
     /// use sassafrasmast_wire::flow::{Body, Frame};
-    /// let frame = Frame::new(7, Body::Probe);
+    /// let frame = Frame::new(7, Body::Probe { sent: 0 });
     /// let mut buffer = Vec::new();
     /// frame.encode(&mut buffer).unwrap();
     /// assert_eq!(Frame::decode(&buffer).unwrap(), frame);
