fix(forwarder): an intent that differs in its revision only is not sent

Each process takes the store's revision at its read as the revision of its intent.

A question now carries a digest of the intent; an equal one is answered by its revision alone. Agents no longer get the list of agents, balancers only while the store is lost.

Ruled out: taking the revision of the documents themselves (a removed document has none, so a process could fall behind one that still has it).

Tests: an_intent_that_differs_in_its_revision_only_is_not_sent, a_newer_intent_that_differs_is_sent_and_an_older_one_is_not, an_intent_that_changed_while_another_process_answered_stays.

--- a/crates/core/src/flow/intent.rs
+++ b/crates/core/src/flow/intent.rs
@@ -5,7 +5,11 @@
 mod route;
 mod service;
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::BTreeSet,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -40,8 +44,31 @@
         is_newer
     }
 
+    /// Digest of all but the revision. Equal intents have equal digests in all processes of one
+    /// build.
+    ///
+    /// ```
+    /// use sassafrasmast_core::flow::Intent;
+    /// let later = Intent { revision: 7, ..Intent::default() };
+    /// assert_eq!(later.digest(), Intent::default().digest());
+    /// ```
+    pub fn digest(&self) -> u64 {
+        let policy = &self.policy;
+        let routes = policy.routes.iter().map(digest);
+        let services = policy.services.iter().map(digest);
+        let rest = digest((policy.version, policy.idle_timeout, &self.zones_out));
+        // Maps have no order, so the order of the sum must not matter.
+        routes.chain(services).fold(rest, u64::wrapping_add)
+    }
+
     /// Whether operators have taken the zone out.
     pub fn is_out(&self, zone: &str) -> bool {
         self.zones_out.contains(zone)
     }
 }
+
+fn digest(part: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    part.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/core/src/flow/intent/backend.rs
+++ b/crates/core/src/flow/intent/backend.rs
@@ -5,7 +5,7 @@
 use crate::flow::ServiceName;
 
 /// A service behind a route and its part of the new flows.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Backend {
     /// The service.
     pub service: ServiceName,
--- a/crates/core/src/flow/intent/route.rs
+++ b/crates/core/src/flow/intent/route.rs
@@ -6,7 +6,7 @@
 use crate::flow::{Key, ServiceName, ranking};
 
 /// Whether a request may be repeated.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// Idempotent: clients repeat it after any failure.
     Safe,
@@ -16,7 +16,7 @@
 }
 
 /// Where the flows of one address go, and what they carry.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Route {
     /// Whether its requests may be repeated.
     pub kind: Kind,
--- a/crates/core/src/flow/intent/service.rs
+++ b/crates/core/src/flow/intent/service.rs
@@ -1,6 +1,9 @@
 //! A service.
 
-use std::time::Duration;
+use std::{
+    hash::{Hash, Hasher},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -12,3 +15,10 @@
     /// Time for which an upstream is cold after its start; zero if operators state none.
     pub cold_for: Duration,
 }
+
+impl Hash for Service {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.cold_rate.to_bits().hash(state);
+        self.cold_for.hash(state);
+    }
+}
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -28,7 +28,7 @@
 use crate::{
     follow::{Event, Follower},
     log::Log,
-    peer::{self, Pull, Snapshot},
+    peer::{self, Known, Pull},
     platform::Platform,
     registration::{Record, Registration},
     reload::Reload,
@@ -71,7 +71,7 @@
     frame: Vec<u8>,
     touch: Touch,
     reload: Reload,
-    snapshots: watch::Sender<Arc<Snapshot>>,
+    known: watch::Sender<Arc<Known>>,
     /// Whether the entry stands in the store.
     standing: Arc<AtomicBool>,
     /// When balancers were last told that this agent exists.
@@ -94,7 +94,7 @@
     let operators = Range::Prefix(platform.operator_prefix().to_owned());
     tokio::spawn(Follower::new(Arc::clone(&platform), operators, sender.clone()).run());
     let pulls = peer::puller(sender);
-    let (snapshots, latest) = watch::channel(Arc::default());
+    let (known, latest) = watch::channel(Arc::default());
     peer::serve(settings.frames, latest).await?;
     let (told, mut tellings) = mpsc::channel(EVENTS);
     announcements::serve(upstream.announcements, &platform, told.clone()).await?;
@@ -102,7 +102,7 @@
         announcements::serve(settings.ready, &platform, told).await?;
     }
     let mut questions = crate::metrics::serve(settings.metrics, metrics).await?;
-    let mut process = Process::start(settings, upstream, platform, pulls, snapshots)?;
+    let mut process = Process::start(settings, upstream, platform, pulls, known)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -136,7 +136,7 @@
         upstream: Upstream,
         platform: Arc<P>,
         pulls: mpsc::Sender<Pull>,
-        snapshots: watch::Sender<Arc<Snapshot>>,
+        known: watch::Sender<Arc<Known>>,
     ) -> anyhow::Result<Self> {
         let now = Instant::now();
         let incarnation = incarnation();
@@ -174,9 +174,9 @@
             log: Log::start(&settings.name)?,
             actions: Vec::new(),
             frame: Vec::with_capacity(MAX_BYTES),
-            touch: Touch::new(now, pulls, settings.peers.clone()),
+            touch: Touch::new(now, pulls, false, settings.peers.clone()),
             reload: Reload::new(now),
-            snapshots,
+            known,
             standing,
             greeted_at: now,
             settings,
@@ -340,7 +340,7 @@
         self.touch.note(now, &event);
         let intent = match event {
             Event::Intent(intent) => Some(intent),
-            Event::Peer(_, snapshot) => snapshot.intent,
+            Event::Peer(_, snapshot) => self.known.borrow().learn(&snapshot),
             _ => None,
         };
         if let Some(intent) = intent {
@@ -350,10 +350,9 @@
                 self.log.line(now, "intent_stale", &fields);
             }
         }
-        self.snapshots.send_replace(Arc::new(Snapshot {
-            intent: self.decisions.intent().cloned(),
-            members: Vec::new(),
-        }));
+        let before = Arc::clone(&self.known.borrow());
+        let known = Known::new(&before, self.decisions.intent(), Vec::new());
+        self.known.send_replace(Arc::new(known));
     }
 
     fn signal(&mut self, request: Request) {
@@ -392,7 +391,7 @@
             .retain(|_, heard| now.saturating_duration_since(*heard) < BALANCER_HEARD);
         self.publish(now);
         self.greet(now);
-        self.touch.tick(now, self.decisions.revision());
+        self.touch.tick(now, &self.known.borrow());
         let report = self.decisions.report(now);
         metrics::gauge!("sassafrasmast_flows").set(f64::from(report.flows));
         metrics::gauge!("sassafrasmast_busy").set(f64::from(report.busy));
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -28,7 +28,7 @@
     follow::{Event, Follower},
     http::{self, Answer},
     log::Log,
-    peer::{self, Listing, Pull, Snapshot},
+    peer::{self, Known, Listing, Pull},
     platform::{Call, Platform},
     reload::Reload,
     settings::Settings,
@@ -66,7 +66,7 @@
     stopping: bool,
     touch: Touch,
     reload: Reload,
-    snapshots: watch::Sender<Arc<Snapshot>>,
+    known: watch::Sender<Arc<Known>>,
 }
 
 /// Runs a balancer until the process is killed.
@@ -86,11 +86,11 @@
     );
     tokio::spawn(follower.run());
     let pulls = peer::puller(sender);
-    let (snapshots, latest) = watch::channel(Arc::default());
+    let (known, latest) = watch::channel(Arc::default());
     peer::serve(settings.frames, latest).await?;
     serve_ready(&settings, &platform, &ready).await?;
     let mut questions = crate::metrics::serve(settings.metrics, metrics).await?;
-    let mut process = Process::start(settings, platform, ready, pulls, snapshots)?;
+    let mut process = Process::start(settings, platform, ready, pulls, known)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -143,7 +143,7 @@
         platform: Arc<P>,
         ready: Arc<AtomicBool>,
         pulls: mpsc::Sender<Pull>,
-        snapshots: watch::Sender<Arc<Snapshot>>,
+        known: watch::Sender<Arc<Known>>,
     ) -> anyhow::Result<Self> {
         let now = Instant::now();
         let decisions = Balancer::new(
@@ -163,9 +163,9 @@
             actions: Vec::new(),
             frame: Vec::with_capacity(MAX_BYTES),
             questions: BTreeMap::new(),
-            touch: Touch::new(now, pulls, settings.peers.clone()),
+            touch: Touch::new(now, pulls, true, settings.peers.clone()),
             reload: Reload::new(now),
-            snapshots,
+            known,
             settings,
             platform,
             ready,
@@ -238,7 +238,8 @@
             Event::Listed(member) => self.decisions.list_member(*member),
             Event::Unlisted(address) => self.decisions.unlist_member(now, address),
             Event::Peer(_, snapshot) => {
-                if let Some(intent) = snapshot.intent {
+                let learnt = self.known.borrow().learn(&snapshot);
+                if let Some(intent) = learnt {
                     self.install(now, intent);
                 }
                 let members = snapshot.members.iter();
@@ -262,11 +263,10 @@
 
     /// Has what this process knows ready for others.
     fn publish(&self) {
-        let members = self.decisions.members().iter();
-        self.snapshots.send_replace(Arc::new(Snapshot {
-            intent: self.decisions.intent().cloned(),
-            members: members.map(Listing::of).collect(),
-        }));
+        let members = self.decisions.members().iter().map(Listing::of).collect();
+        let before = Arc::clone(&self.known.borrow());
+        let known = Known::new(&before, self.decisions.intent(), members);
+        self.known.send_replace(Arc::new(known));
     }
 
     fn update_ready(&mut self, now: Instant) {
@@ -306,7 +306,7 @@
         if self.reload.is_due(now) {
             self.read_settings(now);
         }
-        self.touch.tick(now, self.revision());
+        self.touch.tick(now, &self.known.borrow());
         self.decisions.tick(now, &mut self.actions);
         self.carry_out(now, None);
         self.update_ready(now);
--- a/crates/forwarder/src/follow.rs
+++ b/crates/forwarder/src/follow.rs
@@ -69,17 +69,15 @@
                 "member_unlisted",
                 vec![("agent", address.to_string().into())],
             ),
-            Self::Peer(from, snapshot) => {
-                let intent = snapshot.intent.as_ref();
-                (
-                    "peer_told",
-                    vec![
-                        ("peer", from.to_string().into()),
-                        ("revision", intent.map(|intent| intent.revision).into()),
-                        ("members", snapshot.members.len().into()),
-                    ],
-                )
-            }
+            Self::Peer(from, snapshot) => (
+                "peer_told",
+                vec![
+                    ("peer", from.to_string().into()),
+                    ("revision", snapshot.revision.into()),
+                    ("differs", snapshot.intent.is_some().into()),
+                    ("members", snapshot.members.len().into()),
+                ],
+            ),
             Self::PeerFailed(from, reason) => (
                 "peer_failed",
                 vec![
--- a/crates/forwarder/src/peer.rs
+++ b/crates/forwarder/src/peer.rs
@@ -1,7 +1,10 @@
 //! What processes tell each other while the store does not answer one of them.
 //!
-//! A process asks with its revision and gets a [`Snapshot`]: the intent if it is newer, and the
-//! agents that the other process knows. Both go over TCP at the address of the frames.
+//! A process asks with its revision and the digest of its intent and gets a [`Snapshot`]: the
+//! intent if it is newer and differs, and the agents that the other process knows. Both go over
+//! TCP at the address of the frames.
+
+mod known;
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
@@ -15,6 +18,7 @@
     time::timeout,
 };
 
+pub use self::known::Known;
 use crate::{follow::Event, registration::Record, tcp};
 
 /// Longest time for one exchange: a configuration over a link of 10 Mbit/s that carries traffic besides.
@@ -42,12 +46,43 @@
     }
 }
 
+/// What one process asks another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Question {
+    /// Revision of the intent in force at the one that asks.
+    pub revision: Revision,
+    /// Digest of that intent.
+    pub digest: u64,
+    /// Whether it asks for agents as well.
+    pub wants_members: bool,
+}
+
+impl Question {
+    async fn write(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        stream.write_u64(self.revision).await?;
+        stream.write_u64(self.digest).await?;
+        stream.write_u8(u8::from(self.wants_members)).await
+    }
+
+    async fn read(stream: &mut TcpStream) -> std::io::Result<Self> {
+        Ok(Self {
+            revision: stream.read_u64().await?,
+            digest: stream.read_u64().await?,
+            wants_members: stream.read_u8().await? != 0,
+        })
+    }
+}
+
 /// What one process tells another.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// The intent, if it is newer than what the other has.
+    /// Revision of its intent, 0 without one.
+    pub revision: Revision,
+    /// Digest of its intent.
+    pub digest: u64,
+    /// The intent, if it is newer than the other's and differs.
     pub intent: Option<Arc<Intent>>,
-    /// The agents that the process knows; none if it is an agent.
+    /// The agents that the process knows, if it was asked for them; none if it is an agent.
     pub members: Vec<Listing>,
 }
 
@@ -58,15 +93,15 @@
 /// When the address cannot be bound.
 pub async fn serve(
     address: SocketAddrV4,
-    snapshots: watch::Receiver<Arc<Snapshot>>,
+    known: watch::Receiver<Arc<Known>>,
 ) -> anyhow::Result<()> {
     let listener = tcp::bind("peer", address).await?;
     tokio::spawn(async move {
         loop {
             let stream = tcp::accept(&listener).await;
-            let snapshot = Arc::clone(&snapshots.borrow());
+            let known = Arc::clone(&known.borrow());
             tokio::spawn(async move {
-                let answered = timeout(EXCHANGE_TIMEOUT, answer(stream, &snapshot)).await;
+                let answered = timeout(EXCHANGE_TIMEOUT, answer(stream, &known)).await;
                 if !matches!(answered, Ok(Ok(()))) {
                     metrics::counter!("sassafrasmast_peer_errors", "side" => "server").increment(1);
                 }
@@ -77,13 +112,9 @@
 }
 
 /// Answers one process.
-async fn answer(mut stream: TcpStream, snapshot: &Snapshot) -> anyhow::Result<()> {
-    let theirs = stream.read_u64().await?;
-    let is_newer = |intent: &&Arc<Intent>| intent.revision > theirs;
-    let reply = Snapshot {
-        intent: snapshot.intent.as_ref().filter(is_newer).cloned(),
-        members: snapshot.members.clone(),
-    };
+async fn answer(mut stream: TcpStream, known: &Known) -> anyhow::Result<()> {
+    let question = Question::read(&mut stream).await?;
+    let reply = known.answer(&question);
     let bytes = postcard::to_stdvec(&reply)?;
     stream.write_u32(u32::try_from(bytes.len())?).await?;
     stream.write_all(&bytes).await?;
@@ -96,10 +127,10 @@
 /// # Errors
 ///
 /// When it does not answer in time or the answer cannot be read.
-pub async fn fetch(address: SocketAddrV4, revision: Revision) -> anyhow::Result<Snapshot> {
+pub async fn fetch(address: SocketAddrV4, question: Question) -> anyhow::Result<Snapshot> {
     let exchange = async {
         let mut stream = TcpStream::connect(address).await?;
-        stream.write_u64(revision).await?;
+        question.write(&mut stream).await?;
         let size = usize::try_from(stream.read_u32().await?)?;
         if size > MAX_BYTES {
             bail!("a snapshot of {size} bytes is too large");
@@ -118,8 +149,8 @@
 pub struct Pull {
     /// The other process.
     pub from: SocketAddrV4,
-    /// The revision in force here.
-    pub revision: Revision,
+    /// What it is asked.
+    pub question: Question,
 }
 
 /// Carries out pulls, one at a time. A pull that comes while one runs is dropped.
@@ -127,7 +158,7 @@
     let (sender, mut pulls) = mpsc::channel::<Pull>(1);
     tokio::spawn(async move {
         while let Some(pull) = pulls.recv().await {
-            let event = match fetch(pull.from, pull.revision).await {
+            let event = match fetch(pull.from, pull.question).await {
                 Ok(snapshot) => Event::Peer(pull.from, Box::new(snapshot)),
                 Err(error) => Event::PeerFailed(pull.from, format!("{error:#}")),
             };
--- a/crates/forwarder/src/touch.rs
+++ b/crates/forwarder/src/touch.rs
@@ -9,7 +9,11 @@
 use sassafrasmast_core::flow::Revision;
 use tokio::sync::mpsc;
 
-use crate::{follow::Event, peer::Pull, status};
+use crate::{
+    follow::Event,
+    peer::{Known, Pull},
+    status,
+};
 
 /// Time after which a process that has not heard from the store asks another one.
 const FIRST_ANSWER_WITHIN: Duration = Duration::from_millis(150);
@@ -28,6 +32,8 @@
 #[derive(Debug)]
 pub struct Touch {
     pulls: mpsc::Sender<Pull>,
+    /// Whether this process takes the list of agents from others while the store is lost.
+    takes_members: bool,
     /// Processes to ask, in turn.
     peers: Vec<SocketAddrV4>,
     turn: usize,
@@ -46,9 +52,15 @@
 
 impl Touch {
     /// Out of touch until the store has answered.
-    pub fn new(now: Instant, pulls: mpsc::Sender<Pull>, peers: Vec<SocketAddrV4>) -> Self {
+    pub fn new(
+        now: Instant,
+        pulls: mpsc::Sender<Pull>,
+        takes_members: bool,
+        peers: Vec<SocketAddrV4>,
+    ) -> Self {
         Self {
             pulls,
+            takes_members,
             peers,
             turn: 0,
             lost_since: Some(now),
@@ -118,7 +130,8 @@
     }
 
     /// Asks another process if it is time to.
-    pub fn tick(&mut self, now: Instant, own: Revision) {
+    pub fn tick(&mut self, now: Instant, known: &Known) {
+        let own = known.revision();
         if self.ahead.is_some_and(|(_, revision, _)| revision <= own) {
             self.ahead = None;
         }
@@ -146,7 +159,7 @@
         self.pulled_at = Some(now);
         let pull = Pull {
             from,
-            revision: own,
+            question: known.question(self.takes_members && is_lost),
         };
         if self.pulls.try_send(pull).is_err() {
             metrics::counter!("sassafrasmast_pulls_skipped").increment(1);
