fix(core): silence counts against an agent only over a path that stays good

One answer from another agent is no proof over a link that loses most of what it carries: an agent's probes may all be lost while one of another gets through. While an agent is silent two that answer are probed each 100 ms; only when four such rounds in a row were answered in whole, each before the next one, is the silent agent taken as unreachable.

Test: an_agent_keeps_its_flows_while_probes_of_others_are_lost_too.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -7,6 +7,7 @@
 
 mod action;
 mod candidate;
+mod comparison;
 mod connection;
 mod members;
 mod opening;
@@ -27,6 +28,7 @@
 pub use self::{
     action::{Action, Drop, ResetCause},
     candidate::Candidate,
+    comparison::Comparison,
     connection::Connection,
     members::Members,
     search::{Search, Verdict},
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use super::Action;
+use super::{Action, Comparison};
 use crate::flow::{Key, Member, Report, State, ZoneName, intent::Route, ranking};
 
 /// Load of the better one of the two best ranked upstreams of the own zone, up to which no other
@@ -66,12 +66,9 @@
     additions: u64,
     /// When this balancer started.
     started_at: Instant,
-    /// When the latest probe was sent that was answered.
-    proven_at: Option<Instant>,
+    comparison: Comparison,
     /// When an agent was last heard.
     heard_at: Option<Instant>,
-    /// When agents that answer were last probed to compare silent ones with.
-    compared_at: Option<Instant>,
 }
 
 impl Members {
@@ -82,9 +79,8 @@
             by_address: HashMap::new(),
             additions: 0,
             started_at: now,
-            proven_at: None,
+            comparison: Comparison::default(),
             heard_at: None,
-            compared_at: None,
         }
     }
 
@@ -196,15 +192,12 @@
     /// An agent answered a probe that carried `stamp`.
     pub fn answer(&mut self, now: Instant, from: SocketAddrV4, stamp: u64, report: Report) {
         self.hear(now, from, report);
-        let sent = self.started_at.checked_add(Duration::from_millis(stamp));
-        // Probes of the future are those of an earlier process.
-        let sent = sent.filter(|sent| *sent <= now);
-        self.proven_at = self.proven_at.max(sent);
+        self.comparison.note_answer(from, stamp);
     }
 
-    /// When the latest probe was sent that was answered.
-    pub fn proven_at(&self) -> Option<Instant> {
-        self.proven_at
+    /// Until when this balancer's own path is known to have been good.
+    pub fn proven_until(&self) -> Option<Instant> {
+        self.comparison.proven_until()
     }
 
     /// Whether this balancer itself seems to be cut off: agents owe answers and none is heard any
@@ -358,7 +351,7 @@
         address: SocketAddrV4,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let proven = self.proven_at;
+        let proven = self.proven_until();
         let Some(member) = self.by_address.get_mut(&address) else {
             return false;
         };
@@ -398,22 +391,22 @@
 
     /// Probes agents that answer, so that the silence of others can be told from this side's.
     pub fn compare(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let is_due = self
-            .compared_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= PROBE_EVERY);
         let mut members = self.by_address.values();
-        if !is_due || !members.any(|member| member.is_quiet(now, COMPARE_AFTER)) {
+        if !self.comparison.is_due(now)
+            || !members.any(|member| member.is_quiet(now, COMPARE_AFTER))
+        {
             return;
         }
-        self.compared_at = Some(now);
         let answering = self.by_address.values();
         let mut answering: Vec<_> = answering
             .filter(|member| member.heard_at.is_some() && !member.is_silent(now))
             .map(|member| (Reverse(member.heard_at), member.address))
             .collect();
         answering.sort_unstable();
-        let compared = answering.iter().take(COMPARED);
-        actions.extend(compared.map(|(_, address)| Action::Probe(*address)));
+        answering.truncate(COMPARED);
+        let compared: Vec<_> = answering.into_iter().map(|(_, address)| address).collect();
+        actions.extend(compared.iter().copied().map(Action::Probe));
+        self.comparison.begin_round(now, self.stamp(now), compared);
     }
 
     /// Forgets agents that are gone.
--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -238,7 +238,7 @@
             let member = members.get(candidate.address);
             candidate.ruled_out
                 || member.is_none_or(|member| {
-                    member.is_unreachable(members.proven_at(), UNREACHABLE_AFTER)
+                    member.is_unreachable(members.proven_until(), UNREACHABLE_AFTER)
                 })
         };
         let is_nowhere = || {
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -99,8 +99,8 @@
         self.is_quiet(now, SILENT_AFTER)
     }
 
-    /// Whether the agent has answered nothing for `long`, while another one has answered a probe
-    /// that was sent later than that, at `proven`: otherwise the silence may be this side's. One
+    /// Whether the agent has answered nothing for `long`, while the path to others was good until
+    /// `proven`, later than that: otherwise the silence may be this side's. One
     /// that is being restarted as planned has some time to come back, while its flows wait.
     pub fn is_unreachable(&self, proven: Option<Instant>, long: Duration) -> bool {
         let patience = if self.report.stopping {
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -649,6 +649,42 @@
     }
 }
 
+#[test]
+fn an_agent_keeps_its_flows_while_probes_of_others_are_lost_too() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE), (3, ZONE)]);
+    rig.make_safe();
+    let home = rig.open(flow(1));
+    rig.accept(home, flow(1), 7);
+    for other in (1..=3).map(agent).filter(|other| *other != home) {
+        rig.hear(other, ready_report());
+        rig.answering.push(other);
+    }
+    let all = rig.answering.clone();
+    // Of each three rounds of probes one is lost.
+    for step in 0..300 {
+        rig.answering = if step % 15 < 5 {
+            Vec::new()
+        } else {
+            all.clone()
+        };
+        let mut actions = rig.packet(&data(flow(1), 8));
+        actions.extend(rig.tick(20));
+        let is_reset = |action: &Action| matches!(action, Action::Reset { .. });
+        assert!(!actions.iter().any(is_reset), "reset in step {step}");
+    }
+    rig.answering = all;
+    let resets = (0..50).flat_map(|_| {
+        let mut actions = rig.packet(&data(flow(1), 8));
+        actions.extend(rig.tick(20));
+        actions
+    });
+    let mut resets = resets.filter(|action| matches!(action, Action::Reset { .. }));
+    assert!(
+        resets.next().is_some(),
+        "the path is good, the agent is gone"
+    );
+}
+
 #[test]
 fn flows_wait_for_an_agent_that_is_restarted_as_planned() {
     let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
