--- a/crates/wire/src/flow/frame.rs
+++ b/crates/wire/src/flow/frame.rs
@@ -7,7 +7,7 @@
 
 /// Protocol version spoken by this build. Differs from [`crate::frame::VERSION`], so neither
 /// transport takes the other's frames.
-pub const VERSION: u8 = 64;
+pub const VERSION: u8 = 65;
 
 /// Largest encoded frame in bytes: a full packet with its head and the frame's own fields, below
 /// the usual MTU of 1,500.
