test: every order of three faults, every pair at eight distances

The seeded world draws faults at random. Both fail when an agent is made to take itself as certain of all flows.

--- a/crates/core/src/flow/balancer/comparison.rs
+++ b/crates/core/src/flow/balancer/comparison.rs
@@ -6,7 +6,7 @@
 };
 
 /// Time between rounds of probes.
-pub const ROUND_EVERY: Duration = Duration::from_millis(100);
+const COMPARE_EVERY: Duration = Duration::from_millis(100);
 
 /// Time over which all rounds must have been answered before silence is another's fault: with it
 /// four probes of each agent went over a good path.
@@ -28,14 +28,14 @@
     /// Whether a round is due.
     pub fn is_due(&self, now: Instant) -> bool {
         self.sent_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= ROUND_EVERY)
+            .is_none_or(|at| now.saturating_duration_since(at) >= COMPARE_EVERY)
     }
 
     /// Notes a round of probes to `agents` that carry `stamp`.
     pub fn begin_round(&mut self, now: Instant, stamp: u64, agents: Vec<SocketAddrV4>) {
         let in_series = self
             .sent_at
-            .is_some_and(|at| now.saturating_duration_since(at) < 2 * ROUND_EVERY);
+            .is_some_and(|at| now.saturating_duration_since(at) < 2 * COMPARE_EVERY);
         if !self.missing.is_empty() || !in_series {
             self.good_since = None;
         }
--- a/crates/core/tests/flow/world.rs
+++ b/crates/core/tests/flow/world.rs
@@ -54,6 +54,18 @@
     Fault,
 }
 
+/// A fault or a planned change.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    BalancerReplaced(usize),
+    AgentRestarted(usize),
+    UpstreamRestarted(usize),
+    Drain(usize),
+    ZoneOut,
+    ZoneIn,
+    Unlisted { balancer: usize, agent: usize },
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Node {
     Balancer(usize),
@@ -686,21 +698,26 @@
     fn fault(&mut self) {
         let agent = self.rng.random_range(0..self.agents.len());
         let balancer = self.rng.random_range(0..self.balancers.len());
-        let kind = self.rng.random_range(0..7);
-        self.log.push(format!(
-            "{:?}: {kind} agent {agent} balancer {balancer}",
-            self.now
-        ));
-        match kind {
-            0 => self.balancers[balancer] = self.new_balancer(balancer),
-            // Processes take time to start: an agent that ends with its upstream is back later.
-            1 if self.now.as_millis() as u64 >= self.upstreams[agent].started + RESTART_MS => {
-                self.agents[agent] = self.new_agent(agent);
-                let started = self.upstreams[agent].started;
-                // The announcement is repeated at once to the new process.
-                self.schedule(ms(20), Event::Announce(agent, started));
+        let fault = match self.rng.random_range(0..7) {
+            0 => Fault::BalancerReplaced(balancer),
+            1 => Fault::AgentRestarted(agent),
+            2 => Fault::UpstreamRestarted(agent),
+            3 => Fault::Drain(agent),
+            4 => Fault::ZoneOut,
+            5 => Fault::ZoneIn,
+            _ => Fault::Unlisted { balancer, agent },
+        };
+        self.strike(fault);
+    }
+
+    fn strike(&mut self, fault: Fault) {
+        self.log.push(format!("{:?}: {fault:?}", self.now));
+        match fault {
+            Fault::BalancerReplaced(balancer) => {
+                self.balancers[balancer] = self.new_balancer(balancer);
             }
-            2 => {
+            Fault::AgentRestarted(agent) => self.restart_agent(agent),
+            Fault::UpstreamRestarted(agent) => {
                 // The upstream starts anew, cold, and announces itself at once.
                 let upstream = &mut self.upstreams[agent];
                 *upstream = Upstream {
@@ -711,7 +728,7 @@
                 let started = upstream.started;
                 self.step(Event::Announce(agent, started));
             }
-            3 => {
+            Fault::Drain(agent) => {
                 let leaving = self
                     .upstreams
                     .iter()
@@ -722,18 +739,34 @@
                     self.step(Event::Announce(agent, started));
                 }
             }
-            4 => self.change_intent(|intent| {
+            Fault::ZoneOut => self.change_intent(|intent| {
                 intent.zones_out.insert(OTHER_ZONE.into());
             }),
-            5 => self.change_intent(|intent| intent.zones_out.clear()),
-            _ => {
-                let address = agent_address(agent);
+            Fault::ZoneIn => self.change_intent(|intent| intent.zones_out.clear()),
+            Fault::Unlisted { balancer, agent } => {
                 let now = self.at();
-                self.balancers[balancer].unlist_member(now, address);
+                self.balancers[balancer].unlist_member(now, agent_address(agent));
             }
         }
     }
 
+    /// Starts an agent anew. Processes take time to start: one that ends together with its
+    /// upstream is back later.
+    fn restart_agent(&mut self, agent: usize) {
+        let started = self.upstreams[agent].started;
+        if (self.now.as_millis() as u64) < started + RESTART_MS {
+            return;
+        }
+        self.agents[agent] = self.new_agent(agent);
+        // The announcement is repeated at once to the new process.
+        self.schedule(ms(20), Event::Announce(agent, started));
+    }
+
+    /// Plays no further events of a kind.
+    fn drop_events(&mut self, is_dropped: impl Fn(&Event) -> bool) {
+        self.queue.retain(|timed| !is_dropped(&timed.event));
+    }
+
     /// The intent changes; each process learns of it at its own time.
     fn change_intent(&mut self, change: impl FnOnce(&mut Intent)) {
         let mut next = (*self.intent).clone();
@@ -837,12 +870,67 @@
             let replaced = world.rng.random_range(0..3);
             world.balancers[replaced] = world.new_balancer(replaced);
             let until = world.now + ms(250);
-            world.queue = std::mem::take(&mut world.queue)
-                .into_iter()
-                .filter(|timed| !matches!(timed.event, Event::Fault))
-                .collect();
+            world.drop_events(|event| matches!(event, Event::Fault));
             world.run(until);
         }
         assert_eq!(world.resets, 0, "seed {seed}");
     }
 }
+
+/// All faults of a world with two balancers and three agents.
+fn all_faults() -> Vec<Fault> {
+    let balancers = (0..2).map(Fault::BalancerReplaced);
+    let of_agents = (0..3).flat_map(|agent| {
+        [
+            Fault::AgentRestarted(agent),
+            Fault::UpstreamRestarted(agent),
+            Fault::Drain(agent),
+            Fault::Unlisted { balancer: 0, agent },
+        ]
+    });
+    let zones = [Fault::ZoneOut, Fault::ZoneIn];
+    balancers.chain(of_agents).chain(zones).collect()
+}
+
+/// Plays `faults` one after the other, the first one while flows are opened, with `gap` between.
+fn play(faults: &[Fault], gap: Duration) {
+    let mut world = World::new(1, 2, 3);
+    world.run(ms(1_030));
+    world.drop_events(|event| matches!(event, Event::Fault));
+    for fault in faults {
+        world.strike(*fault);
+        world.run(world.now + gap);
+    }
+    world.drop_events(|event| matches!(event, Event::OpenFlow));
+    world.run(world.now + ms(1_000));
+}
+
+#[test]
+fn every_order_of_three_faults_keeps_the_promises() {
+    std::thread::scope(|scope| {
+        for first in all_faults() {
+            scope.spawn(move || {
+                for second in all_faults() {
+                    for third in all_faults() {
+                        play(&[first, second, third], ms(7));
+                    }
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn every_pair_of_faults_keeps_the_promises_at_any_distance() {
+    std::thread::scope(|scope| {
+        for gap in [1, 3, 15, 50, 90, 250, 600, 1_300] {
+            scope.spawn(move || {
+                for first in all_faults() {
+                    for second in all_faults() {
+                        play(&[first, second], ms(gap));
+                    }
+                }
+            });
+        }
+    });
+}
