refactor(forwarder): fields of log lines are made only for lines that are written

Log::has_room stood beside Log::line for one kind of line. Log::line now takes a closure, so that no kind formats flows and addresses, or decodes a packet, beyond its budget; most lines of a busy balancer are.

- the head of a packet that was handed back is decoded once, not again for the log
- questions of a search are grouped in a local map instead of a field that was always empty
- flow_missing and flow_found share one function; an event names its kind and its fields
- Balancer::revision as Agent::revision, instead of copies in the process and in a test
- one reading of the time of day for lines and incarnations

Behaviour is unchanged.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -36,7 +36,7 @@
     waiting::Waiting,
 };
 use super::{
-    Head, Intent, Key, Member, Purpose,
+    Head, Intent, Key, Member, Purpose, Revision,
     intent::{Kind, Route},
 };
 use crate::balancer::Bucket;
@@ -95,6 +95,11 @@
         self.intent.as_ref()
     }
 
+    /// The intent's revision, 0 if none.
+    pub fn revision(&self) -> Revision {
+        self.intent.as_ref().map_or(0, |intent| intent.revision)
+    }
+
     /// Agents and what is known of them.
     pub fn members(&self) -> &Members {
         &self.members
--- a/crates/core/tests/flow/world.rs
+++ b/crates/core/tests/flow/world.rs
@@ -346,9 +346,7 @@
     }
 
     fn balancer_actions(&mut self, from: usize, actions: Vec<Action>, current: Option<Packet>) {
-        let revision = self.balancers[from]
-            .intent()
-            .map_or(0, |intent| intent.revision);
+        let revision = self.balancers[from].revision();
         for action in actions {
             let (to, body, packet) = match &action {
                 Action::Forward {
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -10,7 +10,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use sassafrasmast_core::flow::{
@@ -27,7 +27,7 @@
 use self::announcements::Told;
 use crate::{
     follow::{Event, Follower},
-    log::Log,
+    log::{Log, unix_millis},
     peer::{self, Known, Pull},
     platform::Platform,
     registration::{Record, Registration},
@@ -139,7 +139,8 @@
         known: watch::Sender<Arc<Known>>,
     ) -> anyhow::Result<Self> {
         let now = Instant::now();
-        let incarnation = incarnation();
+        // 0 stands for none.
+        let incarnation = unix_millis().max(1);
         let decisions = Agent::new(
             now,
             agent::Settings {
@@ -184,13 +185,14 @@
             platform,
             decisions,
         };
-        let fields = [
-            ("role", "agent".into()),
-            ("zone", (&*process.settings.zone).into()),
-            ("service", (&*process.upstream.service).into()),
-            ("incarnation", incarnation.into()),
-        ];
-        process.log.line(now, "start", &fields);
+        process.log.line(now, "start", || {
+            [
+                ("role", "agent".into()),
+                ("zone", (&*process.settings.zone).into()),
+                ("service", (&*process.upstream.service).into()),
+                ("incarnation", incarnation.into()),
+            ]
+        });
         Ok(process)
     }
 
@@ -290,17 +292,16 @@
         };
         self.carry_out(now, &[]);
         if change != Change::Nothing {
-            let fields = [
-                ("upstream", id.into()),
-                ("change", format!("{change:?}").into()),
-                ("started", self.decisions.upstream().started().into()),
-                ("cold_limit", self.decisions.cold_limit().into()),
-                (
-                    "upstream_state",
-                    self.decisions.upstream().state(now).as_str().into(),
-                ),
-            ];
-            self.log.line(now, "upstream_changed", &fields);
+            let upstream = self.decisions.upstream();
+            self.log.line(now, "upstream_changed", || {
+                [
+                    ("upstream", id.into()),
+                    ("change", format!("{change:?}").into()),
+                    ("started", upstream.started().into()),
+                    ("cold_limit", self.decisions.cold_limit().into()),
+                    ("upstream_state", upstream.state(now).as_str().into()),
+                ]
+            });
         }
         self.publish(now);
         // The upstream may have given up waiting.
@@ -335,8 +336,7 @@
     /// Takes what the store's follower found.
     fn event(&mut self, event: Event) {
         let now = Instant::now();
-        let (kind, fields) = event.line();
-        self.log.line(now, kind, &fields);
+        self.log.line(now, event.kind(), || event.fields());
         self.touch.note(now, &event);
         let intent = match event {
             Event::Intent(intent) => Some(intent),
@@ -346,8 +346,8 @@
         if let Some(intent) = intent {
             let revision = intent.revision;
             if !self.decisions.set_intent(intent) {
-                let fields = [("revision", revision.into())];
-                self.log.line(now, "intent_stale", &fields);
+                self.log
+                    .line(now, "intent_stale", || [("revision", revision.into())]);
             }
         }
         let before = Arc::clone(&self.known.borrow());
@@ -361,7 +361,7 @@
             Request::Stop => {
                 self.decisions.stop();
                 self.publish(now);
-                self.log.line(now, "stop", &[]);
+                self.log.line(now, "stop", || []);
             }
             Request::Reload => self.read_settings(now),
         }
@@ -427,12 +427,3 @@
         status.send(question);
     }
 }
-
-/// This start of the process: the time of day, which only orders starts of one VM.
-fn incarnation() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(1, |since| {
-            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-        })
-}
--- a/crates/forwarder/src/agent/output.rs
+++ b/crates/forwarder/src/agent/output.rs
@@ -104,15 +104,16 @@
     ) {
         metrics::histogram!("sassafrasmast_accept_seconds").record(took);
         let report = self.decisions.report(now);
-        let fields = [
-            ("flow", flow_text(Some(&flow))),
-            ("balancer", to.to_string().into()),
-            ("upstream", self.decisions.upstream().id().into()),
-            ("upstream_started", report.upstream.into()),
-            ("upstream_state", report.state.as_str().into()),
-            ("busy", report.busy.into()),
-        ];
-        self.log.line(now, "flow_accepted", &fields);
+        self.log.line(now, "flow_accepted", || {
+            [
+                ("flow", flow_text(Some(&flow))),
+                ("balancer", to.to_string().into()),
+                ("upstream", self.decisions.upstream().id().into()),
+                ("upstream_started", report.upstream.into()),
+                ("upstream_state", report.state.as_str().into()),
+                ("busy", report.busy.into()),
+            ]
+        });
         let body = Body::Accepted {
             flow,
             sequence,
@@ -127,29 +128,31 @@
         let to = SocketAddrV4::new(*flow.client.ip(), self.settings.packets.port());
         udp::send(&self.frames, &reset, to);
         metrics::counter!("sassafrasmast_resets", "cause" => cause.as_str()).increment(1);
-        let fields = [
-            ("flow", flow_text(Some(flow))),
-            ("cause", cause.as_str().into()),
-            (
-                "upstream_started",
-                self.decisions.upstream().started().into(),
-            ),
-        ];
-        self.log.line(now, "flow_reset", &fields);
+        self.log.line(now, "flow_reset", || {
+            [
+                ("flow", flow_text(Some(flow))),
+                ("cause", cause.as_str().into()),
+                (
+                    "upstream_started",
+                    self.decisions.upstream().started().into(),
+                ),
+            ]
+        });
     }
 
     /// Hands an opening packet back to a balancer.
     fn hand_back(&mut self, now: Instant, to: SocketAddrV4, reason: Reason, packet: &[u8]) {
-        let flow = self.platform.decode(packet).map(|head| head.client_flow());
         let report = self.decisions.report(now);
         metrics::counter!("sassafrasmast_returned", "reason" => reason.as_str()).increment(1);
-        let fields = [
-            ("flow", flow_text(flow.as_ref())),
-            ("reason", reason.as_str().into()),
-            ("upstream_state", report.state.as_str().into()),
-            ("balancer", to.to_string().into()),
-        ];
-        self.log.line(now, "flow_returned", &fields);
+        self.log.line(now, "flow_returned", || {
+            let flow = self.platform.decode(packet).map(|head| head.client_flow());
+            [
+                ("flow", flow_text(flow.as_ref())),
+                ("reason", reason.as_str().into()),
+                ("upstream_state", report.state.as_str().into()),
+                ("balancer", to.to_string().into()),
+            ]
+        });
         let body = Body::Returned {
             reason,
             report,
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -3,8 +3,6 @@
 mod output;
 
 use std::{
-    collections::BTreeMap,
-    net::SocketAddrV4,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -18,7 +16,7 @@
     balancer::{self, Action},
 };
 use sassafrasmast_store::Range;
-use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES, Question};
+use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -60,8 +58,6 @@
     log: Log,
     actions: Vec<Action>,
     frame: Vec<u8>,
-    /// Questions that wait for the end of the present decision, by agent.
-    questions: BTreeMap<SocketAddrV4, Vec<Question>>,
     ready: Arc<AtomicBool>,
     stopping: bool,
     touch: Touch,
@@ -162,7 +158,6 @@
             log: Log::start(&settings.name)?,
             actions: Vec::new(),
             frame: Vec::with_capacity(MAX_BYTES),
-            questions: BTreeMap::new(),
             touch: Touch::new(now, pulls, true, settings.peers.clone()),
             reload: Reload::new(now),
             known,
@@ -171,9 +166,10 @@
             ready,
             stopping: false,
         };
-        let zone = (&*process.settings.zone).into();
-        let fields = [("role", "balancer".into()), ("zone", zone)];
-        process.log.line(now, "start", &fields);
+        process.log.line(now, "start", || {
+            let zone = (&*process.settings.zone).into();
+            [("role", "balancer".into()), ("zone", zone)]
+        });
         Ok(process)
     }
 
@@ -188,8 +184,9 @@
             let Some(head) = self.platform.decode(packet) else {
                 metrics::counter!("sassafrasmast_packets_malformed").increment(1);
                 let now = Instant::now();
-                let fields = [("from", from.to_string().into()), ("bytes", size.into())];
-                self.log.line(now, "packet_malformed", &fields);
+                self.log.line(now, "packet_malformed", || {
+                    [("from", from.to_string().into()), ("bytes", size.into())]
+                });
                 continue;
             };
             let now = Instant::now();
@@ -218,8 +215,8 @@
                 _ => None,
             };
             self.touch
-                .compare(now, from, frame.revision, self.revision());
-            self.log_frame(now, from, &frame.body);
+                .compare(now, from, frame.revision, self.decisions.revision());
+            self.log_frame(now, from, &frame.body, head.as_ref());
             self.decisions
                 .agent_frame(now, from, &frame.body, head.as_ref(), &mut self.actions);
             self.carry_out(now, None);
@@ -229,8 +226,7 @@
     /// Takes what the store's follower found.
     fn event(&mut self, event: Event) {
         let now = Instant::now();
-        let (kind, fields) = event.line();
-        self.log.line(now, kind, &fields);
+        self.log.line(now, event.kind(), || event.fields());
         self.touch.note(now, &event);
         match event {
             Event::Intent(intent) => self.install(now, intent),
@@ -257,7 +253,7 @@
         let revision = intent.revision;
         if !self.decisions.set_intent(intent) {
             self.log
-                .line(now, "intent_stale", &[("revision", revision.into())]);
+                .line(now, "intent_stale", || [("revision", revision.into())]);
         }
     }
 
@@ -273,8 +269,9 @@
         let ready = self.decisions.is_ready(now) && !self.stopping;
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             let cut_off = self.decisions.members().is_cut_off(now);
-            let fields = [("ready", ready.into()), ("cut_off", cut_off.into())];
-            self.log.line(now, "ready_changed", &fields);
+            self.log.line(now, "ready_changed", || {
+                [("ready", ready.into()), ("cut_off", cut_off.into())]
+            });
         }
     }
 
@@ -284,7 +281,7 @@
             Request::Stop => {
                 self.stopping = true;
                 self.update_ready(now);
-                self.log.line(now, "stop", &[]);
+                self.log.line(now, "stop", || []);
             }
             Request::Reload => self.read_settings(now),
         }
@@ -316,7 +313,7 @@
         metrics::gauge!("sassafrasmast_searches").set(self.decisions.search_count() as f64);
         metrics::gauge!("sassafrasmast_members")
             .set(self.decisions.members().iter().count() as f64);
-        metrics::gauge!("sassafrasmast_revision").set(self.revision() as f64);
+        metrics::gauge!("sassafrasmast_revision").set(self.decisions.revision() as f64);
     }
 
     /// Tells operators how this process sees things.
@@ -333,10 +330,6 @@
         };
         status.send(question);
     }
-
-    fn revision(&self) -> u64 {
-        self.decisions.intent().map_or(0, |intent| intent.revision)
-    }
 }
 
 /// A flow in a log line: the client's end and the address that it asked for.
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -1,72 +1,65 @@
 //! Carries out what a balancer decided: frames, resets and their log lines.
 
-use std::{net::SocketAddrV4, time::Instant};
+use std::{collections::BTreeMap, net::SocketAddrV4, time::Instant};
 
 use sassafrasmast_core::flow::{
-    Key, Purpose,
+    Head, Key, Purpose,
     balancer::{Action, ResetCause},
 };
 use sassafrasmast_wire::flow::{Body, Frame, Question};
 
 use super::{Process, flow_text};
-use crate::{platform::Platform, udp};
+use crate::{platform::Platform, status::age_ms, udp};
 
 impl<P: Platform> Process<P> {
     /// Logs what an agent decided on a flow.
-    pub(super) fn log_frame(&mut self, now: Instant, from: SocketAddrV4, body: &Body<'_>) {
+    pub(super) fn log_frame(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        body: &Body<'_>,
+        head: Option<&Head>,
+    ) {
         match body {
-            Body::Returned {
-                reason,
-                report,
-                packet,
-            } => {
-                let flow = self.platform.decode(packet).map(|head| head.client_flow());
+            Body::Returned { reason, report, .. } => {
+                let flow = head.map(Head::client_flow);
                 metrics::counter!("sassafrasmast_returned", "reason" => reason.as_str())
                     .increment(1);
-                self.log.line(
-                    now,
-                    "flow_returned",
-                    &[
+                self.log.line(now, "flow_returned", || {
+                    [
                         ("flow", flow_text(flow.as_ref())),
                         ("agent", from.to_string().into()),
                         ("reason", reason.as_str().into()),
                         ("upstream_state", report.state.as_str().into()),
-                    ],
-                );
+                    ]
+                });
             }
-            Body::Missing { flow, .. } => self.log_missing(now, from, flow),
+            Body::Missing { flow, .. } => self.log_search(now, "flow_missing", from, flow),
             Body::Absent { flows, .. } => {
                 for flow in flows {
-                    self.log_missing(now, from, flow);
+                    self.log_search(now, "flow_missing", from, flow);
                 }
             }
-            Body::Found { flow, .. } => self.log.line(
-                now,
-                "flow_found",
-                &[
-                    ("flow", flow_text(Some(flow))),
-                    ("agent", from.to_string().into()),
-                ],
-            ),
+            Body::Found { flow, .. } => self.log_search(now, "flow_found", from, flow),
             _ => {}
         }
     }
 
-    /// Logs that a flow is not at an agent's upstream.
-    fn log_missing(&mut self, now: Instant, from: SocketAddrV4, flow: &Key) {
-        if !self.log.has_room(now, "flow_missing") {
-            return;
-        }
-        let fields = [
-            ("flow", flow_text(Some(flow))),
-            ("agent", from.to_string().into()),
-        ];
-        self.log.line(now, "flow_missing", &fields);
+    /// Logs whether a flow is at an agent's upstream.
+    fn log_search(&mut self, now: Instant, kind: &'static str, from: SocketAddrV4, flow: &Key) {
+        self.log.line(now, kind, || {
+            [
+                ("flow", flow_text(Some(flow))),
+                ("agent", from.to_string().into()),
+            ]
+        });
     }
 
     /// Carries out what was decided; `packet` is the one that was just handled.
     pub(super) fn carry_out(&mut self, now: Instant, packet: Option<&[u8]>) {
         let mut actions = std::mem::take(&mut self.actions);
+        // Few frames to each agent: what is asked of it goes together.
+        let mut questions: BTreeMap<SocketAddrV4, Vec<Question>> = BTreeMap::new();
         for action in actions.drain(..) {
             match action {
                 Action::Forward {
@@ -92,7 +85,7 @@
                     to,
                     flow,
                     acknowledgement,
-                } => self.questions.entry(to).or_default().push(Question {
+                } => questions.entry(to).or_default().push(Question {
                     flow,
                     acknowledgement,
                 }),
@@ -113,12 +106,7 @@
             }
         }
         self.actions = actions;
-        self.ask();
-    }
-
-    /// Sends the questions that have come together, few frames to each agent.
-    fn ask(&mut self) {
-        for (to, questions) in std::mem::take(&mut self.questions) {
+        for (to, questions) in questions {
             for part in questions.chunks(Question::MAX_PER_FRAME) {
                 let questions = part.to_vec();
                 self.send(to, Body::Locate { questions });
@@ -137,12 +125,13 @@
 
     /// Logs that a flow or a packet ends here, and why.
     fn log_end(&mut self, now: Instant, kind: &'static str, flow: &Key, cause: &'static str) {
-        let fields = [
-            ("flow", flow_text(Some(flow))),
-            ("cause", cause.into()),
-            ("revision", self.revision().into()),
-        ];
-        self.log.line(now, kind, &fields);
+        self.log.line(now, kind, || {
+            [
+                ("flow", flow_text(Some(flow))),
+                ("cause", cause.into()),
+                ("revision", self.decisions.revision().into()),
+            ]
+        });
     }
 
     /// Logs where an opening packet goes, and what was known of the agent.
@@ -151,27 +140,25 @@
         if purpose != Purpose::Open {
             return;
         }
-        let flow = self.platform.decode(packet).map(|head| head.client_flow());
-        let member = self.decisions.members().get(to);
-        let age = member
-            .and_then(|member| member.heard_at)
-            .map(|at| now.saturating_duration_since(at).as_millis());
-        let fields = [
-            ("flow", flow_text(flow.as_ref())),
-            ("agent", to.to_string().into()),
-            ("service", member.map(|member| &*member.service).into()),
-            (
-                "upstream_state",
-                member.map(|member| member.report.state.as_str()).into(),
-            ),
-            ("load", member.map(|member| member.load(now)).into()),
-            (
-                "report_age_ms",
-                age.and_then(|age| u64::try_from(age).ok()).into(),
-            ),
-            ("revision", self.revision().into()),
-        ];
-        self.log.line(now, "flow_placed", &fields);
+        self.log.line(now, "flow_placed", || {
+            let flow = self.platform.decode(packet).map(|head| head.client_flow());
+            let member = self.decisions.members().get(to);
+            let age = member
+                .and_then(|member| member.heard_at)
+                .map(|at| age_ms(now, at));
+            [
+                ("flow", flow_text(flow.as_ref())),
+                ("agent", to.to_string().into()),
+                ("service", member.map(|member| &*member.service).into()),
+                (
+                    "upstream_state",
+                    member.map(|member| member.report.state.as_str()).into(),
+                ),
+                ("load", member.map(|member| member.load(now)).into()),
+                ("report_age_ms", age.into()),
+                ("revision", self.decisions.revision().into()),
+            ]
+        });
     }
 
     fn deliver(
@@ -193,7 +180,7 @@
     }
 
     fn send(&mut self, to: SocketAddrV4, body: Body<'_>) {
-        let frame = Frame::new(self.revision(), body);
+        let frame = Frame::new(self.decisions.revision(), body);
         if frame.encode(&mut self.frame).is_err() {
             metrics::counter!("sassafrasmast_frames_too_large").increment(1);
             return;
--- a/crates/forwarder/src/follow.rs
+++ b/crates/forwarder/src/follow.rs
@@ -44,50 +44,51 @@
 }
 
 impl Event {
-    /// The event as a log line: its kind and fields.
-    pub fn line(&self) -> (&'static str, Vec<(&'static str, Value)>) {
+    /// Kind of the event's log line.
+    pub fn kind(&self) -> &'static str {
         match self {
-            Self::Intent(intent) => (
-                "intent_read",
-                vec![
-                    ("revision", intent.revision.into()),
-                    ("version", intent.policy.version.into()),
-                    ("routes", intent.policy.routes.len().into()),
-                    ("zones_out", json!(intent.zones_out)),
-                ],
-            ),
-            Self::Members(members) => ("members_read", vec![("count", members.len().into())]),
-            Self::Listed(member) => (
-                "member_listed",
-                vec![
-                    ("agent", member.address.to_string().into()),
-                    ("service", (&*member.service).into()),
-                    ("upstream_state", member.report.state.as_str().into()),
-                ],
-            ),
-            Self::Unlisted(address) => (
-                "member_unlisted",
-                vec![("agent", address.to_string().into())],
-            ),
-            Self::Peer(from, snapshot) => (
-                "peer_told",
-                vec![
-                    ("peer", from.to_string().into()),
-                    ("revision", snapshot.revision.into()),
-                    ("differs", snapshot.intent.is_some().into()),
-                    ("members", snapshot.members.len().into()),
-                ],
-            ),
-            Self::PeerFailed(from, reason) => (
-                "peer_failed",
-                vec![
-                    ("peer", from.to_string().into()),
-                    ("reason", reason.as_str().into()),
-                ],
-            ),
-            Self::Regained => ("store_regained", Vec::new()),
-            Self::Lost(reason) => ("store_lost", vec![("reason", reason.as_str().into())]),
-            Self::Refused(reason) => ("document_refused", vec![("reason", reason.as_str().into())]),
+            Self::Intent(_) => "intent_read",
+            Self::Members(_) => "members_read",
+            Self::Listed(_) => "member_listed",
+            Self::Unlisted(_) => "member_unlisted",
+            Self::Regained => "store_regained",
+            Self::Lost(_) => "store_lost",
+            Self::Peer(..) => "peer_told",
+            Self::PeerFailed(..) => "peer_failed",
+            Self::Refused(_) => "document_refused",
+        }
+    }
+
+    /// Fields of the event's log line.
+    pub fn fields(&self) -> Vec<(&'static str, Value)> {
+        match self {
+            Self::Intent(intent) => vec![
+                ("revision", intent.revision.into()),
+                ("version", intent.policy.version.into()),
+                ("routes", intent.policy.routes.len().into()),
+                ("zones_out", json!(intent.zones_out)),
+            ],
+            Self::Members(members) => vec![("count", members.len().into())],
+            Self::Listed(member) => vec![
+                ("agent", member.address.to_string().into()),
+                ("service", (&*member.service).into()),
+                ("upstream_state", member.report.state.as_str().into()),
+            ],
+            Self::Unlisted(address) => vec![("agent", address.to_string().into())],
+            Self::Peer(from, snapshot) => vec![
+                ("peer", from.to_string().into()),
+                ("revision", snapshot.revision.into()),
+                ("differs", snapshot.intent.is_some().into()),
+                ("members", snapshot.members.len().into()),
+            ],
+            Self::PeerFailed(from, reason) => vec![
+                ("peer", from.to_string().into()),
+                ("reason", reason.as_str().into()),
+            ],
+            Self::Regained => Vec::new(),
+            Self::Lost(reason) | Self::Refused(reason) => {
+                vec![("reason", reason.as_str().into())]
+            }
         }
     }
 }
--- a/crates/forwarder/src/log.rs
+++ b/crates/forwarder/src/log.rs
@@ -38,16 +38,6 @@
     left_out: u64,
 }
 
-impl Kind {
-    /// A full budget.
-    fn new(now: Instant) -> Self {
-        Self {
-            bucket: Bucket::new(now, LINES_PER_SECOND, BURST),
-            left_out: 0,
-        }
-    }
-}
-
 impl Log {
     /// A log of the process `name`. Starts the thread that writes.
     ///
@@ -66,18 +56,16 @@
         })
     }
 
-    /// Whether a line of `kind` would be written; counts it as left out if not. Spares the making
-    /// of fields where there are many lines.
-    pub fn has_room(&mut self, now: Instant, kind: &'static str) -> bool {
-        let state = self.kinds.entry(kind).or_insert_with(|| Kind::new(now));
-        let has_room = state.bucket.has(now, 1);
-        state.left_out += u64::from(!has_room);
-        has_room
-    }
-
-    /// Writes a line of `kind`, unless the kind's budget is spent.
-    pub fn line(&mut self, now: Instant, kind: &'static str, fields: &[(&'static str, Value)]) {
-        let state = self.kinds.entry(kind).or_insert_with(|| Kind::new(now));
+    /// Writes a line of `kind`, unless the kind's budget is spent. `fields` are made only for a
+    /// line that is written.
+    pub fn line<F>(&mut self, now: Instant, kind: &'static str, fields: impl FnOnce() -> F)
+    where
+        F: IntoIterator<Item = (&'static str, Value)>,
+    {
+        let state = self.kinds.entry(kind).or_insert_with(|| Kind {
+            bucket: Bucket::new(now, LINES_PER_SECOND, BURST),
+            left_out: 0,
+        });
         if !state.bucket.take(now, 1) {
             state.left_out += 1;
             return;
@@ -89,8 +77,8 @@
         if state.left_out > 0 {
             line.insert("left_out".to_owned(), state.left_out.into());
         }
-        for (key, value) in fields {
-            line.insert((*key).to_owned(), value.clone());
+        for (key, value) in fields() {
+            line.insert(key.to_owned(), value);
         }
         match self.lines.try_send(Value::Object(line).to_string()) {
             Ok(()) => state.left_out = 0,
@@ -115,8 +103,8 @@
     }
 }
 
-/// The time of day, for readers only.
-fn unix_millis() -> u64 {
+/// The time of day in milliseconds, 0 if it is before 1970.
+pub(crate) fn unix_millis() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |since| {
--- a/crates/forwarder/src/reload.rs
+++ b/crates/forwarder/src/reload.rs
@@ -52,13 +52,15 @@
                 if *settings == known {
                     return false;
                 }
-                log.line(now, "reload", &[("needs_restart", json!(fixed))]);
+                log.line(now, "reload", || [("needs_restart", json!(fixed))]);
                 true
             }
             Err(error) => {
                 let reason = format!("{error:#}");
                 if self.refused.as_ref() != Some(&reason) {
-                    log.line(now, "reload_refused", &[("reason", reason.as_str().into())]);
+                    log.line(now, "reload_refused", || {
+                        [("reason", reason.as_str().into())]
+                    });
                     self.refused = Some(reason);
                 }
                 false
