refactor: inputs of both roles are started in one place

Balancer and agent each installed metrics, listened for signals, followed the store, served other processes and asked them, in the same order with the same constants. Inputs::start does it for both; the number of datagrams in one go stands in udp.

Smaller twins in the same change: one function appends a line of the tool's texts, the agent's two arms for a full upstream are one, tests of many agents share a rig.

--- a/crates/cli/src/processes.rs
+++ b/crates/cli/src/processes.rs
@@ -1,13 +1,13 @@
 //! Showing what processes of flow forwarding say of themselves.
 
-use std::{fmt::Write, net::SocketAddr};
+use std::net::SocketAddr;
 
 use sassafrasmast_forwarder::{
     Status,
     status::{self, Upstream},
 };
 
-use crate::{client::Client, exit::Exit};
+use crate::{client::Client, exit::Exit, status::line};
 
 /// Prints what each process says. Those that do not answer are named, the others shown.
 ///
@@ -85,8 +85,3 @@
         if upstream.listed { "" } else { ", not listed" },
     )
 }
-
-fn line(text: &mut String, line: &str) {
-    // Writing to a string cannot fail.
-    let _ = writeln!(text, "{line}");
-}
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -93,7 +93,8 @@
     )
 }
 
-fn line(text: &mut String, line: &str) {
+/// Appends a line.
+pub(crate) fn line(text: &mut String, line: &str) {
     // Writing to a string cannot fail.
     let _ = writeln!(text, "{line}");
 }
--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -367,9 +367,10 @@
             return Some(Reason::ZoneOut);
         }
         match self.upstream.state(now) {
-            State::Ready => self.is_full(now).then_some(Reason::Busy),
             State::Unknown | State::Cold if self.headroom(now) == 0 => Some(Reason::Cold),
-            State::Unknown | State::Cold => self.is_full(now).then_some(Reason::Busy),
+            State::Ready | State::Unknown | State::Cold => {
+                self.is_full(now).then_some(Reason::Busy)
+            }
             State::Draining | State::Gone => Some(Reason::Leaving),
             State::Silent if self.upstream.may_try(now) => None,
             State::Silent => Some(Reason::Silent),
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// As [`Self::new`], with this many agents in one zone, at ports from 1 on.
+    fn with(agents: u16) -> Self {
+        let agents: Vec<_> = (1..=agents).map(|port| (port, ZONE)).collect();
+        Self::new(&agents)
+    }
+
     fn packet(&mut self, head: &Head) -> Vec<Action> {
         let mut actions = Vec::new();
         self.balancer
@@ -461,8 +467,7 @@
 fn searches_do_not_flood_agents_that_are_silent() {
     const AGENTS: u16 = 50;
     const FLOWS: u16 = 100;
-    let agents: Vec<_> = (1..=AGENTS).map(|port| (port, ZONE)).collect();
-    let mut rig = Rig::new(&agents);
+    let mut rig = Rig::with(AGENTS);
     let mut questions = 0;
     let mut count = |actions: &[Action]| {
         let asked = |action: &&Action| matches!(action, Action::Locate { .. });
@@ -489,8 +494,7 @@
 fn searches_leave_room_on_a_slow_link() {
     const AGENTS: u16 = 60;
     const FLOWS: u16 = 300;
-    let agents: Vec<_> = (1..=AGENTS).map(|port| (port, ZONE)).collect();
-    let mut rig = Rig::new(&agents);
+    let mut rig = Rig::with(AGENTS);
     let rate = balancer::Settings::default().questions_per_second as usize;
     let mut asked = Vec::new();
     let mut ended = Vec::new();
@@ -523,8 +527,7 @@
 fn questions_of_many_searches_share_frames() {
     const AGENTS: u16 = 60;
     const FLOWS: u16 = 40;
-    let agents: Vec<_> = (1..=AGENTS).map(|port| (port, ZONE)).collect();
-    let mut rig = Rig::new(&agents);
+    let mut rig = Rig::with(AGENTS);
     let mut frames = 0;
     let mut lost = 0;
     let mut actions = Vec::new();
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -26,31 +26,26 @@
 
 use self::announcements::Told;
 use crate::{
-    follow::{Event, Follower},
+    follow::Event,
+    inputs::{self, Inputs},
     log::{Log, unix_millis},
-    peer::{self, Known, Pull},
+    peer::{Known, Pull},
     platform::Platform,
     registration::{Record, Registration},
     reload::Reload,
     settings::{Settings, Upstream},
-    signals::{Request, Signals},
+    signals::Request,
     status::{self, Status},
     touch::Touch,
     udp,
 };
 
-/// Datagrams handled before the other inputs get their turn.
-const BATCH: usize = 64;
-
 /// Time between ticks while an opening packet waits for the upstream.
 const FAST_TICK: Duration = Duration::from_millis(20);
 
 /// Time between ticks otherwise.
 const SLOW_TICK: Duration = Duration::from_millis(200);
 
-/// Events that wait for the loop.
-const EVENTS: usize = 256;
-
 /// Balancers that were heard within this time are told of news.
 const BALANCER_HEARD: Duration = Duration::from_secs(20);
 
@@ -88,20 +83,19 @@
     upstream: Upstream,
     platform: Arc<P>,
 ) -> anyhow::Result<()> {
-    let metrics = crate::metrics::install()?;
-    let mut signals = Signals::new()?;
-    let (sender, mut events) = mpsc::channel(EVENTS);
     let operators = Range::Prefix(platform.operator_prefix().to_owned());
-    tokio::spawn(Follower::new(Arc::clone(&platform), operators, sender.clone()).run());
-    let pulls = peer::puller(sender);
-    let (known, latest) = watch::channel(Arc::default());
-    peer::serve(settings.frames, latest).await?;
-    let (told, mut tellings) = mpsc::channel(EVENTS);
+    let Inputs {
+        mut signals,
+        mut events,
+        mut questions,
+        pulls,
+        known,
+    } = Inputs::start(&settings, &platform, operators).await?;
+    let (told, mut tellings) = mpsc::channel(inputs::WAITING);
     announcements::serve(upstream.announcements, &platform, told.clone()).await?;
     if settings.ready != upstream.announcements {
         announcements::serve(settings.ready, &platform, told).await?;
     }
-    let mut questions = crate::metrics::serve(settings.metrics, metrics).await?;
     let mut process = Process::start(settings, upstream, platform, pulls, known)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
@@ -199,7 +193,7 @@
     /// Reads packets of the upstream.
     fn read_upstream(&mut self) {
         let mut buffer = [0; udp::MAX_DATAGRAM];
-        for _ in 0..BATCH {
+        for _ in 0..udp::BATCH {
             let Some((size, _)) = udp::receive(&self.outbound, &mut buffer) else {
                 return;
             };
@@ -221,7 +215,7 @@
     /// Reads balancers' frames.
     fn read_frames(&mut self) {
         let mut buffer = [0; udp::MAX_DATAGRAM];
-        for _ in 0..BATCH {
+        for _ in 0..udp::BATCH {
             let Some((size, from)) = udp::receive(&self.frames, &mut buffer) else {
                 return;
             };
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -23,31 +23,26 @@
 };
 
 use crate::{
-    follow::{Event, Follower},
+    follow::Event,
     http::{self, Answer},
+    inputs::Inputs,
     log::Log,
-    peer::{self, Known, Listing, Pull},
+    peer::{Known, Listing, Pull},
     platform::{Call, Platform},
     reload::Reload,
     settings::Settings,
-    signals::{Request, Signals},
+    signals::Request,
     status::{self, Status, Upstream},
     touch::Touch,
     udp,
 };
 
-/// Datagrams handled before the other inputs get their turn.
-const BATCH: usize = 64;
-
 /// Time between ticks while a search runs or an opening packet waits.
 const FAST_TICK: Duration = Duration::from_millis(5);
 
 /// Time between ticks otherwise; probes of silent agents are due at this pace.
 const SLOW_TICK: Duration = Duration::from_millis(50);
 
-/// Events that wait for the loop.
-const EVENTS: usize = 256;
-
 /// A balancer's process.
 struct Process<P> {
     settings: Settings,
@@ -71,21 +66,15 @@
 ///
 /// When an address of the settings cannot be bound.
 pub async fn run<P: Platform>(settings: Settings, platform: Arc<P>) -> anyhow::Result<()> {
-    let metrics = crate::metrics::install()?;
-    let mut signals = Signals::new()?;
+    let Inputs {
+        mut signals,
+        mut events,
+        mut questions,
+        pulls,
+        known,
+    } = Inputs::start(&settings, &platform, Range::Prefix(String::new())).await?;
     let ready = Arc::new(AtomicBool::new(false));
-    let (sender, mut events) = mpsc::channel(EVENTS);
-    let follower = Follower::new(
-        Arc::clone(&platform),
-        Range::Prefix(String::new()),
-        sender.clone(),
-    );
-    tokio::spawn(follower.run());
-    let pulls = peer::puller(sender);
-    let (known, latest) = watch::channel(Arc::default());
-    peer::serve(settings.frames, latest).await?;
     serve_ready(&settings, &platform, &ready).await?;
-    let mut questions = crate::metrics::serve(settings.metrics, metrics).await?;
     let mut process = Process::start(settings, platform, ready, pulls, known)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
@@ -176,7 +165,7 @@
     /// Reads clients' packets.
     fn read_packets(&mut self) {
         let mut buffer = [0; udp::MAX_DATAGRAM];
-        for _ in 0..BATCH {
+        for _ in 0..udp::BATCH {
             let Some((size, from)) = udp::receive(&self.packets, &mut buffer) else {
                 return;
             };
@@ -199,7 +188,7 @@
     /// Reads agents' frames.
     fn read_frames(&mut self) {
         let mut buffer = [0; udp::MAX_DATAGRAM];
-        for _ in 0..BATCH {
+        for _ in 0..udp::BATCH {
             let Some((size, from)) = udp::receive(&self.frames, &mut buffer) else {
                 return;
             };
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod balancer;
 pub mod follow;
 pub mod http;
+mod inputs;
 pub mod log;
 pub mod metrics;
 pub mod peer;
--- a/crates/forwarder/src/udp.rs
+++ b/crates/forwarder/src/udp.rs
@@ -9,6 +9,9 @@
 /// Receive buffer in bytes: what arrives on a busy entry VM within a few tens of milliseconds.
 const RECEIVE_BUFFER: usize = 1024 * 1024;
 
+/// Datagrams handled before the other inputs of a loop get their turn.
+pub const BATCH: usize = 64;
+
 /// Largest datagram read, in bytes; longer ones are cut and then refused by the decoder.
 pub const MAX_DATAGRAM: usize = 2_048;
 
