perf(core): queued SYNs are placed by what their clients can still use

Change: the age of a SYN counts from its client's first copy, by copy number; none is placed after its client gives up (1.4 s, or the route's time limit); those that can meet the route's latency objective go first, late ones last in, first out; a SYN that has waited half of the time limit is reset once all of its copies arrived here, so that the client tries again in time.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -17,6 +17,7 @@
 mod search;
 mod searches;
 mod settings;
+mod timeliness;
 
 use std::{
     collections::HashMap,
@@ -36,6 +37,7 @@
     queue::Queue,
     search::{Search, Status},
     settings::Settings,
+    timeliness::Timeliness,
 };
 use super::{
     Head, Intent, Key, Member, Purpose, Revision,
--- a/crates/core/src/flow/balancer/flow.rs
+++ b/crates/core/src/flow/balancer/flow.rs
@@ -7,6 +7,13 @@
 
 use crate::flow::Head;
 
+/// Times after the first SYN of a flow at which its client sends the copies, by their number.
+const COPY_TIMES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(200),
+    Duration::from_millis(600),
+];
+
 /// An agent that was sent the SYN.
 #[derive(Debug, Clone, Copy)]
 struct SynRecipient {
@@ -23,7 +30,13 @@
     owner: Option<SocketAddrV4>,
     opened_at: Instant,
     last_packet_at: Instant,
+    /// When the client sent its first SYN, as far as the copies that arrived tell.
+    first_syn_at: Instant,
     last_copy: u32,
+    /// Which copies of the SYN arrived at this balancer, by number.
+    seen_copies: [bool; COPY_TIMES.len()],
+    /// Whether the SYN is queued.
+    queued: bool,
 }
 
 impl Flow {
@@ -34,7 +47,10 @@
             owner: None,
             opened_at: now,
             last_packet_at: now,
+            first_syn_at: now,
             last_copy: 0,
+            seen_copies: [false; COPY_TIMES.len()],
+            queued: false,
         }
     }
 
@@ -42,6 +58,35 @@
     pub fn record_syn(&mut self, now: Instant, copy: u32) {
         self.last_packet_at = now;
         self.last_copy = copy;
+        let number = usize::try_from(copy).unwrap_or(usize::MAX);
+        let (Some(after), Some(seen)) = (COPY_TIMES.get(number), self.seen_copies.get_mut(number))
+        else {
+            return;
+        };
+        *seen = true;
+        let first_syn_at = now.checked_sub(*after).unwrap_or(now);
+        self.first_syn_at = self.first_syn_at.min(first_syn_at);
+    }
+
+    /// Time since the client sent its first SYN, also if that went through another balancer.
+    pub fn syn_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.first_syn_at)
+    }
+
+    /// Whether all copies of the SYN arrived here, so that no other balancer can have opened the
+    /// flow.
+    pub fn has_all_copies(&self) -> bool {
+        self.seen_copies.iter().all(|seen| *seen)
+    }
+
+    /// Whether the SYN is queued.
+    pub fn is_queued(&self) -> bool {
+        self.queued
+    }
+
+    /// Records whether the SYN is queued.
+    pub fn set_queued(&mut self, queued: bool) {
+        self.queued = queued;
     }
 
     /// Number of the last copy of the SYN.
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, time::Instant};
 
-use super::{Action, Balancer, DropCause, Flow, ResetCause};
+use super::{Action, Balancer, DropCause, Flow, ResetCause, Timeliness, queue::QueuedSyn};
 use crate::flow::{Key, Purpose, Reason, ServiceName};
 
 /// Why a SYN cannot be placed.
@@ -16,6 +16,8 @@
     NoCapacity,
     /// No further upstream can accept the flow, and one that was sent the SYN has not answered.
     Outstanding,
+    /// The client gives up before an answer can arrive, or would do better with a new attempt.
+    Expired,
 }
 
 impl Balancer {
@@ -28,15 +30,15 @@
         bytes: &[u8],
         actions: &mut Vec<Action>,
     ) {
-        if self.queue.record_copy(&flow, copy) {
-            return;
-        }
         if self.flows.len() >= self.settings.max_flows && !self.flows.contains_key(&flow) {
             actions.push(Action::Drop(flow, DropCause::TableFull));
             return;
         }
         let flow_state = self.flows.entry(flow).or_insert_with(|| Flow::new(now));
         flow_state.record_syn(now, copy);
+        if flow_state.is_queued() {
+            return;
+        }
         let placement = match flow_state.accepted_by() {
             // The SYN-ACK was lost; the upstream sends it again for a retransmitted SYN.
             Some(to) => self.service(&flow).map(|service| (to, service)),
@@ -48,7 +50,7 @@
                 purpose: Purpose::Open,
                 service: Some(service),
             }),
-            Err(error) => self.handle_unplaced(now, flow, bytes, error, actions),
+            Err(error) => self.handle_unplaced(flow, bytes, error, actions),
         }
     }
 
@@ -62,12 +64,39 @@
             .ok_or(PlacementError::NoRoute)
     }
 
+    /// What the client of a flow that is not open yet can still gain from it.
+    fn timeliness(&self, now: Instant, flow: &Key) -> Timeliness {
+        let age = self.flows.get(flow).map(|flow| flow.syn_age(now));
+        Timeliness::new(age.unwrap_or_default(), self.route(flow))
+    }
+
+    /// Whether it is certain that no upstream has accepted the flow: all copies of its SYN arrived
+    /// here and each agent that was sent one returned it.
+    fn is_unopened(&self, flow: &Key) -> bool {
+        self.flows
+            .get(flow)
+            .is_some_and(|flow| flow.has_all_copies() && flow.all_returned())
+    }
+
+    /// Whether the SYN of a flow is not to be placed any more. An overdue one is refused only if
+    /// the refusal is certain to be true, since the client may try again at once after it.
+    fn is_expired(&self, now: Instant, flow: &Key) -> bool {
+        match self.timeliness(now, flow) {
+            Timeliness::OnTime | Timeliness::Late => false,
+            Timeliness::Overdue => self.is_unopened(flow),
+            Timeliness::Expired => true,
+        }
+    }
+
     /// Selects an agent that was not sent the flow's SYN yet.
     fn place(
         &mut self,
         now: Instant,
         flow: Key,
     ) -> Result<(SocketAddrV4, ServiceName), PlacementError> {
+        if self.is_expired(now, &flow) {
+            return Err(PlacementError::Expired);
+        }
         let service = self.service(&flow)?;
         let settled = self.is_member_list_settled(now);
         let (Some(intent), Some(flow_state)) = (&self.intent, self.flows.get_mut(&flow)) else {
@@ -92,7 +121,6 @@
     /// Queues, drops or refuses a SYN that cannot be placed now.
     fn handle_unplaced(
         &mut self,
-        now: Instant,
         flow: Key,
         bytes: &[u8],
         error: PlacementError,
@@ -100,6 +128,10 @@
     ) {
         let copy = self.flows.get(&flow).map_or(0, Flow::last_copy);
         match error {
+            PlacementError::Expired if self.is_unopened(&flow) => {
+                self.reset_unopened(flow, ResetCause::Overloaded, actions);
+            }
+            PlacementError::Expired => actions.push(Action::Drop(flow, DropCause::Unsure)),
             // Earlier SYNs of the flow may have gone through another balancer, which may have
             // opened it.
             PlacementError::NoRoute | PlacementError::NoUpstream if copy > 0 => {
@@ -119,7 +151,7 @@
             PlacementError::NoCapacity if self.queue.len() >= self.settings.max_queued => {
                 self.reset_unopened(flow, ResetCause::Overloaded, actions);
             }
-            PlacementError::NoCapacity => self.queue.push(now, flow, copy, bytes),
+            PlacementError::NoCapacity => self.enqueue(flow, bytes.into()),
         }
     }
 
@@ -133,45 +165,76 @@
         });
     }
 
-    /// Tries again to place the queued SYNs, in the order of their arrival.
+    /// Queues a SYN until an upstream has capacity.
+    fn enqueue(&mut self, flow: Key, packet: Box<[u8]>) {
+        if let Some(flow_state) = self.flows.get_mut(&flow) {
+            flow_state.set_queued(true);
+            self.queue.push(flow, packet);
+        }
+    }
+
+    /// Tries again to place the queued SYNs.
+    ///
+    /// While upstreams keep up, SYNs are placed in the order of their arrival. After an outage or
+    /// in an overload that order would make each request late, and serve many clients that are
+    /// about to give up. So SYNs that can still meet their objective go first, then the others, the
+    /// latest first, since its client is the least likely to have given up.
     pub(super) fn place_queued(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut queued: Vec<Option<QueuedSyn>> = self.queue.take_all().map(Some).collect();
+        let is_on_time = |entry: &Option<QueuedSyn>| {
+            let timeliness = entry.as_ref().map(|syn| self.timeliness(now, &syn.flow));
+            timeliness == Some(Timeliness::OnTime)
+        };
+        let (on_time, late): (Vec<usize>, Vec<usize>) =
+            (0..queued.len()).partition(|&index| is_on_time(&queued[index]));
         // Services without an upstream with capacity; later SYNs for them are not tried.
         let mut full: Vec<ServiceName> = Vec::new();
-        for queued in self.queue.take_all() {
-            let flow = queued.flow;
-            let service = self.service(&flow);
-            if !queued.is_expired(now) && service.as_ref().is_ok_and(|name| full.contains(name)) {
-                self.queue.put_back(queued);
-                continue;
+        for index in on_time.into_iter().chain(late.into_iter().rev()) {
+            if let Some(syn) = queued[index].take() {
+                queued[index] = self.retry_queued(now, syn, &mut full, actions);
             }
-            if let Some(flow_state) = self.flows.get_mut(&flow) {
-                flow_state.clear_returned();
-            }
-            match self.place(now, flow) {
-                Ok((to, service)) => actions.push(Action::Send {
-                    to,
-                    purpose: Purpose::Open,
-                    service: Some(service),
-                    packet: queued.packet,
-                }),
-                Err(PlacementError::NoCapacity)
-                    if queued.is_expired(now) && queued.has_all_copies() =>
-                {
-                    self.reset_unopened(flow, ResetCause::Overloaded, actions);
-                }
-                Err(PlacementError::NoCapacity) if queued.is_expired(now) => {
-                    actions.push(Action::Drop(flow, DropCause::Unsure));
-                }
-                Err(PlacementError::NoCapacity) => {
-                    if let Ok(service) = service {
-                        self.members.refresh_load(now, &service, actions);
-                        full.push(service);
-                    }
-                    self.queue.put_back(queued);
+        }
+        for QueuedSyn { flow, packet } in queued.into_iter().flatten() {
+            self.enqueue(flow, packet);
+        }
+    }
+
+    /// Tries again to place a queued SYN, unless its service is among the `full` ones. Returns the
+    /// SYN if it still waits.
+    fn retry_queued(
+        &mut self,
+        now: Instant,
+        syn: QueuedSyn,
+        full: &mut Vec<ServiceName>,
+        actions: &mut Vec<Action>,
+    ) -> Option<QueuedSyn> {
+        let flow = syn.flow;
+        let service = self.service(&flow);
+        let is_full = service.as_ref().is_ok_and(|name| full.contains(name));
+        if is_full && !self.is_expired(now, &flow) {
+            return Some(syn);
+        }
+        if let Some(flow_state) = self.flows.get_mut(&flow) {
+            flow_state.clear_returned();
+            flow_state.set_queued(false);
+        }
+        match self.place(now, flow) {
+            Ok((to, service)) => actions.push(Action::Send {
+                to,
+                purpose: Purpose::Open,
+                service: Some(service),
+                packet: syn.packet,
+            }),
+            Err(PlacementError::NoCapacity) => {
+                if let Ok(service) = service {
+                    self.members.refresh_load(now, &service, actions);
+                    full.push(service);
                 }
-                Err(error) => self.handle_unplaced(now, flow, &queued.packet, error, actions),
+                return Some(syn);
             }
+            Err(error) => self.handle_unplaced(flow, &syn.packet, error, actions),
         }
+        None
     }
 
     /// Places a SYN that an agent returned on another one.
@@ -191,7 +254,7 @@
             return;
         };
         flow_state.record_return(from);
-        if flow_state.accepted_by().is_some() {
+        if flow_state.accepted_by().is_some() || flow_state.is_queued() {
             return;
         }
         match self.place(now, flow) {
@@ -201,7 +264,7 @@
                 service: Some(service),
                 packet: packet.into(),
             }),
-            Err(error) => self.handle_unplaced(now, flow, packet, error, actions),
+            Err(error) => self.handle_unplaced(flow, packet, error, actions),
         }
     }
 }
--- a/crates/core/src/flow/intent/route.rs
+++ b/crates/core/src/flow/intent/route.rs
@@ -1,5 +1,7 @@
 //! Routes from client-facing addresses to services.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::Backend;
@@ -20,6 +22,10 @@
 pub struct Route {
     /// Kind of its requests.
     pub kind: Kind,
+    /// Time limit of its requests, after which clients give up; `None` if operators configured none.
+    pub timeout: Option<Duration>,
+    /// Latency objective of its requests; `None` if operators configured none.
+    pub latency_objective: Option<Duration>,
     /// Services that new flows are distributed to.
     pub backends: Vec<Backend>,
 }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -8,4 +8,5 @@
 mod agent;
 mod balancer;
 mod fixture;
+mod overload;
 mod simulation;
--- a/crates/forwarder/src/peer.rs
+++ b/crates/forwarder/src/peer.rs
@@ -29,6 +29,11 @@
 /// Largest snapshot accepted.
 const MAX_SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
 
+/// Format of requests and snapshots, which changes with the types in a [`Snapshot`]. A process
+/// answers only requests of its own format, so that during an upgrade no intent is decoded wrongly;
+/// the store and peers of the same build remain. The requests of builds before it begin with 0.
+const FORMAT: u32 = 1;
+
 /// An agent in a [`Snapshot`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct KnownAgent {
@@ -61,12 +66,17 @@
 
 impl Request {
     async fn write(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        stream.write_u32(FORMAT).await?;
         stream.write_u64(self.revision).await?;
         stream.write_u64(self.digest).await?;
         stream.write_u8(u8::from(self.wants_members)).await
     }
 
-    async fn read(stream: &mut TcpStream) -> std::io::Result<Self> {
+    async fn read(stream: &mut TcpStream) -> anyhow::Result<Self> {
+        let format = stream.read_u32().await?;
+        if format != FORMAT {
+            bail!("the request has format {format}, this build has {FORMAT}");
+        }
         Ok(Self {
             revision: stream.read_u64().await?,
             digest: stream.read_u64().await?,
