--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -125,6 +125,7 @@
     };
     let results = [
         day("at = 1, kind = \"burst\", x = 2.0"),
+        day("at = 1, kind = \"srv_slow\", x = 4.0"),
         day("at = 1, kind = \"bursts\""),
         day("at = 1"),
         day("kind = \"burst\""),
@@ -132,6 +133,7 @@
         day("at = 1, kind = \"burst\", for_s = \"5\""),
     ];
     expect![[r#"
+        day.toml: day is valid
         day.toml: day is valid
         day.toml: faults[0]: kind: "bursts" is no known kind
         day.toml: faults[0]: kind: a text is expected
