--- a/crates/core/tests/flow/overload.rs
+++ b/crates/core/tests/flow/overload.rs
@@ -294,7 +294,7 @@
             Event::Syn { attempt, copy } => {
                 if self.is_waiting(attempt) {
                     let balancer = usize::from(attempt) % BALANCERS;
-                    self.to_balancer(balancer, &syn_copy(attempt, copy));
+                    self.send_to_balancer(balancer, &syn_copy(attempt, copy));
                 }
             }
             Event::SynAck { attempt, upstream } => {
@@ -306,7 +306,7 @@
             Event::Request { attempt } => {
                 let upstream = self.attempts[&attempt].upstream.unwrap();
                 let head = data(flow(attempt), sequence_of(upstream) + 1);
-                self.to_balancer(usize::from(attempt) % BALANCERS, &head);
+                self.send_to_balancer(usize::from(attempt) % BALANCERS, &head);
             }
             Event::Finish { upstream, attempt } => self.finish(upstream, attempt),
             Event::Answer { attempt } => {
@@ -404,7 +404,7 @@
         }
     }
 
-    fn to_balancer(&mut self, balancer: usize, head: &Head) {
+    fn send_to_balancer(&mut self, balancer: usize, head: &Head) {
         let now = self.at();
         let mut actions = Vec::new();
         self.balancers[balancer].handle_client_packet(now, head, &encode(head), &mut actions);
@@ -415,14 +415,14 @@
         for action in actions {
             match action {
                 Action::Forward { to, purpose, .. } => {
-                    self.to_agent(index(to), from, purpose, current.unwrap());
+                    self.send_to_agent(index(to), from, purpose, current.unwrap());
                 }
                 Action::Send {
                     to,
                     purpose,
                     packet,
                     ..
-                } => self.to_agent(index(to), from, purpose, &decode_syn(&packet)),
+                } => self.send_to_agent(index(to), from, purpose, &decode_syn(&packet)),
                 Action::Probe(to) => {
                     let now = self.at();
                     let sent = self.balancers[from].members().probe_timestamp(now);
@@ -440,7 +440,7 @@
         }
     }
 
-    fn to_agent(&mut self, agent: usize, from: usize, purpose: Purpose, head: &Head) {
+    fn send_to_agent(&mut self, agent: usize, from: usize, purpose: Purpose, head: &Head) {
         let now = self.at();
         let delivery = Delivery {
             purpose,
@@ -460,7 +460,7 @@
         for action in actions {
             let report = self.agents[agent].report(now);
             match action {
-                AgentAction::ToUpstream => self.to_upstream(agent, current),
+                AgentAction::ToUpstream => self.send_to_upstream(agent, current),
                 AgentAction::ToClient => {}
                 AgentAction::Return { to, reason } => {
                     let packet = &encode(current);
@@ -495,12 +495,12 @@
     }
 
     /// The upstream accepts each SYN, and runs a request or queues it.
-    fn to_upstream(&mut self, upstream: usize, head: &Head) {
+    fn send_to_upstream(&mut self, upstream: usize, head: &Head) {
         let attempt = head.source.port();
         if head.opens() {
             self.outcome.opened_too_late += usize::from(self.is_over(attempt));
             self.schedule(CLIENT_DELAY, Event::SynAck { attempt, upstream });
-            self.from_upstream(upstream, &syn_ack(flow(attempt), sequence_of(upstream)));
+            self.send_from_upstream(upstream, &syn_ack(flow(attempt), sequence_of(upstream)));
             return;
         }
         let state = &mut self.upstreams[upstream];
@@ -536,7 +536,7 @@
             ack: true,
             ..Flags::default()
         };
-        self.from_upstream(upstream, &upstream_head(key, ack, 9, 500));
+        self.send_from_upstream(upstream, &upstream_head(key, ack, 9, 500));
         let fin = Flags { fin: true, ..ack };
         let head = client_head(key, fin, sequence_of(upstream) + 1, 0);
         let now = self.at();
@@ -551,7 +551,7 @@
         self.agents[upstream].deliver(now, from, &delivery, &mut Vec::new());
     }
 
-    fn from_upstream(&mut self, upstream: usize, head: &Head) {
+    fn send_from_upstream(&mut self, upstream: usize, head: &Head) {
         let now = self.at();
         let mut actions = Vec::new();
         self.agents[upstream].handle_upstream_packet(now, head, &mut actions);
