fix(core): balancers don't wait for stopping agents whose upstreams have ended

Each agent wrote stop, was killed 6 s later and reported until then that it was stopping, so each search for a lost feed waited 4 s for it; as one agent followed the other no search ended between seconds 43.5 and 54, and clients waited for their limits.

Change: an agent reports that it is stopping only while its upstream announces itself; announcements count as missing after 3 s or three intervals. Ruled out: any packet as a sign of life (tried before: upstreams of VMs that are being removed bounce unknown packets until their end), the balancers' own path, killed agents, the list of agents.

Tests: a_stopping_agent_is_not_expected_back_after_its_upstream_has_ended, failed before; a_stopping_agent_is_expected_back_while_its_upstream_announces_itself holds the other side.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -129,7 +129,7 @@
             slots: self.upstream.slots(),
             busy: u16::try_from(busy).unwrap_or(u16::MAX),
             flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
-            stopping: self.stopping,
+            stopping: self.is_restarting(now),
             headroom: u16::try_from(headroom).unwrap_or(u16::MAX),
         }
     }
@@ -174,7 +174,11 @@
 
     fn reportable_state(&self, now: Instant) -> (State, Incarnation, bool) {
         let upstream = &self.upstream;
-        (upstream.state(now), upstream.incarnation(), self.stopping)
+        (
+            upstream.state(now),
+            upstream.incarnation(),
+            self.is_restarting(now),
+        )
     }
 
     /// Marks the agent as stopping.
@@ -182,6 +186,15 @@
         self.stopping = true;
     }
 
+    /// Whether the agent is stopping while its upstream runs on, so that it is expected back.
+    /// Otherwise the VM is being removed, and balancers need not wait for it.
+    fn is_restarting(&self, now: Instant) -> bool {
+        let upstream = &self.upstream;
+        self.stopping
+            && !upstream.is_gone()
+            && !upstream.has_stopped_announcing(now, self.started_at)
+    }
+
     /// Changes the parameters of the cold limit.
     pub fn set_cold_bounds(&mut self, coverage: f64, slack: f64) {
         self.settings.cold_coverage = coverage;
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -14,6 +14,13 @@
 /// have been lost on the way.
 const SILENT_AFTER_LOST_SYNS: u32 = 2;
 
+/// Shortest time without an announcement after which the upstream is taken to have ended: two of the
+/// platform's intervals of 1.2 s and their delays.
+const MIN_ENDED_AFTER: Duration = Duration::from_secs(3);
+
+/// The same as a multiple of the last interval between announcements, for slower upstreams.
+const MISSED_INTERVALS: u32 = 3;
+
 /// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -45,6 +52,9 @@
     consecutive_lost_syns: u32,
     syn_sent_at: Option<Instant>,
     last_contact_at: Option<Instant>,
+    announced_at: Option<Instant>,
+    /// Time between the last two announcements.
+    announcement_interval: Duration,
 }
 
 impl Upstream {
@@ -102,6 +112,9 @@
         }
         self.last_contact_at = Some(now);
         self.consecutive_lost_syns = 0;
+        if let Some(before) = self.announced_at.replace(now) {
+            self.announcement_interval = now.saturating_duration_since(before);
+        }
         let restarted = !first && announcement.incarnation > self.incarnation;
         if first || restarted {
             self.announced_from_start = restarted || announcement.sequence <= 1;
@@ -138,6 +151,15 @@
         self.consecutive_lost_syns = 0;
     }
 
+    /// Whether announcements are missing for so long that the upstream has ended, for an agent that
+    /// has listened since `listening_since`. Packets are no sign of life here: an upstream of a VM
+    /// that is being removed still bounces what it does not know.
+    pub fn has_stopped_announcing(&self, now: Instant, listening_since: Instant) -> bool {
+        let last = self.announced_at.unwrap_or(listening_since);
+        let allowed = MIN_ENDED_AFTER.max(self.announcement_interval * MISSED_INTERVALS);
+        now.saturating_duration_since(last) >= allowed
+    }
+
     /// Records a SYN to the upstream.
     pub fn syn_sent(&mut self, now: Instant) {
         self.syn_sent_at = Some(now);
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -14,7 +14,7 @@
 /// An agent that sent a frame within this time counts as alive, even if the store does not list it.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Longest time from the planned stop of an agent until it runs again.
+/// Longest time from the end of an agent that reported to be stopping until it runs again.
 const MAX_RESTART_TIME: Duration = Duration::from_secs(4);
 
 /// Time for which a report's load is used in full: about the duration of two requests.
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -398,3 +398,55 @@
     assert_eq!(rig.handle_upstream_packet(&unknown), []);
     assert_eq!(rig.agent.flow_count(), 0);
 }
+
+/// Whether a stopping agent reports that it will be back.
+fn is_expected_back(rig: &mut AgentRig) -> bool {
+    rig.agent.report(rig.now).stopping
+}
+
+#[test]
+fn a_stopping_agent_is_expected_back_while_its_upstream_announces_itself() {
+    for interval in [1_200, 2_900] {
+        let mut rig = AgentRig::ready();
+        for sequence in 2..6 {
+            rig.now += ms(interval);
+            assert!(!is_expected_back(&mut rig));
+            rig.announce(&announcement(1, sequence));
+        }
+        rig.agent.stop();
+        rig.now += ms(2 * interval);
+        assert!(is_expected_back(&mut rig), "interval {interval} ms");
+        rig.now += ms(2 * interval);
+        assert!(!is_expected_back(&mut rig), "interval {interval} ms");
+    }
+}
+
+#[test]
+fn a_stopping_agent_is_not_expected_back_after_its_upstream_has_ended() {
+    let mut unannounced = AgentRig::unannounced();
+    unannounced.agent.stop();
+    assert!(
+        is_expected_back(&mut unannounced),
+        "may announce itself yet"
+    );
+    unannounced.now += ms(3_000);
+    // Bounced packets of unknown flows are no announcement.
+    unannounced.handle_upstream_packet(&bounced(data(flow(1), 8)));
+    assert!(!is_expected_back(&mut unannounced));
+
+    let mut crashed = AgentRig::ready();
+    crashed.agent.stop();
+    crashed.agent.mark_reported(crashed.now);
+    crashed.now += ms(3_500);
+    assert!(!is_expected_back(&mut crashed));
+    assert!(crashed.agent.has_unreported_change(crashed.now));
+
+    let mut deregistered = AgentRig::ready();
+    deregistered.agent.stop();
+    let id = announcement(1, 1).id;
+    let mut actions = Vec::new();
+    deregistered
+        .agent
+        .handle_deregistration(deregistered.now, &id, &mut actions);
+    assert!(!is_expected_back(&mut deregistered));
+}
--- a/crates/wire/src/flow/report.rs
+++ b/crates/wire/src/flow/report.rs
@@ -20,8 +20,8 @@
     pub busy: u16,
     /// Open flows, busy ones included.
     pub flows: u32,
-    /// Whether the agent was told to stop. It works until it is killed, and is then restarted
-    /// unless its VM is removed.
+    /// Whether the agent was told to stop while its upstream runs on. It works until it is killed,
+    /// and is expected back.
     pub stopping: bool,
     /// New flows that the cold limit allows at present; `u16::MAX` if there is no limit.
     pub headroom: u16,
