fix(core): time limits of a few milliseconds refuse no flow; a flow accepted late is not placed again

A route with a time limit of 50 ms or less (or 0, which sets none) would have had each of its SYNs dropped, and a queued SYN that a slow upstream accepted after its agent had returned it as silent was placed on a second upstream. A queued SYN whose flow has left the table is dropped with a log line.

--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -167,9 +167,14 @@
 
     /// Queues a SYN until an upstream has capacity.
     fn enqueue(&mut self, flow: Key, packet: Box<[u8]>) {
-        if let Some(flow_state) = self.flows.get_mut(&flow) {
-            flow_state.set_queued(true);
-            self.queue.push(flow, packet);
+        self.set_queued(&flow, true);
+        self.queue.push(flow, packet);
+    }
+
+    /// Records whether the SYN of a flow is queued.
+    fn set_queued(&mut self, flow: &Key, queued: bool) {
+        if let Some(flow_state) = self.flows.get_mut(flow) {
+            flow_state.set_queued(queued);
         }
     }
 
@@ -209,6 +214,16 @@
         actions: &mut Vec<Action>,
     ) -> Option<QueuedSyn> {
         let flow = syn.flow;
+        let Some(flow_state) = self.flows.get(&flow) else {
+            // The flow was removed from the table.
+            actions.push(Action::Drop(flow, DropCause::Unsure));
+            return None;
+        };
+        if flow_state.accepted_by().is_some() {
+            // By an upstream whose agent had taken it to be silent.
+            self.set_queued(&flow, false);
+            return None;
+        }
         let service = self.service(&flow);
         let is_full = service.as_ref().is_ok_and(|name| full.contains(name));
         if is_full && !self.is_expired(now, &flow) {
@@ -216,8 +231,8 @@
         }
         if let Some(flow_state) = self.flows.get_mut(&flow) {
             flow_state.clear_returned();
-            flow_state.set_queued(false);
         }
+        self.set_queued(&flow, false);
         match self.place(now, flow) {
             Ok((to, service)) => actions.push(Action::Send {
                 to,
--- a/crates/core/src/flow/balancer/timeliness.rs
+++ b/crates/core/src/flow/balancer/timeliness.rs
@@ -8,7 +8,7 @@
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_400);
 
 /// Time that a client needs of its limit when its SYN is placed: a few round trips and scheduling
-/// delays, and a short request.
+/// delays, and a short request. A SYN that is younger never counts as expired, whatever the limit.
 const MIN_OPENING_TIME: Duration = Duration::from_millis(50);
 
 /// A SYN that has waited for the latency objective divided by this is late: the rest of the
@@ -53,7 +53,8 @@
         let timeout = route.and_then(|route| route.timeout);
         let limit = timeout.map_or(ATTEMPT_TIMEOUT, |timeout| timeout.min(ATTEMPT_TIMEOUT));
         let objective = route.and_then(|route| route.latency_objective);
-        if age + MIN_OPENING_TIME >= limit {
+        let expiry = limit.saturating_sub(MIN_OPENING_TIME).max(MIN_OPENING_TIME);
+        if age >= expiry {
             Self::Expired
         } else if timeout.is_some_and(|timeout| age >= timeout / OVERDUE_DIVISOR) {
             Self::Overdue
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -349,6 +349,34 @@
     assert_eq!(actions, [reset]);
 }
 
+#[test]
+fn a_new_syn_is_placed_whatever_the_time_limit() {
+    for timeout in [0, 1, 50, 99] {
+        let mut rig = Rig::with(1);
+        assert!(rig.balancer.set_intent(limited_intent(timeout, 0)));
+        assert_eq!(rig.open(flow(1)), agent(1), "time limit {timeout} ms");
+    }
+}
+
+#[test]
+fn a_queued_syn_is_not_placed_after_an_upstream_has_accepted_it_late() {
+    let mut rig = Rig::with(1);
+    assert_eq!(rig.open(flow(1)), agent(1));
+    let full = Report {
+        busy: 10,
+        ..ready_report()
+    };
+    let body = Body::Returned {
+        reason: Reason::Silent,
+        report: full,
+        packet: b"packet",
+    };
+    assert_eq!(rig.frame(agent(1), &body, Some(&syn(flow(1)))), []);
+    rig.accept(agent(1), flow(1), 7);
+    assert_eq!(rig.tick(5), []);
+    assert!(!rig.balancer.has_pending_work());
+}
+
 #[test]
 fn an_overdue_syn_waits_while_another_balancer_may_have_a_copy() {
     let mut rig = full_rig();
