--- a/crates/core/benches/flow.rs
+++ b/crates/core/benches/flow.rs
@@ -11,14 +11,15 @@
 };
 use sassafrasmast_wire::flow::Body;
 
-/// Upstreams of the service, as in a large deployment.
-const UPSTREAMS: u8 = 47;
+/// Upstreams of the service: as in the grown deployments, in the large one, and beyond.
+const UPSTREAMS: [u16; 3] = [47, 109, 1_000];
 
 /// Flows in the table, as on a busy entry VM.
 const FLOWS: u16 = 10_000;
 
-fn agent(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new([10, 0, 0, number].into(), 7000)
+fn agent(number: u16) -> SocketAddrV4 {
+    let [high, low] = number.to_be_bytes();
+    SocketAddrV4::new([10, 0, high, low].into(), 7000)
 }
 
 fn report() -> Report {
@@ -44,7 +45,7 @@
     }
 }
 
-fn balancer(now: Instant) -> Balancer {
+fn balancer(now: Instant, upstreams: u16) -> Balancer {
     let mut balancer = Balancer::new(now, balancer::Settings::default());
     let route = Route {
         backends: vec![Backend {
@@ -62,15 +63,21 @@
         },
         ..Intent::default()
     }));
-    let members = (0..UPSTREAMS)
+    let members = (0..upstreams)
         .map(|number| Member::listed(agent(number), "booking".into(), "".into(), report()));
     balancer.set_members(now, members.collect());
     balancer
 }
 
-fn route_known_flow(bench: &mut Criterion) {
+fn route_known_flows(bench: &mut Criterion) {
+    for upstreams in UPSTREAMS {
+        route_known_flow(bench, upstreams);
+    }
+}
+
+fn route_known_flow(bench: &mut Criterion, upstreams: u16) {
     let now = Instant::now();
-    let mut balancer = balancer(now);
+    let mut balancer = balancer(now, upstreams);
     let mut actions = Vec::new();
     for port in 0..FLOWS {
         balancer.handle_client_packet(now, &head(port, true), b"packet", &mut actions);
@@ -85,7 +92,8 @@
         }
     }
     let mut port = 0;
-    bench.bench_function("packet of a known flow", |bencher| {
+    let name = format!("packet of a known flow, {upstreams} upstreams");
+    bench.bench_function(&name, |bencher| {
         bencher.iter(|| {
             port = (port + 7) % FLOWS;
             balancer.handle_client_packet(
@@ -100,12 +108,19 @@
     });
 }
 
-fn place_new_flow(bench: &mut Criterion) {
+fn place_new_flows(bench: &mut Criterion) {
+    for upstreams in UPSTREAMS {
+        place_new_flow(bench, upstreams);
+    }
+}
+
+fn place_new_flow(bench: &mut Criterion, upstreams: u16) {
     let now = Instant::now();
-    let mut balancer = balancer(now);
+    let mut balancer = balancer(now, upstreams);
     let mut actions = Vec::new();
     let mut port = 0_u16;
-    bench.bench_function("SYN of a new flow", |bencher| {
+    let name = format!("SYN of a new flow, {upstreams} upstreams");
+    bench.bench_function(&name, |bencher| {
         bencher.iter(|| {
             port = port.wrapping_add(1);
             balancer.handle_client_packet(
@@ -122,5 +137,5 @@
     });
 }
 
-criterion_group!(benches, route_known_flow, place_new_flow);
+criterion_group!(benches, route_known_flows, place_new_flows);
 criterion_main!(benches);
