--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -59,7 +59,7 @@
     NoRoute,
     /// The service has no upstreams.
     NoUpstream,
-    /// No upstream had capacity within the maximum time in the queue, or the queue is full.
+    /// No upstream had capacity while the client could still use the flow, or the queue is full.
     Overloaded,
     /// No upstream holds the flow, except possibly unreachable ones if its requests are idempotent.
     Lost,
