--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -6,6 +6,7 @@
 //! - [`Intent`] is the operators' configuration: routes, services, limits, zones taken out.
 
 pub mod agent;
+pub mod average;
 pub mod balancer;
 pub mod intent;
 pub mod limiter;
--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -8,11 +8,13 @@
 mod announcement;
 mod delivery;
 mod flow;
+mod offers;
 mod settings;
 mod upstream;
+mod work;
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     net::SocketAddrV4,
     sync::Arc,
     time::{Duration, Instant},
@@ -25,8 +27,10 @@
     announcement::Announcement,
     delivery::Delivery,
     flow::{Flow, Phase},
+    offers::Offers,
     settings::Settings,
     upstream::{Change, Upstream},
+    work::Work,
 };
 use super::{
     Head, Intent, Key, Limiter, Purpose, Reason, Report, Revision, State, balancer::ResetCause,
@@ -37,10 +41,6 @@
 /// this only covers a few scheduling delays of a busy process.
 const SYN_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Requests in progress per slot from which on SYNs are returned: one is being processed and one
-/// waits for about the duration of a request.
-pub const MAX_BUSY_PER_SLOT: usize = 2;
-
 /// Interval between removals of expired flows.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -57,6 +57,14 @@
 /// agent process.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(350);
 
+/// Flows with a request in progress at an upstream that has not announced its slots, for the one
+/// heartbeat that this takes. Few enough for a small upstream, whose bounces show its limit.
+const UNANNOUNCED_LIMIT: usize = 8;
+
+/// Largest headroom that is reported. The next number says that no limit is known, as agents of
+/// earlier builds do.
+const MAX_HEADROOM: u16 = u16::MAX - 1;
+
 /// State of an agent. Methods that handle an input append the resulting actions to `actions`.
 #[derive(Debug)]
 pub struct Agent {
@@ -64,6 +72,10 @@
     intent: Option<Arc<Intent>>,
     upstream: Upstream,
     cold_limiter: Limiter,
+    work: Work,
+    offers: Offers,
+    /// The shortest latency objective of the routes that lead to this agent's service.
+    latency_objective: Option<Duration>,
     flows: HashMap<Key, Flow>,
     /// Flows whose SYN the upstream has not answered yet.
     pending_syns: Vec<Key>,
@@ -87,6 +99,9 @@
             intent: None,
             upstream: Upstream::default(),
             cold_limiter: Limiter::default(),
+            work: Work::default(),
+            offers: Offers::default(),
+            latency_objective: None,
             flows: HashMap::new(),
             pending_syns: Vec::new(),
             busy_flows: HashSet::new(),
@@ -115,12 +130,16 @@
 
     /// Replaces the intent in force if `intent` is newer, and returns whether it is.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
-        Intent::replace_if_newer(&mut self.intent, intent)
+        let is_newer = Intent::replace_if_newer(&mut self.intent, intent);
+        if is_newer && let Some(intent) = &self.intent {
+            self.latency_objective = intent.policy.latency_objective(&self.settings.service);
+        }
+        is_newer
     }
 
-    /// The agent's current report to balancers.
+    /// The agent's current report to balancers, apart from room that is kept for some of them.
     pub fn report(&mut self, now: Instant) -> Report {
-        let headroom = self.headroom(now);
+        let headroom = self.room(now).saturating_sub(self.offers.offered());
         let busy = self.busy(now);
         Report {
             agent: self.settings.incarnation,
@@ -130,8 +149,69 @@
             busy: u16::try_from(busy).unwrap_or(u16::MAX),
             flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
             stopping: self.is_restarting(now),
-            headroom: u16::try_from(headroom).unwrap_or(u16::MAX),
+            headroom: u16::try_from(headroom)
+                .unwrap_or(u16::MAX)
+                .min(MAX_HEADROOM),
+        }
+    }
+
+    /// The agent's current report to one balancer.
+    pub fn report_to(&mut self, now: Instant, balancer: SocketAddrV4) -> Report {
+        let report = self.report(now);
+        let offered = self.offers.offered_to(balancer);
+        let offered = u16::try_from(offered).unwrap_or(u16::MAX);
+        Report {
+            headroom: report.headroom.saturating_add(offered).min(MAX_HEADROOM),
+            ..report
+        }
+    }
+
+    /// New flows that the upstream can take now.
+    fn room(&mut self, now: Instant) -> usize {
+        if self.upstream.is_shedding(now) {
+            return 0;
+        }
+        let busy = self.busy(now);
+        let by_work = match self.upstream.slots() {
+            0 => UNANNOUNCED_LIMIT.saturating_sub(busy),
+            slots => self.work.room(slots, self.latency_objective, busy),
+        };
+        match self.upstream.state(now) {
+            State::Cold | State::Unknown => by_work.min(self.headroom(now)),
+            State::Ready | State::Silent | State::Draining | State::Gone => by_work,
+        }
+    }
+
+    /// Handles a balancer's message that `waiting` SYNs for this service are queued there.
+    pub fn handle_demand(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        waiting: u16,
+        actions: &mut Vec<Action>,
+    ) {
+        self.offers.record_demand(now, from, waiting.into());
+        if !self.make_offers(now, actions).contains(&from) {
+            actions.push(Action::Report { to: from });
+        }
+    }
+
+    /// Offers the upstream's room to balancers with queued SYNs, and returns those that got some.
+    fn make_offers(&mut self, now: Instant, actions: &mut Vec<Action>) -> BTreeSet<SocketAddrV4> {
+        let mut recipients = BTreeSet::new();
+        if self.offers.is_empty() || !self.upstream.state(now).accepts_flows() {
+            return recipients;
+        }
+        self.offers.expire(now);
+        let room = self.room(now);
+        while self.offers.offered() < room
+            && let Some(to) = self.offers.offer(now)
+        {
+            recipients.insert(to);
         }
+        let reports = recipients.iter().map(|&to| Action::Report { to });
+        actions.extend(reports);
+        recipients
     }
 
     /// Flows with a request in progress or about to arrive.
@@ -156,10 +236,21 @@
         }
     }
 
-    /// Whether the upstream has as many requests in progress as it can answer in time.
-    fn is_full(&self, now: Instant) -> bool {
-        let slots = usize::from(self.upstream.slots());
-        slots > 0 && self.busy(now) >= slots * MAX_BUSY_PER_SLOT
+    /// Whether the upstream has as many requests in progress as it can answer in time, or the rest
+    /// is kept for other balancers. A balancer that was offered room has it, even if requests have
+    /// come faster than expected since.
+    fn is_full(&mut self, now: Instant, from: SocketAddrV4) -> bool {
+        self.offers.expire(now);
+        self.offers.offered_to(from) == 0 && self.room(now) <= self.offers.offered()
+    }
+
+    /// Requests that the upstream has not answered yet.
+    fn requests_in_progress(&self, now: Instant) -> usize {
+        let has_request = |key: &&Key| {
+            let flow = self.flows.get(key);
+            flow.is_some_and(|flow| flow.has_request(now, REQUEST_TIMEOUT))
+        };
+        self.busy_flows.iter().filter(has_request).count()
     }
 
     /// Whether the state has changed since the last [`Self::mark_reported`].
@@ -244,6 +335,7 @@
             self.forward(now, from, flow, delivery, actions);
         }
         self.update_busy(now, flow);
+        self.make_offers(now, actions);
     }
 
     /// Handles a client's packet other than a SYN.
@@ -257,12 +349,16 @@
     ) {
         let knows_all_flows = self.knows_all_flows();
         let has_room = self.flows.len() < self.settings.max_flows;
+        let in_progress = self.requests_in_progress(now);
         match self.flows.get_mut(&flow) {
             Some(known) if known.is_held_elsewhere(delivery.head.acknowledgement) => {
                 actions.push(Action::Missing { to: from, flow });
             }
             Some(known) => {
-                known.record_client_packet(now, from, delivery.head);
+                if let Some(took) = known.opening_time(now, delivery.head) {
+                    self.work.record_opening(took);
+                }
+                known.record_client_packet(now, from, delivery.head, in_progress);
                 if delivery.purpose == Purpose::Find {
                     if known.phase() == Phase::Unconfirmed {
                         known.set_requester(from);
@@ -279,7 +375,7 @@
             None => {
                 // The upstream is older than this agent, so only the upstream knows its flows.
                 let mut unconfirmed = Flow::unconfirmed(now, from, delivery.packet);
-                unconfirmed.record_client_packet(now, from, delivery.head);
+                unconfirmed.record_client_packet(now, from, delivery.head, in_progress);
                 if delivery.purpose == Purpose::Find {
                     unconfirmed.set_requester(from);
                 }
@@ -357,7 +453,11 @@
             actions.push(Action::ToUpstream);
             return;
         }
-        if let Some(reason) = self.return_reason(now, &flow, delivery) {
+        let reason = self.return_reason(now, from, &flow, delivery);
+        if let Some(took) = self.offers.use_offer(now, from) {
+            self.work.record_offer(took);
+        }
+        if let Some(reason) = reason {
             actions.push(Action::Return { to: from, reason });
             return;
         }
@@ -373,6 +473,7 @@
     fn return_reason(
         &mut self,
         now: Instant,
+        from: SocketAddrV4,
         flow: &Key,
         delivery: &Delivery<'_>,
     ) -> Option<Reason> {
@@ -393,9 +494,12 @@
             return Some(Reason::ZoneOut);
         }
         match self.upstream.state(now) {
+            State::Ready | State::Unknown | State::Cold if self.upstream.is_shedding(now) => {
+                Some(Reason::Shed)
+            }
             State::Unknown | State::Cold if self.headroom(now) == 0 => Some(Reason::Cold),
             State::Ready | State::Unknown | State::Cold => {
-                self.is_full(now).then_some(Reason::Busy)
+                self.is_full(now, from).then_some(Reason::Busy)
             }
             State::Draining | State::Gone => Some(Reason::Leaving),
             State::Silent if self.upstream.may_retry(now) => None,
@@ -413,6 +517,7 @@
             self.forward_to_client(now, head, actions);
             self.update_busy(now, head.upstream_flow());
         }
+        self.make_offers(now, actions);
     }
 
     /// Forwards a packet of the upstream to its client and updates the flow.
@@ -429,13 +534,19 @@
             return;
         };
         let was_opening = known.phase() == Phase::Opening;
-        known.record_upstream_packet(now, head);
+        if let Some((took, in_progress)) = known.record_upstream_packet(now, head) {
+            let slots = self.upstream.slots();
+            self.work.record_answer(took, in_progress, slots);
+        }
         if let Some(requester) = known.take_requester() {
             actions.push(Action::Found {
                 to: requester,
                 flow,
             });
         }
+        if head.flags.syn {
+            self.upstream.record_acceptance();
+        }
         if head.flags.syn
             && let Some(syn_sender) = known.syn_sender()
         {
@@ -485,6 +596,7 @@
                 actions.push(Action::Return { to, reason });
             }
             known.record_bounce(now);
+            self.upstream.record_bounce(now);
             self.pending_syns.retain(|key| *key != flow);
             return;
         }
@@ -509,6 +621,7 @@
             self.first_announcement = Some((now, announcement.cold_left));
         }
         if change == Change::Restarted {
+            self.work.reset();
             self.reset_flows(now, actions);
         }
         change
@@ -549,6 +662,7 @@
 
     /// Handles SYN timeouts and removes expired flows.
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.make_offers(now, actions);
         let timed_out: Vec<Key> = self
             .pending_syns
             .iter()
@@ -591,9 +705,10 @@
         }
     }
 
-    /// Whether a SYN waits for the upstream's answer, so that ticks must come often.
-    pub fn has_pending_syns(&self) -> bool {
-        !self.pending_syns.is_empty()
+    /// Whether a SYN waits for the upstream's answer or a balancer for room, so that ticks must come
+    /// often.
+    pub fn has_pending_work(&self) -> bool {
+        !self.pending_syns.is_empty() || !self.offers.is_empty()
     }
 
     /// The intent's revision, 0 if none.
--- a/crates/core/src/flow/agent/action.rs
+++ b/crates/core/src/flow/agent/action.rs
@@ -76,6 +76,11 @@
         /// The buffered packet.
         packet: Box<[u8]>,
     },
+    /// Send a balancer a report, which offers it room.
+    Report {
+        /// The balancer.
+        to: SocketAddrV4,
+    },
     /// Reset a flow towards its client.
     Reset {
         /// The flow.
@@ -86,3 +91,21 @@
         cause: ResetCause,
     },
 }
+
+impl Action {
+    /// The balancer that a frame is to be sent to, if the action sends one.
+    pub fn recipient(&self) -> Option<SocketAddrV4> {
+        match self {
+            Self::ToUpstream | Self::ToClient | Self::Reset { .. } => None,
+            Self::Return { to, .. }
+            | Self::ReturnBuffered { to, .. }
+            | Self::Accepted { to, .. }
+            | Self::Found { to, .. }
+            | Self::Absent { to, .. }
+            | Self::Unconfirmed { to, .. }
+            | Self::Missing { to, .. }
+            | Self::MissingBuffered { to, .. }
+            | Self::Report { to } => Some(*to),
+        }
+    }
+}
--- a/crates/core/src/flow/agent/flow.rs
+++ b/crates/core/src/flow/agent/flow.rs
@@ -33,6 +33,15 @@
     Bounced,
 }
 
+/// A request that the upstream has not answered yet.
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    /// When the client last sent new data.
+    at: Instant,
+    /// Requests that were in progress then at the upstream, including this one.
+    in_progress: usize,
+}
+
 /// An agent's state of a flow.
 #[derive(Debug, Clone)]
 pub struct Flow {
@@ -50,8 +59,8 @@
     /// Sequence number of the upstream's SYN-ACK.
     syn_ack_sequence: Option<u32>,
     acknowledgement: u32,
-    /// When the client last sent new data, while the upstream has not answered it.
-    request_at: Option<Instant>,
+    /// The request that the upstream has not answered yet.
+    request: Option<Request>,
     /// Sequence number after the client's last data; retransmissions of it are no new request.
     client_data_end: Option<u32>,
     client_closed: bool,
@@ -70,7 +79,7 @@
             buffered: None,
             syn_ack_sequence: None,
             acknowledgement: 0,
-            request_at: None,
+            request: None,
             client_data_end: None,
             client_closed: false,
             upstream_closed: false,
@@ -167,8 +176,14 @@
         }
     }
 
-    /// Records a packet of the client.
-    pub fn record_client_packet(&mut self, now: Instant, from: SocketAddrV4, head: &Head) {
+    /// Records a packet of the client. If it brings a request, `in_progress` others are in progress.
+    pub fn record_client_packet(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        head: &Head,
+        in_progress: usize,
+    ) {
         self.last_packet_at = now;
         self.last_sender = Some(from);
         self.acknowledgement = head.acknowledgement;
@@ -180,14 +195,29 @@
             .client_data_end
             .is_none_or(|known| end.wrapping_sub(known) < HALF_SEQUENCE_SPACE && end != known);
         if head.data_len > 0 && is_new {
-            self.request_at = Some(now);
+            self.request = Some(Request {
+                at: now,
+                in_progress: in_progress + 1,
+            });
             self.client_data_end = Some(end);
         }
         self.client_closed |= head.flags.fin || head.flags.rst;
     }
 
-    /// Records a packet of the upstream.
-    pub fn record_upstream_packet(&mut self, now: Instant, head: &Head) {
+    /// Time from the SYN until now if the client's packet that is about to be recorded brings the
+    /// first request of a flow whose opening was observed.
+    pub fn opening_time(&self, now: Instant, head: &Head) -> Option<Duration> {
+        let is_first = self.syn_sender.is_some() && self.client_data_end.is_none();
+        (is_first && head.data_len > 0).then(|| self.age(now))
+    }
+
+    /// Records a packet of the upstream. If it begins the answer to a request, returns the
+    /// request's time and the number of requests in progress when it arrived.
+    pub fn record_upstream_packet(
+        &mut self,
+        now: Instant,
+        head: &Head,
+    ) -> Option<(Duration, usize)> {
         self.last_packet_at = now;
         if head.flags.syn {
             self.syn_ack_sequence = Some(head.sequence);
@@ -199,10 +229,10 @@
             self.phase = Phase::Open;
             self.buffered = None;
         }
-        if head.data_len > 0 {
-            self.request_at = None;
-        }
         self.upstream_closed |= head.flags.fin || head.flags.rst;
+        let answered = self.request.take_if(|_| head.data_len > 0)?;
+        let took = now.saturating_duration_since(answered.at);
+        Some((took, answered.in_progress))
     }
 
     /// Whether either end has closed its side.
@@ -218,10 +248,13 @@
         }
         let is_new = matches!(self.phase, Phase::Opening | Phase::Accepted)
             && self.is_younger_than(now, MAX_FIRST_REQUEST_DELAY);
-        is_new
-            || self
-                .request_at
-                .is_some_and(|at| now.saturating_duration_since(at) < request_timeout)
+        is_new || self.has_request(now, request_timeout)
+    }
+
+    /// Whether a request waits for its answer, for less than `request_timeout`.
+    pub fn has_request(&self, now: Instant, request_timeout: Duration) -> bool {
+        self.request
+            .is_some_and(|request| now.saturating_duration_since(request.at) < request_timeout)
     }
 
     /// Time since this agent observed the flow's first packet, or since the upstream bounced its
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -21,6 +21,14 @@
 /// The same as a multiple of the last interval between announcements, for slower upstreams.
 const MISSED_INTERVALS: u32 = 3;
 
+/// Time without SYNs after the upstream has bounced one: its queue is full, and a few requests end
+/// in that time. Doubles with each further bounce, since an upstream that is starting or has ended
+/// bounces all SYNs.
+const MIN_SHED_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest time without SYNs after a bounce: an upstream that has started is found soon.
+const MAX_SHED_PAUSE: Duration = Duration::from_millis(640);
+
 /// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -51,6 +59,9 @@
     announced_from_start: bool,
     consecutive_lost_syns: u32,
     syn_sent_at: Option<Instant>,
+    /// SYNs that were bounced since the upstream last accepted one.
+    consecutive_bounces: u32,
+    bounced_at: Option<Instant>,
     last_contact_at: Option<Instant>,
     announced_at: Option<Instant>,
     /// Time between the last two announcements.
@@ -117,6 +128,8 @@
         }
         let restarted = !first && announcement.incarnation > self.incarnation;
         if first || restarted {
+            self.consecutive_bounces = 0;
+            self.bounced_at = None;
             self.announced_from_start = restarted || announcement.sequence <= 1;
             self.gone = false;
             self.draining = false;
@@ -160,6 +173,30 @@
         now.saturating_duration_since(last) >= allowed
     }
 
+    /// Records that the upstream bounced a SYN. Bounces of SYNs that were sent before an earlier
+    /// bounce arrived tell nothing new.
+    pub fn record_bounce(&mut self, now: Instant) {
+        if !self.is_shedding(now) {
+            self.consecutive_bounces = self.consecutive_bounces.saturating_add(1);
+            self.bounced_at = Some(now);
+        }
+    }
+
+    /// Records that the upstream accepted a SYN.
+    pub fn record_acceptance(&mut self) {
+        self.consecutive_bounces = 0;
+    }
+
+    /// Whether the upstream has bounced a SYN so recently that it gets no other one.
+    pub fn is_shedding(&self, now: Instant) -> bool {
+        let doublings = self.consecutive_bounces.saturating_sub(1);
+        let pause = MIN_SHED_PAUSE
+            .saturating_mul(2_u32.saturating_pow(doublings))
+            .min(MAX_SHED_PAUSE);
+        self.bounced_at
+            .is_some_and(|at| now.saturating_duration_since(at) < pause)
+    }
+
     /// Records a SYN to the upstream.
     pub fn syn_sent(&mut self, now: Instant) {
         self.syn_sent_at = Some(now);
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -14,6 +14,7 @@
 mod path_monitor;
 mod placement;
 mod queue;
+mod response_times;
 mod search;
 mod searches;
 mod settings;
@@ -35,9 +36,10 @@
     members::Members,
     path_monitor::PathMonitor,
     queue::Queue,
+    response_times::ResponseTimes,
     search::{Search, Status},
     settings::Settings,
-    timeliness::Timeliness,
+    timeliness::{Ages, Timeliness},
 };
 use super::{
     Head, Intent, Key, Member, Purpose, Revision,
@@ -64,6 +66,7 @@
     /// When due searches were last continued.
     searches_continued_at: Instant,
     queue: Queue,
+    response_times: ResponseTimes,
     /// When a list of agents was first received.
     members_known_since: Option<Instant>,
     swept_at: Instant,
@@ -82,6 +85,7 @@
             searches: HashMap::new(),
             searches_continued_at: now,
             queue: Queue::default(),
+            response_times: ResponseTimes::default(),
             members_known_since: None,
             swept_at: now,
         }
@@ -175,7 +179,14 @@
         };
         flow_state.record_packet(now);
         match flow_state.resolve_owner(head) {
-            Some(to) => self.forward_to_owner(now, flow, to, head, bytes, actions),
+            Some(to) => {
+                if let Some(took) = flow_state.take_response_time(now, head)
+                    && let Some(member) = self.members.get(to)
+                {
+                    self.response_times.record(&member.service, took);
+                }
+                self.forward_to_owner(now, flow, to, head, bytes, actions);
+            }
             None => {
                 let syn_recipients = flow_state.syn_recipients();
                 self.search(now, flow, head, bytes, &syn_recipients, actions);
@@ -300,7 +311,29 @@
             Body::Answer { sent, report } => {
                 self.members.record_probe_answer(now, from, *sent, *report)
             }
-            Body::Deliver { .. } | Body::Locate { .. } | Body::Probe { .. } => {}
+            Body::Deliver { .. }
+            | Body::Locate { .. }
+            | Body::Probe { .. }
+            | Body::Demand { .. } => {}
+        }
+        // The room of an agent that has just returned a SYN is left for the next tick, so that the
+        // SYN does not go back and forth.
+        if !matches!(body, Body::Returned { .. }) {
+            self.use_room(now, from, actions);
+        }
+    }
+
+    /// Places queued SYNs if an agent's upstream has room.
+    fn use_room(&mut self, now: Instant, agent: SocketAddrV4, actions: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let member = self.members.get(agent);
+        if let Some(service) = member
+            .filter(|member| member.accepts_flows(now))
+            .map(|member| member.service.clone())
+        {
+            self.place_queued_for(now, &service, actions);
         }
     }
 
--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -38,6 +38,13 @@
     },
     /// Ask an agent for a report.
     Probe(SocketAddrV4),
+    /// Tell an agent that SYNs for its service wait for room.
+    Demand {
+        /// The agent.
+        to: SocketAddrV4,
+        /// Number of SYNs that wait.
+        waiting: u16,
+    },
     /// Reset a flow towards its client.
     Reset {
         /// The flow.
--- a/crates/core/src/flow/balancer/flow.rs
+++ b/crates/core/src/flow/balancer/flow.rs
@@ -18,6 +18,7 @@
 #[derive(Debug, Clone, Copy)]
 struct SynRecipient {
     agent: SocketAddrV4,
+    sent_at: Instant,
     /// Sequence number of the upstream's SYN-ACK, once it has accepted.
     syn_ack_sequence: Option<u32>,
     returned: bool,
@@ -37,6 +38,8 @@
     seen_copies: [bool; COPY_TIMES.len()],
     /// Whether the SYN is queued.
     queued: bool,
+    /// Whether the client has acknowledged the answer to its first request.
+    answered: bool,
 }
 
 impl Flow {
@@ -51,6 +54,7 @@
             last_copy: 0,
             seen_copies: [false; COPY_TIMES.len()],
             queued: false,
+            answered: false,
         }
     }
 
@@ -68,6 +72,11 @@
         self.first_syn_at = self.first_syn_at.min(first_syn_at);
     }
 
+    /// When the client sent its first SYN, also if that went through another balancer.
+    pub fn first_syn_at(&self) -> Instant {
+        self.first_syn_at
+    }
+
     /// Time since the client sent its first SYN, also if that went through another balancer.
     pub fn syn_age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.first_syn_at)
@@ -108,9 +117,10 @@
     }
 
     /// Records that the SYN is sent to an agent.
-    pub fn add_syn_recipient(&mut self, agent: SocketAddrV4) {
+    pub fn add_syn_recipient(&mut self, now: Instant, agent: SocketAddrV4) {
         self.syn_recipients.push(SynRecipient {
             agent,
+            sent_at: now,
             syn_ack_sequence: None,
             returned: false,
         });
@@ -196,6 +206,22 @@
         self.owner
     }
 
+    /// If the client's packet is the first one to acknowledge an answer of the flow's owner, the
+    /// time since the owner was sent the SYN.
+    pub fn take_response_time(&mut self, now: Instant, head: &Head) -> Option<Duration> {
+        if self.answered {
+            return None;
+        }
+        let owner = self.owner?;
+        let of_owner = |recipient: &&SynRecipient| recipient.agent == owner;
+        let recipient = self.syn_recipients.iter().find(of_owner)?;
+        let syn_ack_sequence = recipient.syn_ack_sequence?;
+        // The SYN-ACK takes one number.
+        self.answered = head.acknowledgement.wrapping_sub(syn_ack_sequence) > 1;
+        self.answered
+            .then(|| now.saturating_duration_since(recipient.sent_at))
+    }
+
     /// Whether the flow may be removed: it was idle for longer than `idle_timeout`, or is older
     /// than `max_age` plus `idle_timeout`.
     pub fn is_expired(&self, now: Instant, idle_timeout: Duration, max_age: Duration) -> bool {
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -35,8 +35,14 @@
 /// are the only sign that it is alive.
 const UNLISTED_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval at which full upstreams are asked for their load while SYNs are queued.
-const LOAD_REFRESH_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which agents are asked for room while SYNs are queued.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Agents that are asked for room for each queued SYN: the first to become free may be any of them.
+const ASKED_PER_SYN: usize = 2;
+
+/// Agents that are asked for room at least.
+const MIN_ASKED: usize = 4;
 
 /// An agent that owns open flows is probed if no frame arrived from it for this long.
 const PROBE_AFTER_QUIET: Duration = Duration::from_millis(400);
@@ -303,16 +309,39 @@
         !self.by_address.is_empty() && !self.by_address.values().any(serves)
     }
 
-    /// Probes the agents of all full upstreams of a service for their current load.
-    pub fn refresh_load(&mut self, now: Instant, service: &str, actions: &mut Vec<Action>) {
-        for member in self.by_address.values_mut() {
-            let is_due = member
-                .probed_at
-                .is_none_or(|at| now.saturating_duration_since(at) >= LOAD_REFRESH_INTERVAL);
-            if &*member.service == service && member.is_full(now) && is_due {
-                member.probed_at = Some(now);
-                actions.push(Action::Probe(member.address));
-            }
+    /// Tells agents of a service that `waiting` SYNs wait for room, unless this was done just now.
+    /// Asks more agents the more SYNs wait, those first that were asked the longest time ago.
+    pub fn demand_room(
+        &mut self,
+        now: Instant,
+        service: &str,
+        waiting: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut due: Vec<&mut Member> = self
+            .by_address
+            .values_mut()
+            .filter(|member| {
+                let is_due = member
+                    .probed_at
+                    .is_none_or(|at| now.saturating_duration_since(at) >= DEMAND_INTERVAL);
+                &*member.service == service && is_due && member.is_usable(now)
+            })
+            .collect();
+        let asked = waiting.saturating_mul(ASKED_PER_SYN).max(MIN_ASKED);
+        if due.len() > asked {
+            due.select_nth_unstable_by_key(asked, |member| (member.probed_at, member.address));
+        }
+        for member in due.into_iter().take(asked) {
+            member.probed_at = Some(now);
+            actions.push(if member.states_room() {
+                Action::Demand {
+                    to: member.address,
+                    waiting: u16::try_from(waiting).unwrap_or(u16::MAX),
+                }
+            } else {
+                Action::Probe(member.address)
+            });
         }
     }
 
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -1,10 +1,18 @@
 //! Placement of SYNs: selection of an agent, queueing while all are full, and refusal.
 
-use std::{net::SocketAddrV4, time::Instant};
+use std::{
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
 
-use super::{Action, Balancer, DropCause, Flow, ResetCause, Timeliness, queue::QueuedSyn};
+use super::{
+    Action, Balancer, DropCause, Flow, ResetCause, Timeliness, queue::QueuedSyn, timeliness::Ages,
+};
 use crate::flow::{Key, Purpose, Reason, ServiceName};
 
+/// Interval at which an overdue SYN is checked again that cannot be refused yet.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Why a SYN cannot be placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PlacementError {
@@ -50,7 +58,7 @@
                 purpose: Purpose::Open,
                 service: Some(service),
             }),
-            Err(error) => self.handle_unplaced(flow, bytes, error, actions),
+            Err(error) => self.handle_unplaced(now, flow, bytes, error, actions),
         }
     }
 
@@ -66,8 +74,21 @@
 
     /// What the client of a flow that is not open yet can still gain from it.
     fn timeliness(&self, now: Instant, flow: &Key) -> Timeliness {
-        let age = self.flows.get(flow).map(|flow| flow.syn_age(now));
-        Timeliness::new(age.unwrap_or_default(), self.route(flow))
+        let Some(flow_state) = self.flows.get(flow) else {
+            return Timeliness::OnTime;
+        };
+        self.ages(flow).timeliness(flow_state.syn_age(now))
+    }
+
+    /// Ages of the SYN of a flow at which its timeliness changes.
+    fn ages(&self, flow: &Key) -> Ages {
+        Ages::new(self.route(flow), self.response_time(flow))
+    }
+
+    /// The average response time of the service that a new flow goes to.
+    fn response_time(&self, flow: &Key) -> Option<Duration> {
+        let service = self.service(flow).ok()?;
+        self.response_times.get(&service)
     }
 
     /// Whether it is certain that no upstream has accepted the flow: all copies of its SYN arrived
@@ -107,7 +128,7 @@
         match self.members.choose(now, &flow, &service, &tried, zones_out) {
             Some(to) => {
                 self.members.record_placement(now, to);
-                flow_state.add_syn_recipient(to);
+                flow_state.add_syn_recipient(now, to);
                 Ok((to, service))
             }
             None if settled && self.members.has_no_upstream(now, &service) => {
@@ -121,6 +142,7 @@
     /// Queues, drops or refuses a SYN that cannot be placed now.
     fn handle_unplaced(
         &mut self,
+        now: Instant,
         flow: Key,
         bytes: &[u8],
         error: PlacementError,
@@ -151,7 +173,7 @@
             PlacementError::NoCapacity if self.queue.len() >= self.settings.max_queued => {
                 self.reset_unopened(flow, ResetCause::Overloaded, actions);
             }
-            PlacementError::NoCapacity => self.enqueue(flow, bytes.into()),
+            PlacementError::NoCapacity => self.enqueue(now, flow, bytes.into()),
         }
     }
 
@@ -166,90 +188,94 @@
     }
 
     /// Queues a SYN until an upstream has capacity.
-    fn enqueue(&mut self, flow: Key, packet: Box<[u8]>) {
-        self.set_queued(&flow, true);
-        self.queue.push(flow, packet);
-    }
-
-    /// Records whether the SYN of a flow is queued.
-    fn set_queued(&mut self, flow: &Key, queued: bool) {
-        if let Some(flow_state) = self.flows.get_mut(flow) {
-            flow_state.set_queued(queued);
-        }
+    fn enqueue(&mut self, now: Instant, flow: Key, packet: Box<[u8]>) {
+        let ages = self.ages(&flow);
+        // Without an intent the service is not known yet.
+        let service = self.service(&flow).unwrap_or_default();
+        let Some(flow_state) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        flow_state.set_queued(true);
+        let at_age = |age| flow_state.first_syn_at() + age;
+        // An overdue SYN may be refused as soon as its last copy has arrived here.
+        let overdue_at = at_age(ages.overdue.unwrap_or(ages.expired));
+        let expires_at = at_age(ages.expired);
+        self.queue.push(
+            service,
+            QueuedSyn {
+                flow,
+                packet,
+                late_at: at_age(ages.late.unwrap_or(ages.expired)),
+                check_at: overdue_at.max(now + RECHECK_INTERVAL).min(expires_at),
+            },
+        );
     }
 
-    /// Tries again to place the queued SYNs.
-    ///
-    /// While upstreams keep up, SYNs are placed in the order of their arrival. After an outage or
-    /// in an overload that order would make each request late, and serve many clients that are
-    /// about to give up. So SYNs that can still meet their objective go first, then the others, the
-    /// latest first, since its client is the least likely to have given up.
+    /// Refuses or drops queued SYNs that need not wait any longer, and tries to place the others.
     pub(super) fn place_queued(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut queued: Vec<Option<QueuedSyn>> = self.queue.take_all().map(Some).collect();
-        let is_on_time = |entry: &Option<QueuedSyn>| {
-            let timeliness = entry.as_ref().map(|syn| self.timeliness(now, &syn.flow));
-            timeliness == Some(Timeliness::OnTime)
-        };
-        let (on_time, late): (Vec<usize>, Vec<usize>) =
-            (0..queued.len()).partition(|&index| is_on_time(&queued[index]));
-        // Services without an upstream with capacity; later SYNs for them are not tried.
-        let mut full: Vec<ServiceName> = Vec::new();
-        for index in on_time.into_iter().chain(late.into_iter().rev()) {
-            if let Some(syn) = queued[index].take() {
-                queued[index] = self.retry_queued(now, syn, &mut full, actions);
+        while let Some(syn) = self.queue.pop_due(now) {
+            let flow = syn.flow;
+            if self.is_expired(now, &flow) {
+                self.set_queued(&flow, false);
+                self.handle_unplaced(now, flow, &syn.packet, PlacementError::Expired, actions);
+            } else {
+                self.enqueue(now, flow, syn.packet);
             }
         }
-        for QueuedSyn { flow, packet } in queued.into_iter().flatten() {
-            self.enqueue(flow, packet);
+        for service in self.queue.services() {
+            self.place_queued_for(now, &service, actions);
+            self.demand_room(now, &service, actions);
         }
     }
 
-    /// Tries again to place a queued SYN, unless its service is among the `full` ones. Returns the
-    /// SYN if it still waits.
-    fn retry_queued(
+    /// Places queued SYNs for a service while an upstream has capacity.
+    pub(super) fn place_queued_for(
         &mut self,
         now: Instant,
-        syn: QueuedSyn,
-        full: &mut Vec<ServiceName>,
+        service: &ServiceName,
         actions: &mut Vec<Action>,
-    ) -> Option<QueuedSyn> {
-        let flow = syn.flow;
-        let Some(flow_state) = self.flows.get(&flow) else {
-            // The flow was removed from the table.
-            actions.push(Action::Drop(flow, DropCause::Unsure));
-            return None;
-        };
-        if flow_state.accepted_by().is_some() {
-            // By an upstream whose agent had taken it to be silent.
+    ) {
+        while let Some(QueuedSyn { flow, packet, .. }) = self.queue.pop(now, service) {
             self.set_queued(&flow, false);
-            return None;
-        }
-        let service = self.service(&flow);
-        let is_full = service.as_ref().is_ok_and(|name| full.contains(name));
-        if is_full && !self.is_expired(now, &flow) {
-            return Some(syn);
-        }
-        if let Some(flow_state) = self.flows.get_mut(&flow) {
+            let Some(flow_state) = self.flows.get_mut(&flow) else {
+                // The flow was removed from the table.
+                actions.push(Action::Drop(flow, DropCause::Unsure));
+                continue;
+            };
+            if flow_state.accepted_by().is_some() {
+                // By an upstream whose agent had taken it to be silent.
+                continue;
+            }
             flow_state.clear_returned();
-        }
-        self.set_queued(&flow, false);
-        match self.place(now, flow) {
-            Ok((to, service)) => actions.push(Action::Send {
-                to,
-                purpose: Purpose::Open,
-                service: Some(service),
-                packet: syn.packet,
-            }),
-            Err(PlacementError::NoCapacity) => {
-                if let Ok(service) = service {
-                    self.members.refresh_load(now, &service, actions);
-                    full.push(service);
+            match self.place(now, flow) {
+                Ok((to, service)) => actions.push(Action::Send {
+                    to,
+                    purpose: Purpose::Open,
+                    service: Some(service),
+                    packet,
+                }),
+                Err(PlacementError::NoCapacity) => {
+                    self.enqueue(now, flow, packet);
+                    return;
                 }
-                return Some(syn);
+                Err(error) => self.handle_unplaced(now, flow, &packet, error, actions),
             }
-            Err(error) => self.handle_unplaced(flow, &syn.packet, error, actions),
         }
-        None
+    }
+
+    /// Asks agents for room while SYNs for their service are queued.
+    fn demand_room(&mut self, now: Instant, service: &str, actions: &mut Vec<Action>) {
+        let waiting = self.queue.waiting_for(service);
+        if waiting > 0 {
+            self.members.demand_room(now, service, waiting, actions);
+        }
+    }
+
+    /// Records whether the SYN of a flow is queued.
+    fn set_queued(&mut self, flow: &Key, queued: bool) {
+        if let Some(flow_state) = self.flows.get_mut(flow) {
+            flow_state.set_queued(queued);
+        }
     }
 
     /// Places a SYN that an agent returned on another one.
@@ -279,7 +305,7 @@
                 service: Some(service),
                 packet: packet.into(),
             }),
-            Err(error) => self.handle_unplaced(flow, packet, error, actions),
+            Err(error) => self.handle_unplaced(now, flow, packet, error, actions),
         }
     }
 }
--- a/crates/core/src/flow/balancer/queue.rs
+++ b/crates/core/src/flow/balancer/queue.rs
@@ -1,8 +1,11 @@
 //! Queue of SYNs that wait for an upstream with capacity.
 
-use std::collections::VecDeque;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Instant,
+};
 
-use crate::flow::Key;
+use crate::flow::{Key, ServiceName};
 
 /// A queued SYN.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,32 +14,85 @@
     pub flow: Key,
     /// The packet.
     pub packet: Box<[u8]>,
+    /// When it becomes late.
+    pub late_at: Instant,
+    /// When it is to be checked whether it still may be placed.
+    pub check_at: Instant,
 }
 
-/// Queued SYNs in the order of their arrival.
+/// Place of a SYN in the queue: a time, and a number that tells SYNs of the same time apart.
+type Place = (Instant, u64);
+
+/// Queued SYNs by service.
+///
+/// Load answered: all clients return at once after an outage, or more arrive than upstreams bear.
+/// In the order of arrival each request would be late, and many clients would be about to give up
+/// when they are served. So SYNs that can still meet their objective go first, and of the others
+/// the latest one, since its client is the least likely to have given up.
 #[derive(Debug, Default)]
 pub struct Queue {
-    entries: VecDeque<QueuedSyn>,
+    services: HashMap<ServiceName, BTreeMap<Place, QueuedSyn>>,
+    /// Where the SYNs are, by the time of their next check.
+    checks: BTreeMap<Place, (ServiceName, Place)>,
+    pushed: u64,
 }
 
 impl Queue {
     /// Number of queued SYNs.
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.checks.len()
     }
 
     /// Whether the queue is empty.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.checks.is_empty()
+    }
+
+    /// Number of queued SYNs for a service.
+    pub fn waiting_for(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, BTreeMap::len)
+    }
+
+    /// Services with queued SYNs.
+    pub fn services(&self) -> Vec<ServiceName> {
+        self.services.keys().cloned().collect()
+    }
+
+    /// Queues a SYN for a service.
+    pub fn push(&mut self, service: ServiceName, syn: QueuedSyn) {
+        self.pushed += 1;
+        let place = (syn.late_at, self.pushed);
+        let check = (syn.check_at, self.pushed);
+        self.checks.insert(check, (service.clone(), place));
+        self.services.entry(service).or_default().insert(place, syn);
+    }
+
+    /// Takes out the SYN for a service that is to be placed next.
+    pub fn pop(&mut self, now: Instant, service: &str) -> Option<QueuedSyn> {
+        let waiting = self.services.get(service)?;
+        let on_time = waiting.range((now, 0)..).next();
+        let next = on_time.or_else(|| waiting.last_key_value());
+        let place = *next?.0;
+        self.remove(service, place)
     }
 
-    /// Queues a SYN.
-    pub fn push(&mut self, flow: Key, packet: Box<[u8]>) {
-        self.entries.push_back(QueuedSyn { flow, packet });
+    /// Takes out a SYN that is to be checked by now.
+    pub fn pop_due(&mut self, now: Instant) -> Option<QueuedSyn> {
+        let due = self.checks.first_entry()?;
+        if due.key().0 > now {
+            return None;
+        }
+        let (service, place) = due.get().clone();
+        self.remove(&service, place)
     }
 
-    /// Empties the queue and returns its content.
-    pub fn take_all(&mut self) -> impl Iterator<Item = QueuedSyn> + use<> {
-        std::mem::take(&mut self.entries).into_iter()
+    fn remove(&mut self, service: &str, place: Place) -> Option<QueuedSyn> {
+        let waiting = self.services.get_mut(service)?;
+        let syn = waiting.remove(&place)?;
+        self.checks.remove(&(syn.check_at, place.1));
+        if waiting.is_empty() {
+            self.services.remove(service);
+        }
+        Some(syn)
     }
 }
--- a/crates/core/src/flow/balancer/timeliness.rs
+++ b/crates/core/src/flow/balancer/timeliness.rs
@@ -11,9 +11,8 @@
 /// delays, and a short request. A SYN that is younger never counts as expired, whatever the limit.
 const MIN_OPENING_TIME: Duration = Duration::from_millis(50);
 
-/// A SYN that has waited for the latency objective divided by this is late: the rest of the
-/// objective is about the duration of a request at a busy upstream.
-const LATE_DIVISOR: u32 = 2;
+/// Part of the latency objective left for the request while response times are not known.
+const DEFAULT_RESPONSE_DIVISOR: u32 = 2;
 
 /// A SYN that has waited for the client's time limit divided by this is overdue: the rest is enough
 /// for a new attempt, which goes first at all balancers.
@@ -32,36 +31,68 @@
     Expired,
 }
 
-impl Timeliness {
-    /// Timeliness of a SYN whose client sent the first copy `age` ago.
+/// Ages of a SYN at which its [`Timeliness`] changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ages {
+    /// From this age on it is late, if its route has a latency objective.
+    pub late: Option<Duration>,
+    /// From this age on it is overdue, if its route has a time limit.
+    pub overdue: Option<Duration>,
+    /// From this age on it is expired.
+    pub expired: Duration,
+}
+
+impl Ages {
+    /// The ages for SYNs of a route. `response_time` is the average time from the placement of a
+    /// SYN until the client has the answer to its first request.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use sassafrasmast_core::flow::{balancer::Timeliness, intent::Route};
+    /// use sassafrasmast_core::flow::{balancer::{Ages, Timeliness}, intent::Route};
     /// let route = Route {
     ///     timeout: Some(Duration::from_millis(1_000)),
     ///     latency_objective: Some(Duration::from_millis(150)),
     ///     ..Route::default()
     /// };
-    /// let after = |millis| Timeliness::new(Duration::from_millis(millis), Some(&route));
-    /// assert_eq!(after(0), Timeliness::OnTime);
-    /// assert_eq!(after(400), Timeliness::Late);
-    /// assert_eq!(after(600), Timeliness::Overdue);
-    /// assert_eq!(after(980), Timeliness::Expired);
+    /// let ages = Ages::new(Some(&route), None);
+    /// assert_eq!(ages.timeliness(Duration::ZERO), Timeliness::OnTime);
+    /// assert_eq!(ages.timeliness(Duration::from_millis(400)), Timeliness::Late);
+    /// assert_eq!(ages.timeliness(Duration::from_millis(600)), Timeliness::Overdue);
+    /// assert_eq!(ages.timeliness(Duration::from_millis(980)), Timeliness::Expired);
     /// ```
-    pub fn new(age: Duration, route: Option<&Route>) -> Self {
+    pub fn new(route: Option<&Route>, response_time: Option<Duration>) -> Self {
         let timeout = route.and_then(|route| route.timeout);
-        let limit = timeout.map_or(ATTEMPT_TIMEOUT, |timeout| timeout.min(ATTEMPT_TIMEOUT));
         let objective = route.and_then(|route| route.latency_objective);
-        let expiry = limit.saturating_sub(MIN_OPENING_TIME).max(MIN_OPENING_TIME);
-        if age >= expiry {
-            Self::Expired
-        } else if timeout.is_some_and(|timeout| age >= timeout / OVERDUE_DIVISOR) {
-            Self::Overdue
-        } else if objective.is_some_and(|objective| age >= objective / LATE_DIVISOR) {
-            Self::Late
+        let until_late = |objective: Duration| match response_time {
+            Some(time) => objective.saturating_sub(time),
+            None => objective / DEFAULT_RESPONSE_DIVISOR,
+        };
+        let until_placed = |limit: Duration, rest: Duration| {
+            limit
+                .saturating_sub(rest.max(MIN_OPENING_TIME))
+                .max(MIN_OPENING_TIME)
+        };
+        let attempt = until_placed(ATTEMPT_TIMEOUT, Duration::ZERO);
+        Self {
+            late: objective.map(until_late),
+            overdue: timeout.map(|timeout| timeout / OVERDUE_DIVISOR),
+            expired: timeout.map_or(attempt, |timeout| {
+                until_placed(timeout, response_time.unwrap_or_default()).min(attempt)
+            }),
+        }
+    }
+
+    /// Timeliness of a SYN whose client sent the first copy `age` ago.
+    pub fn timeliness(&self, age: Duration) -> Timeliness {
+        let is_reached = |limit: Option<Duration>| limit.is_some_and(|limit| age >= limit);
+        if age >= self.expired {
+            Timeliness::Expired
+        } else if is_reached(self.overdue) {
+            Timeliness::Overdue
+        } else if is_reached(self.late) {
+            Timeliness::Late
         } else {
-            Self::OnTime
+            Timeliness::OnTime
         }
     }
 }
--- a/crates/core/src/flow/intent/policy.rs
+++ b/crates/core/src/flow/intent/policy.rs
@@ -30,4 +30,14 @@
             .map(|service| service.cold_rate)
             .filter(|&rate| rate > 0.0)
     }
+
+    /// The shortest latency objective of the routes that lead to a service; `None` if operators
+    /// configured none.
+    pub fn latency_objective(&self, service: &str) -> Option<Duration> {
+        self.routes
+            .values()
+            .filter(|route| route.routes_to(service))
+            .filter_map(|route| route.latency_objective)
+            .min()
+    }
 }
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Report, ServiceName, State, ZoneName, agent::MAX_BUSY_PER_SLOT};
+use super::{Report, ServiceName, State, ZoneName};
 
 /// An agent counts as silent if it has sent no frame for this long after a packet that it should
 /// answer: several round trips between zones and one scheduling delay.
@@ -32,6 +32,9 @@
 /// about one request per second, which takes some 30 ms of work: 0.03 slots, rounded up.
 const IDLE_FLOW_LOAD: f64 = 0.04;
 
+/// Requests in progress per slot from which on an upstream counts as full.
+const MAX_BUSY_PER_SLOT: f64 = 2.0;
+
 /// A balancer's state of one agent and its upstream.
 #[derive(Debug, Clone)]
 pub struct Member {
@@ -129,15 +132,34 @@
 
     /// Whether new flows may be placed on the agent's upstream.
     pub fn accepts_flows(&self, now: Instant) -> bool {
-        let has_capacity = match self.report.state {
-            State::Cold | State::Unknown => self.placed_since_report < self.report.headroom,
-            State::Ready => true,
-            State::Silent | State::Draining | State::Gone => false,
-        };
-        has_capacity
+        self.is_usable(now) && self.has_room(now)
+    }
+
+    /// Whether new flows may be placed on the agent's upstream once it has room.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.report.state.accepts_flows()
             && (self.listed || self.is_alive(now))
             && !self.is_agent_silent(now)
-            && !self.is_full(now)
+    }
+
+    /// Whether the upstream has room for a new flow.
+    fn has_room(&self, now: Instant) -> bool {
+        let is_limited = matches!(self.report.state, State::Cold | State::Unknown);
+        if !self.states_room() {
+            return !self.is_full(now);
+        }
+        let free = f64::from(self.report.headroom);
+        let finished = if is_limited {
+            0.0
+        } else {
+            f64::from(self.report.busy) * (1.0 - self.report_weight(now))
+        };
+        f64::from(self.placed_since_report) < free + finished
+    }
+
+    /// Whether the agent's reports state the room at its upstream, which earlier builds do not.
+    pub fn states_room(&self) -> bool {
+        self.report.headroom != u16::MAX
     }
 
     /// Whether the upstream bounced a SYN within `SHED_PENALTY_TIME`.
@@ -146,20 +168,25 @@
             .is_some_and(|at| now.saturating_duration_since(at) < SHED_PENALTY_TIME)
     }
 
-    /// Estimated requests in progress. The weight of the last report falls with its age.
-    fn busy(&self, now: Instant) -> f64 {
-        let report_weight = self.last_frame_at.map_or(0.0, |at| {
+    /// Weight of the last report, which falls with its age.
+    fn report_weight(&self, now: Instant) -> f64 {
+        self.last_frame_at.map_or(0.0, |at| {
             let overdue = now
                 .saturating_duration_since(at)
                 .saturating_sub(REPORT_VALIDITY);
             1.0 - (overdue.as_secs_f64() / REPORT_DECAY.as_secs_f64()).min(1.0)
-        });
-        f64::from(self.report.busy) * report_weight + f64::from(self.placed_since_report)
+        })
+    }
+
+    /// Estimated requests in progress.
+    fn busy(&self, now: Instant) -> f64 {
+        f64::from(self.report.busy) * self.report_weight(now) + f64::from(self.placed_since_report)
     }
 
-    /// Whether the upstream has as many requests in progress as it can answer in time.
-    pub fn is_full(&self, now: Instant) -> bool {
-        self.busy(now) >= f64::from(self.report.slots.max(1)) * MAX_BUSY_PER_SLOT as f64
+    /// Whether the upstream has as many requests in progress as it can answer in time, for agents
+    /// that do not state it.
+    fn is_full(&self, now: Instant) -> bool {
+        self.busy(now) >= f64::from(self.report.slots.max(1)) * MAX_BUSY_PER_SLOT
     }
 
     /// Estimated load, as a fraction of the upstream's slots.
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::fixture::{
-    AgentRig, OTHER_SERVICE, SERVICE, announcement, bounced, data, flow, intent, ms, syn, syn_ack,
-    upstream_head,
+    AgentRig, OTHER_SERVICE, SERVICE, address, announcement, bounced, data, flow, intent, ms, syn,
+    syn_ack, upstream_head,
 };
 
 #[test]
@@ -450,3 +450,122 @@
         .handle_deregistration(deregistered.now, &id, &mut actions);
     assert!(!is_expected_back(&mut deregistered));
 }
+
+/// Opens flows until a SYN is returned, and returns their number.
+fn open_until_full(rig: &mut AgentRig, from_port: u16) -> u16 {
+    for count in 0..100 {
+        let key = flow(from_port + count);
+        if rig.deliver(Purpose::Open, &syn(key)) != [Action::ToUpstream] {
+            return count;
+        }
+        rig.handle_upstream_packet(&syn_ack(key, 7));
+        rig.deliver(Purpose::Known, &data(key, 8));
+    }
+    panic!("100 flows are open at an upstream with five slots");
+}
+
+#[test]
+fn room_is_offered_to_one_balancer_and_kept_for_it() {
+    let mut rig = AgentRig::ready();
+    let opened = open_until_full(&mut rig, 1);
+    let (waiting, other) = (address("10.0.0.2:7000"), address("10.0.0.3:7000"));
+    let mut actions = Vec::new();
+    rig.agent.handle_demand(rig.now, waiting, 1, &mut actions);
+    assert_eq!(actions, [Action::Report { to: waiting }]);
+    assert_eq!(rig.agent.report_to(rig.now, waiting).headroom, 0);
+
+    let ack = Flags {
+        ack: true,
+        ..Flags::default()
+    };
+    let actions = rig.handle_upstream_packet(&upstream_head(flow(1), ack, 8, 500));
+    assert_eq!(actions, [Action::ToClient, Action::Report { to: waiting }]);
+    assert_eq!(rig.agent.report_to(rig.now, waiting).headroom, 1);
+    assert_eq!(rig.agent.report_to(rig.now, other).headroom, 0);
+
+    let late = syn(flow(opened + 1));
+    rig.balancer = other;
+    assert_eq!(
+        rig.deliver(Purpose::Open, &late),
+        rig.return_actions(Reason::Busy)
+    );
+    rig.balancer = waiting;
+    assert_eq!(rig.deliver(Purpose::Open, &late), [Action::ToUpstream]);
+}
+
+#[test]
+fn room_that_a_balancer_does_not_use_goes_to_others() {
+    let mut rig = AgentRig::ready();
+    let (waiting, other) = (address("10.0.0.2:7000"), address("10.0.0.3:7000"));
+    for _ in 0..2 {
+        rig.agent
+            .handle_demand(rig.now, waiting, 100, &mut Vec::new());
+    }
+    assert_eq!(rig.agent.report_to(rig.now, other).headroom, 0);
+    rig.tick(ms(25));
+    assert_eq!(rig.agent.report_to(rig.now, other).headroom, 10);
+}
+
+#[test]
+fn an_upstream_that_bounces_each_syn_gets_fewer_and_fewer() {
+    let mut rig = AgentRig::unannounced();
+    let mut bounces = 0;
+    for port in 1..1_000 {
+        rig.now += ms(2);
+        let head = syn(flow(port));
+        match rig.deliver(Purpose::Open, &head)[..] {
+            [Action::ToUpstream] => {
+                bounces += 1;
+                rig.handle_upstream_packet(&bounced(head));
+            }
+            _ => assert_eq!(rig.agent.report(rig.now).headroom, 0),
+        }
+    }
+    // In two seconds after 0, 20, 60, 140, 300, 620, 1,260 and 1,900 ms.
+    assert_eq!(bounces, 8);
+}
+
+#[test]
+fn an_upstream_that_accepts_again_gets_all_syns() {
+    let mut rig = AgentRig::ready();
+    let head = syn(flow(1));
+    assert_eq!(rig.deliver(Purpose::Open, &head), [Action::ToUpstream]);
+    rig.handle_upstream_packet(&bounced(head));
+    assert_eq!(
+        rig.deliver(Purpose::Open, &syn(flow(2))),
+        rig.return_actions(Reason::Shed)
+    );
+    rig.now += ms(20);
+    rig.open(flow(3), 7);
+    rig.open(flow(4), 7);
+}
+
+#[test]
+fn a_restarted_agent_passes_few_flows_until_it_knows_the_slots() {
+    let mut rig = AgentRig::unannounced();
+    assert!(open_until_full(&mut rig, 1) <= 8);
+}
+
+#[test]
+fn an_upstream_with_short_requests_gets_work_for_the_time_until_the_next_syn() {
+    let mut rig = AgentRig::unannounced();
+    rig.announce(&Announcement {
+        slots: 1,
+        ..announcement(1, 1)
+    });
+    let ack = Flags {
+        ack: true,
+        ..Flags::default()
+    };
+    for port in 1..20 {
+        let key = flow(port);
+        rig.deliver(Purpose::Open, &syn(key));
+        rig.handle_upstream_packet(&syn_ack(key, 7));
+        rig.now += ms(4);
+        rig.deliver(Purpose::Known, &data(key, 8));
+        rig.now += ms(2);
+        rig.handle_upstream_packet(&upstream_head(key, ack, 8, 500));
+    }
+    // One runs, two open within the time of an opening, five more follow within 10 ms.
+    assert!(rig.agent.report(rig.now).headroom >= 7);
+}
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -67,20 +67,20 @@
     }
 
     /// Makes the first agent report as many requests in progress as it admits, less `room`.
-    fn report_room(&mut self, room: u16) {
+    fn report_room(&mut self, room: u16) -> Vec<Action> {
         let report = Report {
             busy: 10 - room,
             ..ready_report()
         };
-        self.report_from(agent(1), report);
+        self.report_from(agent(1), report)
     }
 
     fn fill(&mut self) {
         self.report_room(0);
     }
 
-    fn fill_but_one(&mut self) {
-        self.report_room(1);
+    fn fill_but_one(&mut self) -> Vec<Action> {
+        self.report_room(1)
     }
 
     fn frame(&mut self, from: SocketAddrV4, body: &Body<'_>, head: Option<&Head>) -> Vec<Action> {
@@ -129,8 +129,8 @@
         target(&self.packet(&syn(flow)))
     }
 
-    fn report_from(&mut self, from: SocketAddrV4, report: Report) {
-        self.frame(from, &Body::Report(report), None);
+    fn report_from(&mut self, from: SocketAddrV4, report: Report) -> Vec<Action> {
+        self.frame(from, &Body::Report(report), None)
     }
 
     fn accept(&mut self, from: SocketAddrV4, flow: Key, sequence: u32) {
@@ -300,11 +300,10 @@
     let mut rig = full_rig();
     assert_eq!(rig.packet(&syn_copy(flow(1), 2)), []);
     rig.now += ms(400);
-    rig.report_from(agent(1), ready_report());
     assert_eq!(
-        rig.tick(5),
+        rig.report_from(agent(1), ready_report()),
         [Action::Drop(flow(1), DropCause::Unsure)],
-        "the first copy was sent 1,005 ms ago"
+        "the first copy was sent 1,000 ms ago"
     );
 }
 
@@ -319,8 +318,9 @@
     }
     let mut order = Vec::new();
     for _ in 0..4 {
-        rig.fill_but_one();
-        for action in rig.tick(1) {
+        let mut actions = rig.fill_but_one();
+        actions.extend(rig.tick(1));
+        for action in actions {
             if let Action::Send { packet, .. } = action {
                 order.extend_from_slice(&packet);
             }
@@ -387,8 +387,7 @@
         actions.retain(|action| !matches!(action, Action::Probe(_)));
         assert_eq!(actions, []);
     }
-    rig.report_from(agent(1), ready_report());
-    assert_eq!(target(&rig.tick(5)), agent(1));
+    assert_eq!(target(&rig.report_from(agent(1), ready_report())), agent(1));
 }
 
 #[test]
@@ -414,8 +413,8 @@
     rig.report_from(agent(1), full);
     rig.report_from(agent(2), full);
     assert_eq!(rig.packet(&syn(flow(1))), []);
-    rig.report_from(agent(2), ready_report());
-    assert_eq!(target(&rig.tick(5)), agent(2));
+    assert_eq!(target(&rig.report_from(agent(2), ready_report())), agent(2));
+    assert!(!rig.balancer.has_pending_work());
 }
 
 #[test]
--- /dev/null
+++ b/crates/core/tests/flow/load.rs
@@ -0,0 +1,879 @@
+//! Model of balancers, agents, upstreams and clients under load, with a virtual clock.
+//!
+//! Clients send copies of their SYNs, try again after a failed attempt and give up at their time
+//! limit. Frames between processes are encoded and take time, so balancers decide on old reports.
+
+mod client;
+mod outcome;
+mod scenario;
+mod upstream;
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use sassafrasmast_core::flow::{
+    Agent, Balancer, Head, Intent, Key, Member, Purpose, Report, State,
+    agent::{self, Action as AgentAction, Announcement, Delivery},
+    balancer::{self, Action},
+    packet::Flags,
+};
+use sassafrasmast_wire::flow::{Body, Frame, Question};
+
+use self::{
+    client::{Attempt, Client},
+    upstream::{Phase, Upstream},
+};
+pub use self::{
+    outcome::Outcome,
+    scenario::{Disturbance, Scenario},
+};
+use crate::fixture::{
+    SERVICE, bounced, client_head, data, ms, route_address, simple_intent, syn_ack, upstream_head,
+};
+
+/// Times after its first SYN at which a client sends the copies of it.
+const COPIES: [Duration; 3] = [ms(0), ms(200), ms(600)];
+
+/// Time after its first SYN at which a client gives up an attempt that has no SYN-ACK.
+const ATTEMPT_TIME: Duration = ms(1_400);
+
+/// Interval between ticks of balancers and agents.
+const TICK: Duration = ms(5);
+
+/// Start of the load, when all processes know each other.
+const LOAD_START: Duration = ms(100);
+
+type AttemptId = u32;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    /// A copy of the SYN of an attempt.
+    Syn {
+        attempt: AttemptId,
+        copy: usize,
+    },
+    /// The upstream's SYN-ACK arrives at the client.
+    SynAck {
+        attempt: AttemptId,
+        upstream: usize,
+    },
+    /// The client's request arrives at a balancer.
+    Request {
+        attempt: AttemptId,
+    },
+    /// The upstream has finished a request. Void if the upstream has restarted since.
+    Finish {
+        upstream: usize,
+        start: u64,
+        attempt: AttemptId,
+    },
+    /// The answer arrives at the client.
+    Answer {
+        attempt: AttemptId,
+    },
+    /// The client's last packet arrives at a balancer.
+    Close {
+        attempt: AttemptId,
+    },
+    Reset {
+        attempt: AttemptId,
+    },
+    GiveUp {
+        attempt: AttemptId,
+    },
+    /// A frame from a balancer to an agent, by its number in [`Model::frames`].
+    ToAgent {
+        agent: usize,
+        from: usize,
+        frame: u64,
+    },
+    /// A frame from an agent to a balancer.
+    ToBalancer {
+        balancer: usize,
+        from: usize,
+        frame: u64,
+    },
+    Tick,
+    Begin,
+    End,
+}
+
+/// The model.
+pub struct Model {
+    scenario: Scenario,
+    start: Instant,
+    now: Duration,
+    rng: StdRng,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    event_count: u64,
+    frames: HashMap<u64, Vec<u8>>,
+    balancers: Vec<Balancer>,
+    agents: Vec<Agent>,
+    upstreams: Vec<Upstream>,
+    clients: Vec<Client>,
+    attempts: Vec<Attempt>,
+    is_down: bool,
+    is_disturbed: bool,
+    outcome: Outcome,
+}
+
+fn agent_address(agent: usize) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 1, u8::try_from(agent).unwrap()].into(), 7000)
+}
+
+fn balancer_address(balancer: usize) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, u8::try_from(balancer).unwrap()].into(), 7000)
+}
+
+fn index(address: SocketAddrV4) -> usize {
+    usize::from(address.ip().octets()[3])
+}
+
+/// The flow of an attempt: 16 bits of its number are the client's port, the others its address.
+fn key(attempt: AttemptId) -> Key {
+    let [high, low, port_high, port_low] = attempt.to_be_bytes();
+    Key {
+        client: SocketAddrV4::new(
+            [100, 64, high, low].into(),
+            u16::from_be_bytes([port_high, port_low]),
+        ),
+        route: route_address(),
+    }
+}
+
+fn attempt_of(flow: &Key) -> AttemptId {
+    let [_, _, high, low] = flow.client.ip().octets();
+    let [port_high, port_low] = flow.client.port().to_be_bytes();
+    u32::from_be_bytes([high, low, port_high, port_low])
+}
+
+/// Sequence number of an upstream's SYN-ACKs.
+fn sequence_of(upstream: usize) -> u32 {
+    1_000 * (upstream as u32 + 1)
+}
+
+fn syn_copy(attempt: AttemptId, copy: usize) -> Head {
+    Head {
+        acknowledgement: copy as u32,
+        ..crate::fixture::syn(key(attempt))
+    }
+}
+
+fn fin(attempt: AttemptId, upstream: usize) -> Head {
+    let flags = Flags {
+        ack: true,
+        fin: true,
+        ..Flags::default()
+    };
+    client_head(key(attempt), flags, sequence_of(upstream) + 501, 0)
+}
+
+/// The bytes of a client's packet: what the model's packets differ in.
+fn encode(head: &Head) -> Vec<u8> {
+    let mut bytes = attempt_of(&head.client_flow()).to_be_bytes().to_vec();
+    bytes.extend(head.acknowledgement.to_be_bytes());
+    bytes.push(u8::from(head.flags.syn) | u8::from(head.flags.fin) << 1);
+    bytes
+}
+
+fn decode(bytes: &[u8]) -> Head {
+    let number = |at: usize| u32::from_be_bytes(bytes[at..at + 4].try_into().unwrap());
+    let (attempt, acknowledgement) = (number(0), number(4));
+    let head = match bytes[8] {
+        0 => data(key(attempt), acknowledgement),
+        1 => crate::fixture::syn(key(attempt)),
+        _ => fin(attempt, 0),
+    };
+    Head {
+        acknowledgement,
+        ..head
+    }
+}
+
+impl Model {
+    /// The model of a scenario, whose random choices follow from `seed`.
+    pub fn new(seed: u64, scenario: Scenario) -> Self {
+        let mut model = Self {
+            start: Instant::now(),
+            now: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            events: BinaryHeap::new(),
+            event_count: 0,
+            frames: HashMap::new(),
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            upstreams: vec![Upstream::default(); scenario.upstreams],
+            clients: Vec::new(),
+            attempts: Vec::new(),
+            is_down: false,
+            is_disturbed: false,
+            outcome: Outcome::default(),
+            scenario,
+        };
+        model.start_processes(1);
+        model.inform_balancers();
+        model.schedule(LOAD_START, Event::Arrival);
+        model.schedule(TICK, Event::Tick);
+        model.schedule(model.scenario.begin, Event::Begin);
+        model.schedule(model.scenario.end, Event::End);
+        model
+    }
+
+    /// Plays the scenario and returns what clients got.
+    pub fn run(mut self) -> Outcome {
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > self.scenario.length {
+                break;
+            }
+            self.now = at;
+            self.step(event);
+        }
+        self.outcome
+    }
+
+    fn at(&self) -> Instant {
+        self.start + self.now
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.event_count += 1;
+        let entry = (self.now + after, self.event_count, event);
+        self.events.push(Reverse(entry));
+    }
+
+    /// Starts all balancers and agents. Each upstream has announced itself `sequence` times.
+    fn start_processes(&mut self, sequence: u64) {
+        let now = self.at();
+        self.balancers = (0..self.scenario.balancers)
+            .map(|index| {
+                let zone = self.scenario.zone_of(index).into();
+                let settings = balancer::Settings {
+                    zone,
+                    ..balancer::Settings::default()
+                };
+                Balancer::new(now, settings)
+            })
+            .collect();
+        self.agents = (0..self.scenario.upstreams)
+            .map(|index| self.start_agent(index, sequence))
+            .collect();
+    }
+
+    fn start_agent(&self, index: usize, sequence: u64) -> Agent {
+        let now = self.at();
+        let mut agent = Agent::new(
+            now,
+            agent::Settings {
+                service: SERVICE.into(),
+                zone: self.scenario.zone_of(index).into(),
+                incarnation: 1 + now.duration_since(self.start).as_millis() as u64,
+                ..agent::Settings::default()
+            },
+        );
+        agent.set_intent(self.intent());
+        let upstream = &self.upstreams[index];
+        let announcement = Announcement {
+            id: format!("i-{}", upstream.start),
+            incarnation: upstream.start + 1,
+            sequence,
+            draining: false,
+            slots: u16::try_from(self.scenario.slots).unwrap(),
+            cold_left: upstream.cold_until.saturating_sub(self.now),
+        };
+        agent.handle_announcement(now, &announcement, &mut Vec::new());
+        agent
+    }
+
+    /// Gives the balancers the intent and the list of agents.
+    fn inform_balancers(&mut self) {
+        let now = self.at();
+        let intent = self.intent();
+        let members: Vec<Member> = (0..self.scenario.upstreams)
+            .map(|agent| {
+                // What the store's entry says; each agent is probed for its report.
+                let report = Report {
+                    state: State::Unknown,
+                    slots: 1,
+                    headroom: 1,
+                    ..Report::default()
+                };
+                let zone = self.scenario.zone_of(agent).into();
+                Member::listed(agent_address(agent), SERVICE.into(), zone, report)
+            })
+            .collect();
+        for balancer in &mut self.balancers {
+            balancer.set_intent(Arc::clone(&intent));
+            balancer.set_members(now, members.clone());
+        }
+    }
+
+    /// An intent with a time limit and a latency objective.
+    fn intent(&self) -> Arc<Intent> {
+        let mut limited = (*simple_intent()).clone();
+        for route in limited.policy.routes.values_mut() {
+            route.timeout = Some(self.scenario.time_limit);
+            route.latency_objective = Some(self.scenario.objective);
+        }
+        for service in limited.policy.services.values_mut() {
+            service.cold_for = self.scenario.cold_for;
+        }
+        limited.into()
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrive(),
+            Event::Syn { attempt, copy } => {
+                if self.is_waiting(attempt) {
+                    self.send_to_balancer(attempt, &syn_copy(attempt, copy));
+                }
+            }
+            Event::SynAck { attempt, upstream } => {
+                if self.is_waiting(attempt) {
+                    self.attempts[attempt as usize].upstream = Some(upstream);
+                    self.schedule(self.scenario.client_delay, Event::Request { attempt });
+                }
+            }
+            Event::Request { attempt } => {
+                let upstream = self.attempts[attempt as usize].upstream.unwrap();
+                let head = data(key(attempt), sequence_of(upstream) + 1);
+                self.send_to_balancer(attempt, &head);
+            }
+            Event::Finish {
+                upstream,
+                start,
+                attempt,
+            } => {
+                if self.upstreams[upstream].start == start {
+                    self.finish(upstream, attempt);
+                }
+            }
+            Event::Answer { attempt } => self.record_answer(attempt),
+            Event::Close { attempt } => {
+                let upstream = self.attempts[attempt as usize].upstream.unwrap();
+                self.send_to_balancer(attempt, &fin(attempt, upstream));
+            }
+            Event::Reset { attempt } => self.end_attempt(attempt),
+            Event::GiveUp { attempt } => {
+                if self.is_waiting(attempt) {
+                    self.end_attempt(attempt);
+                }
+            }
+            Event::ToAgent { agent, from, frame } => self.frame_at_agent(agent, from, frame),
+            Event::ToBalancer {
+                balancer,
+                from,
+                frame,
+            } => self.frame_at_balancer(balancer, from, frame),
+            Event::Tick => {
+                self.tick();
+                self.schedule(TICK, Event::Tick);
+            }
+            Event::Begin => self.begin_disturbance(),
+            Event::End => self.end_disturbance(),
+        }
+    }
+
+    fn begin_disturbance(&mut self) {
+        self.is_disturbed = true;
+        match self.scenario.disturbance {
+            Disturbance::PowerLost => {
+                self.is_down = true;
+                for upstream in &mut self.upstreams {
+                    upstream.restart(Duration::ZERO);
+                }
+            }
+            Disturbance::ProcessesKilled => self.is_down = true,
+            Disturbance::Slow { share, factor } => {
+                let slow = (self.scenario.upstreams as f64 * share).ceil() as usize;
+                for upstream in &mut self.upstreams[..slow] {
+                    upstream.slowdown = factor;
+                }
+            }
+            Disturbance::Lost { share } => {
+                let lost = (self.scenario.upstreams as f64 * share).ceil() as usize;
+                for upstream in &mut self.upstreams[..lost] {
+                    upstream.restart(Duration::ZERO);
+                    upstream.is_down = true;
+                }
+            }
+            Disturbance::Burst { .. } | Disturbance::None => {}
+        }
+        if self.scenario.disturbance == Disturbance::ProcessesKilled {
+            self.frames.clear();
+        }
+    }
+
+    fn end_disturbance(&mut self) {
+        self.is_disturbed = false;
+        let cold_until = self.now + self.scenario.cold_for;
+        match self.scenario.disturbance {
+            Disturbance::PowerLost => {
+                self.is_down = false;
+                for upstream in &mut self.upstreams {
+                    upstream.restart(cold_until);
+                }
+                self.start_processes(1);
+                self.inform_balancers();
+            }
+            Disturbance::ProcessesKilled => {
+                self.is_down = false;
+                self.start_processes(5);
+                self.inform_balancers();
+            }
+            Disturbance::Slow { .. } => {
+                for upstream in &mut self.upstreams {
+                    upstream.slowdown = 1.0;
+                }
+            }
+            Disturbance::Lost { .. } => {
+                for upstream in 0..self.upstreams.len() {
+                    if self.upstreams[upstream].is_down {
+                        self.upstreams[upstream].restart(cold_until);
+                        self.agents[upstream] = self.start_agent(upstream, 1);
+                    }
+                }
+            }
+            Disturbance::Burst { .. } | Disturbance::None => {}
+        }
+    }
+
+    fn arrive(&mut self) {
+        let client = Client {
+            arrived_at: self.now,
+            attempts_left: client::ATTEMPTS,
+        };
+        self.outcome.record_arrival(self.scenario.period(self.now));
+        self.clients.push(client);
+        self.begin_attempt(self.clients.len() - 1);
+        let surge = match self.scenario.disturbance {
+            Disturbance::Burst { factor } if self.is_disturbed => factor,
+            _ => 1.0,
+        };
+        let rate = self.scenario.rate() * surge;
+        let pause = -self.rng.random::<f64>().max(1e-9).ln() / rate;
+        self.schedule(Duration::from_secs_f64(pause), Event::Arrival);
+    }
+
+    fn begin_attempt(&mut self, client: usize) {
+        let deadline = self.deadline(client);
+        let state = &mut self.clients[client];
+        if state.attempts_left == 0 || self.now >= deadline {
+            return;
+        }
+        state.attempts_left -= 1;
+        let attempt = AttemptId::try_from(self.attempts.len()).unwrap();
+        self.attempts.push(Attempt {
+            client,
+            balancer: self.rng.random_range(0..self.scenario.balancers),
+            upstream: None,
+            is_over: false,
+        });
+        for (copy, after) in COPIES.into_iter().enumerate() {
+            let after = self.scenario.client_delay + after;
+            self.schedule(after, Event::Syn { attempt, copy });
+        }
+        self.schedule(ATTEMPT_TIME, Event::GiveUp { attempt });
+    }
+
+    /// When the client gives up.
+    fn deadline(&self, client: usize) -> Duration {
+        self.clients[client].arrived_at + self.scenario.time_limit
+    }
+
+    /// Whether the attempt is over or its client has given up.
+    fn is_over(&self, attempt: AttemptId) -> bool {
+        let attempt = &self.attempts[attempt as usize];
+        attempt.is_over || self.now >= self.deadline(attempt.client)
+    }
+
+    /// Whether the client still waits for a SYN-ACK.
+    fn is_waiting(&self, attempt: AttemptId) -> bool {
+        !self.is_over(attempt) && self.attempts[attempt as usize].upstream.is_none()
+    }
+
+    fn end_attempt(&mut self, attempt: AttemptId) {
+        if !self.is_over(attempt) {
+            let state = &mut self.attempts[attempt as usize];
+            state.is_over = true;
+            let client = state.client;
+            self.begin_attempt(client);
+        }
+    }
+
+    fn record_answer(&mut self, attempt: AttemptId) {
+        if self.is_over(attempt) {
+            return;
+        }
+        let state = &mut self.attempts[attempt as usize];
+        state.is_over = true;
+        let arrived_at = self.clients[state.client].arrived_at;
+        let period = self.scenario.period(arrived_at);
+        let took = self.now - arrived_at;
+        self.outcome
+            .record_answer(period, took, self.scenario.objective);
+    }
+
+    fn tick(&mut self) {
+        if self.is_down {
+            return;
+        }
+        let now = self.at();
+        for balancer in 0..self.balancers.len() {
+            let mut actions = Vec::new();
+            self.balancers[balancer].tick(now, &mut actions);
+            self.balancer_actions(balancer, actions, None);
+        }
+        for agent in 0..self.agents.len() {
+            if self.upstreams[agent].is_down {
+                continue;
+            }
+            let mut actions = Vec::new();
+            self.agents[agent].tick(now, &mut actions);
+            self.agent_actions(agent, actions, &syn_copy(0, 0));
+        }
+    }
+
+    fn send_to_balancer(&mut self, attempt: AttemptId, head: &Head) {
+        if self.is_down {
+            return;
+        }
+        let balancer = self.attempts[attempt as usize].balancer;
+        let now = self.at();
+        let mut actions = Vec::new();
+        self.balancers[balancer].handle_client_packet(now, head, &encode(head), &mut actions);
+        self.balancer_actions(balancer, actions, Some(head));
+    }
+
+    fn balancer_actions(&mut self, from: usize, actions: Vec<Action>, current: Option<&Head>) {
+        for action in actions {
+            match action {
+                Action::Forward { to, purpose, .. } => {
+                    let packet = encode(current.unwrap());
+                    self.deliver(from, to, purpose, &packet);
+                }
+                Action::Send {
+                    to,
+                    purpose,
+                    packet,
+                    ..
+                } => self.deliver(from, to, purpose, &packet),
+                Action::Probe(to) => {
+                    let sent = self.balancers[from].members().probe_timestamp(self.at());
+                    self.frame_to_agent(from, to, Body::Probe { sent });
+                }
+                Action::Demand { to, waiting } => {
+                    self.frame_to_agent(from, to, Body::Demand { waiting });
+                }
+                Action::Reset { flow, .. } => {
+                    let attempt = attempt_of(&flow);
+                    let period = self.period_of(attempt);
+                    self.outcome.record_reset(period);
+                    self.schedule(self.scenario.client_delay, Event::Reset { attempt });
+                }
+                Action::Drop(..) => {}
+                Action::Locate {
+                    to,
+                    flow,
+                    acknowledgement,
+                } => {
+                    let questions = vec![Question {
+                        flow,
+                        acknowledgement,
+                    }];
+                    self.frame_to_agent(from, to, Body::Locate { questions });
+                }
+            }
+        }
+    }
+
+    fn period_of(&self, attempt: AttemptId) -> scenario::Period {
+        let client = self.attempts[attempt as usize].client;
+        self.scenario.period(self.clients[client].arrived_at)
+    }
+
+    fn deliver(&mut self, from: usize, to: SocketAddrV4, purpose: Purpose, packet: &[u8]) {
+        if purpose == Purpose::Open {
+            let attempt = attempt_of(&decode(packet).client_flow());
+            let period = self.period_of(attempt);
+            self.outcome.record_forwarded_syn(period);
+        }
+        let body = Body::Deliver {
+            purpose,
+            service: SERVICE,
+            packet,
+        };
+        self.frame_to_agent(from, to, body);
+    }
+
+    fn frame_to_agent(&mut self, from: usize, to: SocketAddrV4, body: Body<'_>) {
+        let agent = index(to);
+        let frame = self.store_frame(body);
+        let delay = self.scenario.frame_delay(from, agent);
+        self.schedule(delay, Event::ToAgent { agent, from, frame });
+    }
+
+    fn frame_to_balancer(&mut self, from: usize, to: SocketAddrV4, body: Body<'_>) {
+        let balancer = index(to);
+        let frame = self.store_frame(body);
+        let delay = self.scenario.frame_delay(balancer, from);
+        self.schedule(
+            delay,
+            Event::ToBalancer {
+                balancer,
+                from,
+                frame,
+            },
+        );
+    }
+
+    fn store_frame(&mut self, body: Body<'_>) -> u64 {
+        let mut bytes = Vec::new();
+        Frame::new(1, body).encode(&mut bytes).unwrap();
+        self.event_count += 1;
+        self.frames.insert(self.event_count, bytes);
+        self.event_count
+    }
+
+    fn frame_at_agent(&mut self, agent: usize, from: usize, frame: u64) {
+        let Some(bytes) = self.frames.remove(&frame) else {
+            return;
+        };
+        if self.is_down || self.upstreams[agent].is_down {
+            return;
+        }
+        let now = self.at();
+        let from = balancer_address(from);
+        let mut actions = Vec::new();
+        match Frame::decode(&bytes).unwrap().body {
+            Body::Deliver {
+                purpose, packet, ..
+            } => {
+                let head = decode(packet);
+                let delivery = Delivery {
+                    purpose,
+                    service: SERVICE,
+                    sender_revision: 1,
+                    head: &head,
+                    packet,
+                };
+                self.agents[agent].deliver(now, from, &delivery, &mut actions);
+                self.agent_actions(agent, actions, &head);
+            }
+            Body::Locate { questions } => {
+                for question in questions {
+                    self.agents[agent].locate(
+                        from,
+                        question.flow,
+                        question.acknowledgement,
+                        &mut actions,
+                    );
+                }
+                self.agent_actions(agent, actions, &syn_copy(0, 0));
+            }
+            Body::Probe { sent } => {
+                let report = self.agents[agent].report_to(now, from);
+                self.frame_to_balancer(agent, from, Body::Answer { sent, report });
+            }
+            Body::Demand { waiting } => {
+                self.agents[agent].handle_demand(now, from, waiting, &mut actions);
+                self.agent_actions(agent, actions, &syn_copy(0, 0));
+            }
+            other => panic!("unexpected frame to an agent: {other:?}"),
+        }
+    }
+
+    fn frame_at_balancer(&mut self, balancer: usize, from: usize, frame: u64) {
+        let Some(bytes) = self.frames.remove(&frame) else {
+            return;
+        };
+        if self.is_down {
+            return;
+        }
+        let now = self.at();
+        let body = Frame::decode(&bytes).unwrap().body;
+        let head = match &body {
+            Body::Returned { packet, .. } | Body::Missing { packet, .. } => Some(decode(packet)),
+            _ => None,
+        };
+        let mut actions = Vec::new();
+        self.balancers[balancer].handle_agent_frame(
+            now,
+            agent_address(from),
+            &body,
+            head.as_ref(),
+            &mut actions,
+        );
+        self.balancer_actions(balancer, actions, None);
+    }
+
+    fn agent_actions(&mut self, agent: usize, actions: Vec<AgentAction>, current: &Head) {
+        let now = self.at();
+        for action in actions {
+            let report = match action.recipient() {
+                Some(to) => self.agents[agent].report_to(now, to),
+                None => Report::default(),
+            };
+            match action {
+                AgentAction::ToUpstream => self.send_to_upstream(agent, current),
+                AgentAction::ToClient => {}
+                AgentAction::Return { to, reason } => {
+                    let packet = &encode(current);
+                    let body = Body::Returned {
+                        reason,
+                        report,
+                        packet,
+                    };
+                    self.frame_to_balancer(agent, to, body);
+                }
+                AgentAction::ReturnBuffered { to, reason, packet } => {
+                    let packet = &packet;
+                    let body = Body::Returned {
+                        reason,
+                        report,
+                        packet,
+                    };
+                    self.frame_to_balancer(agent, to, body);
+                }
+                AgentAction::Accepted {
+                    to, flow, sequence, ..
+                } => {
+                    let body = Body::Accepted {
+                        flow,
+                        sequence,
+                        report,
+                    };
+                    self.frame_to_balancer(agent, to, body);
+                }
+                AgentAction::Found { to, flow } => {
+                    self.frame_to_balancer(agent, to, Body::Found { flow, report });
+                }
+                AgentAction::Absent { to, flow } => {
+                    let flows = vec![flow];
+                    self.frame_to_balancer(agent, to, Body::Absent { flows, report });
+                }
+                AgentAction::Unconfirmed { to, flow } => {
+                    let flows = vec![flow];
+                    self.frame_to_balancer(agent, to, Body::Unconfirmed { flows, report });
+                }
+                AgentAction::Missing { to, flow } => {
+                    let packet = &encode(current);
+                    let body = Body::Missing {
+                        flow,
+                        report,
+                        packet,
+                    };
+                    self.frame_to_balancer(agent, to, body);
+                }
+                AgentAction::MissingBuffered { to, flow, packet } => {
+                    let packet = &packet;
+                    let body = Body::Missing {
+                        flow,
+                        report,
+                        packet,
+                    };
+                    self.frame_to_balancer(agent, to, body);
+                }
+                AgentAction::Report { to } => {
+                    self.frame_to_balancer(agent, to, Body::Report(report));
+                }
+                AgentAction::Reset { flow, .. } => {
+                    let attempt = attempt_of(&flow);
+                    self.schedule(self.scenario.client_delay, Event::Reset { attempt });
+                }
+            }
+        }
+    }
+
+    /// The upstream accepts each SYN that it can queue, and runs a request or queues it.
+    fn send_to_upstream(&mut self, upstream: usize, head: &Head) {
+        let attempt = attempt_of(&head.client_flow());
+        let state = &mut self.upstreams[upstream];
+        if head.opens() {
+            if state.waiting.len() >= self.scenario.upstream_queue {
+                self.outcome.shed += 1;
+                self.send_from_upstream(upstream, &bounced(*head));
+                return;
+            }
+            state.flows.insert(attempt, Phase::Accepted);
+            if self.is_over(attempt) {
+                self.outcome.opened_too_late += 1;
+            }
+            let after = self.scenario.client_delay;
+            self.schedule(after, Event::SynAck { attempt, upstream });
+            self.send_from_upstream(upstream, &syn_ack(key(attempt), sequence_of(upstream)));
+            return;
+        }
+        if head.flags.fin {
+            state.flows.remove(&attempt);
+            return;
+        }
+        match state.flows.get_mut(&attempt) {
+            None => self.send_from_upstream(upstream, &bounced(*head)),
+            Some(Phase::Requested) => {}
+            Some(phase @ Phase::Accepted) => {
+                *phase = Phase::Requested;
+                if state.running < self.scenario.slots {
+                    self.begin_request(upstream, attempt);
+                } else {
+                    state.waiting.push_back(attempt);
+                }
+            }
+        }
+    }
+
+    fn begin_request(&mut self, upstream: usize, attempt: AttemptId) {
+        let work = self.rng.random_range(self.scenario.work_micros.clone());
+        let state = &mut self.upstreams[upstream];
+        state.running += 1;
+        let start = state.start;
+        let cold = if self.now < state.cold_until {
+            self.scenario.cold_slowdown
+        } else {
+            1.0
+        };
+        let took = Duration::from_micros(work).mul_f64(cold * state.slowdown);
+        self.schedule(
+            took,
+            Event::Finish {
+                upstream,
+                start,
+                attempt,
+            },
+        );
+    }
+
+    fn finish(&mut self, upstream: usize, attempt: AttemptId) {
+        let state = &mut self.upstreams[upstream];
+        state.running -= 1;
+        let next = state.waiting.pop_front();
+        self.schedule(self.scenario.client_delay, Event::Answer { attempt });
+        self.schedule(self.scenario.client_delay * 2, Event::Close { attempt });
+        let ack = Flags {
+            ack: true,
+            ..Flags::default()
+        };
+        let head = upstream_head(key(attempt), ack, sequence_of(upstream) + 1, 500);
+        self.send_from_upstream(upstream, &head);
+        if let Some(next) = next {
+            self.begin_request(upstream, next);
+        }
+    }
+
+    fn send_from_upstream(&mut self, upstream: usize, head: &Head) {
+        if self.is_down {
+            return;
+        }
+        let now = self.at();
+        let mut actions = Vec::new();
+        self.agents[upstream].handle_upstream_packet(now, head, &mut actions);
+        self.agent_actions(upstream, actions, head);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/flow/load/client.rs
@@ -0,0 +1,23 @@
+//! A client's request and its attempts.
+
+use std::time::Duration;
+
+/// Attempts of a client: the first one and two retries.
+pub const ATTEMPTS: u32 = 3;
+
+/// A request of a client over all its attempts.
+#[derive(Debug)]
+pub struct Client {
+    pub arrived_at: Duration,
+    pub attempts_left: u32,
+}
+
+/// An attempt, which has a flow of its own.
+#[derive(Debug)]
+pub struct Attempt {
+    pub client: usize,
+    pub balancer: usize,
+    /// The upstream whose SYN-ACK the client acknowledges.
+    pub upstream: Option<usize>,
+    pub is_over: bool,
+}
--- /dev/null
+++ b/crates/core/tests/flow/load/outcome.rs
@@ -0,0 +1,103 @@
+//! What clients got.
+
+use std::{fmt, time::Duration};
+
+use super::scenario::Period;
+
+/// What clients got that sent their requests in one period.
+#[derive(Debug, Clone, Default)]
+pub struct Service {
+    pub arrived: usize,
+    pub answered: usize,
+    /// Answered within the latency objective.
+    pub in_time: usize,
+    pub resets: usize,
+    /// SYNs that balancers sent to agents.
+    pub forwarded_syns: usize,
+}
+
+impl Service {
+    fn share(part: usize, whole: usize) -> f64 {
+        part as f64 / whole.max(1) as f64
+    }
+
+    /// Share of the requests that were answered.
+    pub fn answered(&self) -> f64 {
+        Self::share(self.answered, self.arrived)
+    }
+
+    /// Share of the requests that were answered within the latency objective.
+    pub fn in_time(&self) -> f64 {
+        Self::share(self.in_time, self.arrived)
+    }
+
+    /// SYNs that balancers sent to agents for each answer.
+    pub fn syns_per_answer(&self) -> f64 {
+        Self::share(self.forwarded_syns, self.answered)
+    }
+}
+
+impl fmt::Display for Service {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "answered {:.3} in time {:.3} resets {:.3} SYNs per answer {:.2}",
+            self.answered(),
+            self.in_time(),
+            Self::share(self.resets, self.arrived),
+            self.syns_per_answer(),
+        )
+    }
+}
+
+/// What clients got before, during and after the disturbance.
+#[derive(Debug, Clone, Default)]
+pub struct Outcome {
+    pub before: Service,
+    pub during: Service,
+    pub after: Service,
+    outside: Service,
+    /// SYNs that upstreams bounced.
+    pub shed: usize,
+    /// SYNs that reached an upstream after their client's attempt was over.
+    pub opened_too_late: usize,
+}
+
+impl Outcome {
+    fn service(&mut self, period: Period) -> &mut Service {
+        match period {
+            Period::Before => &mut self.before,
+            Period::During => &mut self.during,
+            Period::After => &mut self.after,
+            Period::Outside => &mut self.outside,
+        }
+    }
+
+    pub fn record_arrival(&mut self, period: Period) {
+        self.service(period).arrived += 1;
+    }
+
+    pub fn record_answer(&mut self, period: Period, took: Duration, objective: Duration) {
+        let service = self.service(period);
+        service.answered += 1;
+        service.in_time += usize::from(took < objective);
+    }
+
+    pub fn record_reset(&mut self, period: Period) {
+        self.service(period).resets += 1;
+    }
+
+    pub fn record_forwarded_syn(&mut self, period: Period) {
+        self.service(period).forwarded_syns += 1;
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "before: {}; during: {}; after: {}; shed {}, opened too late {}",
+            self.before, self.during, self.after, self.shed, self.opened_too_late
+        )
+    }
+}
--- /dev/null
+++ b/crates/core/tests/flow/load/scenario.rs
@@ -0,0 +1,152 @@
+//! A deployment, its load and a disturbance.
+
+use std::{ops::RangeInclusive, time::Duration};
+
+use crate::fixture::ms;
+
+/// Time after the end of a disturbance in which service must be as before it.
+const RECOVERY_TIME: Duration = ms(2_000);
+
+/// Time after the start of the load before requests count.
+const WARM_UP: Duration = ms(1_000);
+
+/// What happens between [`Scenario::begin`] and [`Scenario::end`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Disturbance {
+    None,
+    /// All processes and upstreams are lost; upstreams are cold afterwards.
+    PowerLost,
+    /// All balancers and agents are lost.
+    ProcessesKilled,
+    /// The load is multiplied.
+    Burst {
+        factor: f64,
+    },
+    /// A share of the upstreams takes longer for each request.
+    Slow {
+        share: f64,
+        factor: f64,
+    },
+    /// A share of the upstreams is lost with its agents, and cold afterwards.
+    Lost {
+        share: f64,
+    },
+}
+
+/// When a request was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Period {
+    Before,
+    /// From the beginning of the disturbance until the time for recovery is over.
+    During,
+    After,
+    /// So early or late that it does not count.
+    Outside,
+}
+
+/// A deployment, its load and a disturbance.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    pub balancers: usize,
+    pub upstreams: usize,
+    pub zones: usize,
+    pub slots: usize,
+    /// Requests that an upstream queues beside those in its slots; it bounces SYNs beyond.
+    pub upstream_queue: usize,
+    /// Range of the times that requests take, in microseconds.
+    pub work_micros: RangeInclusive<u64>,
+    pub cold_for: Duration,
+    /// Factor of the time that requests take at a cold upstream.
+    pub cold_slowdown: f64,
+    /// One-way delay between clients and processes.
+    pub client_delay: Duration,
+    /// One-way delay between processes of one zone.
+    pub near_delay: Duration,
+    /// One-way delay between processes of two zones.
+    pub far_delay: Duration,
+    /// Time limit and latency objective of a request.
+    pub time_limit: Duration,
+    pub objective: Duration,
+    /// The load as a share of what the upstreams bear.
+    pub load: f64,
+    pub disturbance: Disturbance,
+    pub begin: Duration,
+    pub end: Duration,
+    pub length: Duration,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            balancers: 6,
+            upstreams: 7,
+            zones: 3,
+            slots: 5,
+            upstream_queue: 20,
+            work_micros: 15_000..=52_000,
+            cold_for: ms(2_000),
+            cold_slowdown: 1.6,
+            client_delay: ms(1),
+            near_delay: Duration::from_micros(400),
+            far_delay: Duration::from_micros(1_700),
+            time_limit: ms(1_500),
+            objective: ms(150),
+            load: 0.5,
+            disturbance: Disturbance::None,
+            begin: ms(4_100),
+            end: ms(6_000),
+            length: ms(13_000),
+        }
+    }
+}
+
+impl Scenario {
+    /// Zone of the balancer or agent with this index.
+    pub fn zone_of(&self, index: usize) -> &'static str {
+        ["zone-a", "zone-b", "zone-c", "zone-d"][index % self.zones]
+    }
+
+    /// One-way delay of frames between a balancer and an agent.
+    pub fn frame_delay(&self, balancer: usize, agent: usize) -> Duration {
+        if self.zone_of(balancer) == self.zone_of(agent) {
+            self.near_delay
+        } else {
+            self.far_delay
+        }
+    }
+
+    /// Mean time that a request takes, in seconds.
+    fn mean_work(&self) -> f64 {
+        (self.work_micros.start() + self.work_micros.end()) as f64 / 2e6
+    }
+
+    /// Requests a second that the upstreams bear.
+    pub fn capacity(&self) -> f64 {
+        (self.upstreams * self.slots) as f64 / self.mean_work()
+    }
+
+    /// Requests a second that clients send.
+    pub fn rate(&self) -> f64 {
+        self.load * self.capacity()
+    }
+
+    /// Length of the period after the disturbance in which requests count.
+    pub fn counted_after(&self) -> Duration {
+        self.length - self.time_limit - self.end - RECOVERY_TIME
+    }
+
+    /// The period in which a request counts that was sent at `at`. Its client's time limit ends
+    /// before the disturbance begins or before the scenario does.
+    pub fn period(&self, at: Duration) -> Period {
+        let is_within = |from: Duration, to: Duration| at >= from && at + self.time_limit < to;
+        if is_within(WARM_UP, self.begin) {
+            Period::Before
+        } else if is_within(self.end + RECOVERY_TIME, self.length) {
+            Period::After
+        } else if (self.begin..self.end + RECOVERY_TIME).contains(&at) {
+            Period::During
+        } else {
+            Period::Outside
+        }
+    }
+}
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -8,5 +8,7 @@
 mod agent;
 mod balancer;
 mod fixture;
+mod load;
 mod overload;
+mod recovery;
 mod simulation;
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -390,6 +390,11 @@
                     },
                     client_head(flow(0), Flags::default(), 0, 0),
                 ),
+                Action::Demand { to, waiting } => (
+                    *to,
+                    Body::Demand { waiting: *waiting },
+                    client_head(flow(0), Flags::default(), 0, 0),
+                ),
                 Action::Reset { flow, .. } => {
                     self.reset(*flow, &format!("balancer {from}: {action:?}"));
                     continue;
@@ -435,9 +440,15 @@
                 self.agent_actions(index, actions, *packet);
             }
             Body::Probe { sent } => {
-                let report = self.agents[index].report(now);
+                let from = balancer_address(from);
+                let report = self.agents[index].report_to(now, from);
                 let answer = Body::Answer { sent, report };
-                self.send_to_balancer(index, balancer_address(from), &answer, None);
+                self.send_to_balancer(index, from, &answer, None);
+            }
+            Body::Demand { waiting } => {
+                let from = balancer_address(from);
+                self.agents[index].handle_demand(now, from, waiting, &mut actions);
+                self.agent_actions(index, actions, *packet);
             }
             other => panic!("a balancer sent {other:?}"),
         }
@@ -461,9 +472,13 @@
     /// Sends the frame for an agent's action to a balancer.
     fn send_agent_frame(&mut self, index: usize, action: AgentAction, current: Packet) {
         let now = self.at();
-        let report = self.agents[index].report(now);
+        let Some(recipient) = action.recipient() else {
+            return;
+        };
+        let report = self.agents[index].report_to(now, recipient);
         let bytes = encode(&without_bounced_flag(current));
         let (to, body, packet) = match &action {
+            AgentAction::Report { to } => (*to, Body::Report(report), None),
             AgentAction::Return { to, reason } => {
                 let body = returned(*reason, report, &bytes);
                 (*to, body, Some(without_bounced_flag(current)))
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -41,7 +41,7 @@
     watcher::Event,
 };
 
-/// Interval between ticks while a SYN waits for the upstream's answer.
+/// Interval between ticks while a SYN waits for the upstream's answer, or balancers wait for room.
 const FAST_TICK: Duration = Duration::from_millis(20);
 
 /// Interval between ticks otherwise.
@@ -122,7 +122,7 @@
             command = signals.next() => process.handle_signal(command),
             Some(request) = status_requests.recv() => process.reply_status(request),
         }
-        if process.core.has_pending_syns() {
+        if process.core.has_pending_work() {
             tick_at = tick_at.min(tokio::time::Instant::now() + FAST_TICK);
         }
     }
@@ -265,9 +265,14 @@
                     self.execute_actions(now, &[]);
                 }
                 Body::Probe { sent } => {
-                    let report = self.core.report(now);
+                    let report = self.core.report_to(now, from);
                     self.send(from, Body::Answer { sent, report });
                 }
+                Body::Demand { waiting } => {
+                    self.core
+                        .handle_demand(now, from, waiting, &mut self.actions);
+                    self.execute_actions(now, &[]);
+                }
                 _ => metrics::counter!("sassafrasmast_frames_unexpected").increment(1),
             }
         }
--- a/crates/forwarder/src/agent/output.rs
+++ b/crates/forwarder/src/agent/output.rs
@@ -61,9 +61,13 @@
                 Action::Absent { to, flow } => absent.entry(to).or_default().push(flow),
                 Action::Unconfirmed { to, flow } => unconfirmed.entry(to).or_default().push(flow),
                 Action::Found { to, flow } => {
-                    let report = self.core.report(now);
+                    let report = self.core.report_to(now, to);
                     self.send(to, Body::Found { flow, report });
                 }
+                Action::Report { to } => {
+                    let report = self.core.report_to(now, to);
+                    self.send(to, Body::Report(report));
+                }
                 Action::Missing { to, flow } => self.send_missing(now, to, flow, packet),
                 Action::MissingBuffered { to, flow, packet } => {
                     self.send_missing(now, to, flow, &packet)
@@ -92,7 +96,7 @@
     ) {
         for (to, flows) in answers {
             for chunk in flows.chunks(Question::MAX_PER_FRAME) {
-                let report = self.core.report(now);
+                let report = self.core.report_to(now, to);
                 self.send(to, body(chunk.to_vec(), report));
             }
         }
@@ -108,7 +112,7 @@
         took: Duration,
     ) {
         metrics::histogram!("sassafrasmast_accept_seconds").record(took);
-        let report = self.core.report(now);
+        let report = self.core.report_to(now, to);
         self.log.line(now, "flow_accepted", || {
             [
                 ("flow", flow_text(Some(&flow))),
@@ -147,7 +151,7 @@
 
     /// Returns a SYN to the balancer that sent it.
     fn return_syn(&mut self, now: Instant, to: SocketAddrV4, reason: Reason, packet: &[u8]) {
-        let report = self.core.report(now);
+        let report = self.core.report_to(now, to);
         metrics::counter!("sassafrasmast_returned", "reason" => reason.as_str()).increment(1);
         self.log.line(now, "flow_returned", || {
             let flow = self.platform.decode(packet).map(|head| head.client_flow());
@@ -168,7 +172,7 @@
 
     /// Notifies a balancer that the packet's flow is not at this upstream.
     fn send_missing(&mut self, now: Instant, to: SocketAddrV4, flow: Key, packet: &[u8]) {
-        let report = self.core.report(now);
+        let report = self.core.report_to(now, to);
         let body = Body::Missing {
             flow,
             report,
--- a/crates/wire/src/flow/body.rs
+++ b/crates/wire/src/flow/body.rs
@@ -95,4 +95,11 @@
         /// The agent's report.
         report: Report,
     },
+    /// Balancer to agent: SYNs for the agent's service wait for room. The agent answers with a
+    /// report, and offers room as it becomes free. Agents of earlier builds do not know this message
+    /// and drop it.
+    Demand {
+        /// Number of SYNs that are queued.
+        waiting: u16,
+    },
 }
--- a/crates/wire/src/flow/report.rs
+++ b/crates/wire/src/flow/report.rs
@@ -23,6 +23,7 @@
     /// Whether the agent was told to stop while its upstream runs on. It works until it is killed,
     /// and is expected back.
     pub stopping: bool,
-    /// New flows that the cold limit allows at present; `u16::MAX` if there is no limit.
+    /// New flows that the upstream can take at present. `u16::MAX` from agents of earlier builds,
+    /// which state only what the cold limit allows, and this if there is none.
     pub headroom: u16,
 }
