fix(forwarder): a store that comes back from an older copy is noticed; nothing newer is ignored

Cause: an intent with a lower revision counted as stale, a watch started from the highest revision seen, peers compare bare revisions, and a lease id that is given out again was renewed on somebody else's behalf.

Until operators' documents are written again a policy of a lower version is not taken, and zones stay out for 4 s that were out before.

Left: a process that starts between restore and rewriting takes what the store says, since pulls compare positions only; the QUIC daemon's store has no eras.

--- a/crates/cli/src/processes.rs
+++ b/crates/cli/src/processes.rs
@@ -35,8 +35,14 @@
         name, role, zone, ..
     } = status;
     let mut text = format!(
-        "{role} {name} in zone {zone}: version {} at revision {}, {} flows\n",
-        status.version, status.revision, status.flows
+        "{role} {name} in zone {zone}: version {} at revision {}{}, {} flows\n",
+        status.version,
+        status.revision,
+        match status.era {
+            0 => String::new(),
+            era => format!(" of era {era}"),
+        },
+        status.flows
     );
     for zone in &status.zones_out {
         push_line(&mut text, &format!("zone {zone} is out"));
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -36,6 +36,7 @@
         zone: "a".to_owned(),
         version: 7,
         revision: 120,
+        era: 2,
         zones_out: BTreeSet::from(["b".into()]),
         flows: 34,
         store: Store {
@@ -61,7 +62,7 @@
         ],
     };
     expect![[r#"
-        balancer entry-1 in zone a: version 7 at revision 120, 34 flows
+        balancer entry-1 in zone a: version 7 at revision 120 of era 2, 34 flows
         zone b is out
         store has been silent for 1200 ms: timed out
         peer 10.1.0.11:7720 answered 100 ms ago
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -253,37 +253,41 @@
         head: Option<&Head>,
         actions: &mut Vec<Action>,
     ) {
+        self.apply_agent_frame(now, from, body, head, actions);
+        // The room of an agent that has just returned a SYN is left for the next tick, so that the
+        // SYN does not go back and forth.
+        if !matches!(body, Body::Returned { .. }) {
+            self.use_room(now, from, actions);
+        }
+    }
+
+    /// Records an agent's report and handles what else its frame carries.
+    fn apply_agent_frame(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        body: &Body<'_>,
+        head: Option<&Head>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(report) = body.report() {
+            self.members.record_report(now, from, report);
+        }
         match body {
-            Body::Accepted {
-                flow,
-                sequence,
-                report,
-            } => {
-                self.members.record_report(now, from, *report);
+            Body::Accepted { flow, sequence, .. } => {
                 if let Some(flow_state) = self.flows.get_mut(flow) {
                     flow_state.accept(from, *sequence);
                 }
             }
-            Body::Returned {
-                reason,
-                report,
-                packet,
-            } => {
-                self.members.record_report(now, from, *report);
+            Body::Returned { reason, packet, .. } => {
                 if let Some(head) = head {
                     self.handle_returned(now, from, head.client_flow(), *reason, packet, actions);
                 }
             }
-            Body::Found { flow, report } => {
-                self.members.record_report(now, from, *report);
+            Body::Found { flow, .. } => {
                 self.handle_found(now, *flow, from, actions);
             }
-            Body::Missing {
-                flow,
-                report,
-                packet,
-            } => {
-                self.members.record_report(now, from, *report);
+            Body::Missing { flow, packet, .. } => {
                 if let Some(head) = head {
                     self.handle_missing(now, *flow, from, head, packet, actions);
                 }
@@ -293,34 +297,27 @@
                 zone,
                 report,
             } => self.members.add_unlisted(now, from, service, zone, *report),
-            Body::Absent { flows, report } => {
-                self.members.record_report(now, from, *report);
+            Body::Absent { flows, .. } => {
                 for flow in flows {
                     self.rule_out(now, *flow, from, actions);
                 }
             }
-            Body::Unconfirmed { flows, report } => {
-                self.members.record_report(now, from, *report);
+            Body::Unconfirmed { flows, .. } => {
                 for flow in flows {
                     if let Some(search) = self.searches.get_mut(flow) {
                         search.send_first_packet(from, actions);
                     }
                 }
             }
-            Body::Report(report) => self.members.record_report(now, from, *report),
             Body::Answer { sent, report } => {
                 self.members.record_probe_answer(now, from, *sent, *report)
             }
-            Body::Deliver { .. }
+            Body::Report(_)
+            | Body::Deliver { .. }
             | Body::Locate { .. }
             | Body::Probe { .. }
             | Body::Demand { .. } => {}
         }
-        // The room of an agent that has just returned a SYN is left for the next tick, so that the
-        // SYN does not go back and forth.
-        if !matches!(body, Body::Returned { .. }) {
-            self.use_room(now, from, actions);
-        }
     }
 
     /// Places queued SYNs if an agent's upstream has room.
--- a/crates/core/src/flow/intent.rs
+++ b/crates/core/src/flow/intent.rs
@@ -34,16 +34,41 @@
 
 impl Intent {
     /// Replaces `current` if `next` is newer, and returns whether it is.
-    pub(super) fn replace_if_newer(current: &mut Option<Arc<Self>>, next: Arc<Self>) -> bool {
+    pub(super) fn replace_if_newer(current: &mut Option<Arc<Self>>, mut next: Arc<Self>) -> bool {
         let is_newer = current
             .as_ref()
             .is_none_or(|current| next.revision > current.revision);
         if is_newer {
+            if let Some(current) = current
+                && next.policy.version < current.policy.version
+            {
+                Arc::make_mut(&mut next).keep_newer_policy(current);
+            }
             *current = Some(next);
         }
         is_newer
     }
 
+    /// Keeps the policy of an earlier intent if its version is higher: a store that has come back
+    /// from an older copy holds an older policy until operators have written the latest one again.
+    ///
+    /// ```
+    /// use sassafrasmast_core::flow::{Intent, intent::Policy};
+    /// let intent = |revision, version| Intent {
+    ///     revision,
+    ///     policy: Policy { version, ..Policy::default() },
+    ///     ..Intent::default()
+    /// };
+    /// let mut restored = intent(9, 3);
+    /// restored.keep_newer_policy(&intent(8, 4));
+    /// assert_eq!(restored, intent(9, 4));
+    /// ```
+    pub fn keep_newer_policy(&mut self, earlier: &Self) {
+        if self.policy.version < earlier.policy.version {
+            self.policy = earlier.policy.clone();
+        }
+    }
+
     /// Digest of all fields but the revision. Equal intents have equal digests in all processes of
     /// the same build.
     ///
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -197,6 +197,47 @@
     }
 }
 
+/// The message that an agent's action sends. `current` is the packet that was just handled.
+fn agent_body<'a>(action: &'a AgentAction, report: Report, current: &'a [u8]) -> Body<'a> {
+    let returned = |reason, packet| Body::Returned {
+        reason,
+        report,
+        packet,
+    };
+    let missing = |flow, packet| Body::Missing {
+        flow,
+        report,
+        packet,
+    };
+    match action {
+        AgentAction::Return { reason, .. } => returned(*reason, current),
+        AgentAction::ReturnBuffered { reason, packet, .. } => returned(*reason, packet),
+        AgentAction::Missing { flow, .. } => missing(*flow, current),
+        AgentAction::MissingBuffered { flow, packet, .. } => missing(*flow, packet),
+        AgentAction::Accepted { flow, sequence, .. } => Body::Accepted {
+            flow: *flow,
+            sequence: *sequence,
+            report,
+        },
+        AgentAction::Found { flow, .. } => Body::Found {
+            flow: *flow,
+            report,
+        },
+        AgentAction::Absent { flow, .. } => Body::Absent {
+            flows: vec![*flow],
+            report,
+        },
+        AgentAction::Unconfirmed { flow, .. } => Body::Unconfirmed {
+            flows: vec![*flow],
+            report,
+        },
+        AgentAction::Report { .. } => Body::Report(report),
+        AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => {
+            panic!("{action:?} sends no message")
+        }
+    }
+}
+
 impl Model {
     /// The model of a scenario, whose random choices follow from `seed`.
     pub fn new(seed: u64, scenario: Scenario) -> Self {
@@ -717,77 +758,19 @@
     fn agent_actions(&mut self, agent: usize, actions: Vec<AgentAction>, current: &Head) {
         let now = self.at();
         for action in actions {
-            let report = match action.recipient() {
-                Some(to) => self.agents[agent].report_to(now, to),
-                None => Report::default(),
-            };
-            match action {
+            match &action {
                 AgentAction::ToUpstream => self.send_to_upstream(agent, current),
                 AgentAction::ToClient => {}
-                AgentAction::Return { to, reason } => {
-                    let packet = &encode(current);
-                    let body = Body::Returned {
-                        reason,
-                        report,
-                        packet,
-                    };
-                    self.frame_to_balancer(agent, to, body);
-                }
-                AgentAction::ReturnBuffered { to, reason, packet } => {
-                    let packet = &packet;
-                    let body = Body::Returned {
-                        reason,
-                        report,
-                        packet,
-                    };
-                    self.frame_to_balancer(agent, to, body);
-                }
-                AgentAction::Accepted {
-                    to, flow, sequence, ..
-                } => {
-                    let body = Body::Accepted {
-                        flow,
-                        sequence,
-                        report,
-                    };
-                    self.frame_to_balancer(agent, to, body);
-                }
-                AgentAction::Found { to, flow } => {
-                    self.frame_to_balancer(agent, to, Body::Found { flow, report });
-                }
-                AgentAction::Absent { to, flow } => {
-                    let flows = vec![flow];
-                    self.frame_to_balancer(agent, to, Body::Absent { flows, report });
-                }
-                AgentAction::Unconfirmed { to, flow } => {
-                    let flows = vec![flow];
-                    self.frame_to_balancer(agent, to, Body::Unconfirmed { flows, report });
-                }
-                AgentAction::Missing { to, flow } => {
-                    let packet = &encode(current);
-                    let body = Body::Missing {
-                        flow,
-                        report,
-                        packet,
-                    };
-                    self.frame_to_balancer(agent, to, body);
-                }
-                AgentAction::MissingBuffered { to, flow, packet } => {
-                    let packet = &packet;
-                    let body = Body::Missing {
-                        flow,
-                        report,
-                        packet,
-                    };
-                    self.frame_to_balancer(agent, to, body);
-                }
-                AgentAction::Report { to } => {
-                    self.frame_to_balancer(agent, to, Body::Report(report));
-                }
                 AgentAction::Reset { flow, .. } => {
-                    let attempt = attempt_of(&flow);
+                    let attempt = attempt_of(flow);
                     self.schedule(self.scenario.client_delay, Event::Reset { attempt });
                 }
+                _ => {
+                    let to = action.recipient().unwrap();
+                    let report = self.agents[agent].report_to(now, to);
+                    let packet = encode(current);
+                    self.frame_to_balancer(agent, to, agent_body(&action, report, &packet));
+                }
             }
         }
     }
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -38,7 +38,7 @@
     signals::Command,
     status::{self, Status},
     udp,
-    watcher::Event,
+    watcher::{self, Event},
 };
 
 /// Interval between ticks while a SYN waits for the upstream's answer, or balancers wait for room.
@@ -400,7 +400,10 @@
         let report = self.core.report(now);
         metrics::gauge!("sassafrasmast_flows").set(f64::from(report.flows));
         metrics::gauge!("sassafrasmast_busy").set(f64::from(report.busy));
-        metrics::gauge!("sassafrasmast_revision").set(self.core.revision() as f64);
+        let position = self.core.intent().map(|intent| watcher::position(intent));
+        let position = position.unwrap_or_default();
+        metrics::gauge!("sassafrasmast_revision").set(position.number as f64);
+        metrics::gauge!("sassafrasmast_store_era").set(position.era as f64);
     }
 
     /// Answers a status request of an operator.
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -34,7 +34,7 @@
     signals::Command,
     status::{self, Status},
     udp,
-    watcher::Event,
+    watcher::{self, Event},
 };
 
 /// Interval between ticks while a search runs or a SYN waits for placement.
@@ -235,6 +235,7 @@
             }
             Event::PullFailed(..)
             | Event::StoreReachable
+            | Event::StoreRestored { .. }
             | Event::StoreUnreachable(_)
             | Event::ValueRejected(_) => {}
         }
@@ -305,7 +306,10 @@
         metrics::gauge!("sassafrasmast_openings_waiting").set(self.core.queued_count() as f64);
         metrics::gauge!("sassafrasmast_searches").set(self.core.search_count() as f64);
         metrics::gauge!("sassafrasmast_members").set(self.core.members().iter().count() as f64);
-        metrics::gauge!("sassafrasmast_revision").set(self.core.revision() as f64);
+        let position = self.core.intent().map(|intent| watcher::position(intent));
+        let position = position.unwrap_or_default();
+        metrics::gauge!("sassafrasmast_revision").set(position.number as f64);
+        metrics::gauge!("sassafrasmast_store_era").set(position.era as f64);
     }
 
     /// Answers a status request of an operator.
--- a/crates/forwarder/src/registration.rs
+++ b/crates/forwarder/src/registration.rs
@@ -157,6 +157,10 @@
                     }
                 }
                 () = tokio::time::sleep(wait.mul_f64(jitter)) => {}
+                () = lease_lost(&*self.store, self.lease) => {
+                    self.lease = None;
+                    self.written = None;
+                }
             }
         }
     }
@@ -241,3 +245,11 @@
         Ok(listing.entries.first().map(|entry| entry.mod_revision))
     }
 }
+
+/// Waits until the store is known to have lost the lease, if there is one.
+async fn lease_lost(store: &dyn Store, lease: Option<LeaseId>) {
+    match lease {
+        Some(lease) => store.lease_lost(lease).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/forwarder/src/status.rs
+++ b/crates/forwarder/src/status.rs
@@ -9,6 +9,7 @@
 use crate::{
     fallback::Fallback,
     settings::{Role, Settings},
+    watcher,
 };
 
 /// Path of the status on the metrics address.
@@ -29,7 +30,11 @@
     /// Version of the operators' policy that is in force, 0 before the first.
     pub version: u64,
     /// Revision of the intent in force, 0 before the first.
-    pub revision: u64,
+    pub revision: i64,
+    /// Era of the store that the revision belongs to: how often the store had come back from an
+    /// older copy. 0 for stores without eras, and from processes of earlier builds.
+    #[serde(default)]
+    pub era: u64,
     /// Zones that operators have excluded from new flows.
     pub zones_out: BTreeSet<ZoneName>,
     /// Number of open flows that the process knows.
@@ -94,12 +99,14 @@
             Role::Balancer => "balancer",
             Role::Agent(_) => "agent",
         };
+        let position = intent.map(watcher::position).unwrap_or_default();
         Self {
             name: settings.name.clone(),
             role: role.to_owned(),
             zone: settings.zone.to_string(),
             version: intent.map_or(0, |intent| intent.policy.version),
-            revision: intent.map_or(0, |intent| intent.revision),
+            revision: position.number,
+            era: position.era,
             zones_out: intent
                 .map(|intent| intent.zones_out.clone())
                 .unwrap_or_default(),
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -1,12 +1,17 @@
 //! Keeps a process up to date with the store: lists all keys of a range, then watches them.
 
-use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::Rng;
-use sassafrasmast_core::flow::{Intent, Member};
-use sassafrasmast_store::{Entry, Error, Range, Revision, Update};
+use sassafrasmast_core::flow::{Intent, Member, ZoneName};
+use sassafrasmast_store::{Entry, Error, Position, Range, Revision, Update};
 use serde_json::{Value, json};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
     peer::Snapshot,
@@ -20,6 +25,10 @@
 /// Longest backoff: a process reconnects within a second after the store has recovered.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 
+/// Time after the store has come back from an older copy in which operators' documents are written
+/// again. Until then a zone stays out that was out before, whether or not the copy says so.
+const REWRITE_TIME: Duration = Duration::from_secs(4);
+
 /// Event for the event loop of a process.
 #[derive(Debug)]
 pub enum Event {
@@ -33,6 +42,13 @@
     Unlisted(SocketAddrV4),
     /// The store has become reachable.
     StoreReachable,
+    /// The store has come back from an older copy.
+    StoreRestored {
+        /// Position before.
+        from: Position,
+        /// Position of the first listing since.
+        to: Position,
+    },
     /// The store has become unreachable, with the error.
     StoreUnreachable(String),
     /// A pull from this peer returned a snapshot.
@@ -53,6 +69,7 @@
             Self::Listed(_) => "member_listed",
             Self::Unlisted(_) => "member_unlisted",
             Self::StoreReachable => "store_regained",
+            Self::StoreRestored { .. } => "store_restored",
             Self::StoreUnreachable(_) => "store_lost",
             Self::Snapshot(..) => "peer_told",
             Self::PullFailed(..) => "peer_failed",
@@ -64,7 +81,8 @@
     pub fn fields(&self) -> Vec<(&'static str, Value)> {
         match self {
             Self::Intent(intent) => vec![
-                ("revision", intent.revision.into()),
+                ("revision", position(intent).number.into()),
+                ("era", position(intent).era.into()),
                 ("version", intent.policy.version.into()),
                 ("routes", intent.policy.routes.len().into()),
                 ("zones_out", json!(intent.zones_out)),
@@ -87,6 +105,12 @@
                 ("reason", reason.as_str().into()),
             ],
             Self::StoreReachable => Vec::new(),
+            Self::StoreRestored { from, to } => vec![
+                ("from_era", from.era.into()),
+                ("from_revision", from.number.into()),
+                ("era", to.era.into()),
+                ("revision", to.number.into()),
+            ],
             Self::StoreUnreachable(reason) | Self::ValueRejected(reason) => {
                 vec![("reason", reason.as_str().into())]
             }
@@ -105,6 +129,8 @@
     failures: u32,
     /// Whether the last call succeeded.
     is_reachable: bool,
+    /// Zones that were out when the store came back from an older copy, and until when they stay so.
+    zones_kept: Option<(BTreeSet<ZoneName>, Instant)>,
 }
 
 impl<P: Platform> Watcher<P> {
@@ -117,6 +143,7 @@
             events,
             failures: 0,
             is_reachable: false,
+            zones_kept: None,
         }
     }
 
@@ -131,10 +158,13 @@
             match result {
                 Ok(revision) => watch_after = Some(revision),
                 Err(error) => {
-                    if matches!(error, Error::Compacted { .. } | Error::Malformed(_)) {
+                    if needs_listing(&error) {
                         watch_after = None;
                     }
-                    self.back_off(&error).await;
+                    // The store answers, so it need not be spared.
+                    if !matches!(error, Error::Restored { .. }) {
+                        self.back_off(&error).await;
+                    }
                 }
             }
         }
@@ -165,7 +195,12 @@
                 apply(&mut intent, change);
             }
         }
+        self.note_restore(position(&intent)).await;
+        if let Some((zones, _)) = &self.zones_kept {
+            intent.zones_out.extend(zones.iter().cloned());
+        }
         if has_policy && intent.revision >= self.intent.revision {
+            intent.keep_newer_policy(&self.intent);
             self.intent = intent;
             self.send(Event::Intent(Arc::new(self.intent.clone())))
                 .await;
@@ -175,6 +210,35 @@
         Ok(listing.revision)
     }
 
+    /// If the listing at `position` is the first one of a later era, keeps the zones that are out.
+    async fn note_restore(&mut self, listed: Position) {
+        let before = position(&self.intent);
+        let is_known = self.intent.revision > 0;
+        if is_known && listed.era > before.era {
+            let until = Instant::now() + REWRITE_TIME;
+            self.zones_kept = Some((self.intent.zones_out.clone(), until));
+            self.send(Event::StoreRestored {
+                from: before,
+                to: listed,
+            })
+            .await;
+        } else if self
+            .zones_kept
+            .as_ref()
+            .is_some_and(|(_, until)| Instant::now() >= *until)
+        {
+            self.zones_kept = None;
+        }
+    }
+
+    /// Waits until zones are no longer kept out that the store does not list.
+    async fn zones_settled(zones_kept: Option<Instant>) {
+        match zones_kept {
+            Some(until) => tokio::time::sleep_until(until).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Watches for changes after `revision`. Returns the last revision seen when the watch is to be
     /// opened again, or an error after which the keys may have to be listed again.
     async fn watch(&mut self, revision: Revision) -> Result<Revision, Error> {
@@ -184,15 +248,18 @@
             .watch(self.range.clone(), revision + 1)
             .await?;
         let mut seen = revision;
+        let settled_at = self.zones_kept.as_ref().map(|(_, until)| *until);
         loop {
-            match updates.recv().await {
+            let update = tokio::select! {
+                update = updates.recv() => update,
+                () = Self::zones_settled(settled_at) => return self.list().await,
+            };
+            match update {
                 Some(Ok(update)) => {
                     self.mark_reachable().await;
                     seen = self.handle_update(update).await;
                 }
-                Some(Err(error @ (Error::Compacted { .. } | Error::Malformed(_)))) => {
-                    return Err(error);
-                }
+                Some(Err(error)) if needs_listing(&error) => return Err(error),
                 Some(Err(error)) => {
                     self.back_off(&error).await;
                     return Ok(seen);
@@ -223,8 +290,15 @@
                 None => self.send(Event::Unlisted(address)).await,
             }
         } else if let Some(change) = self.operator_change(key, value).await {
+            let before = self.intent.clone();
             self.intent.revision = u64::try_from(revision).unwrap_or(0);
+            if let (OperatorChange::ZoneIn(zone), Some((zones, _))) =
+                (&change, &mut self.zones_kept)
+            {
+                zones.remove(zone);
+            }
             apply(&mut self.intent, change);
+            self.intent.keep_newer_policy(&before);
             self.send(Event::Intent(Arc::new(self.intent.clone())))
                 .await;
         }
@@ -277,6 +351,19 @@
     }
 }
 
+/// Position in the store's history that an intent reflects.
+pub(crate) fn position(intent: &Intent) -> Position {
+    Position::unpack(Revision::try_from(intent.revision).unwrap_or(Revision::MAX))
+}
+
+/// Whether the keys have to be listed anew after an error of a watch.
+fn needs_listing(error: &Error) -> bool {
+    matches!(
+        error,
+        Error::Compacted { .. } | Error::Restored { .. } | Error::Malformed(_)
+    )
+}
+
 /// Applies the change of one document to the intent.
 fn apply(intent: &mut Intent, change: OperatorChange) {
     match change {
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -2,7 +2,7 @@
 
 use thiserror::Error as ThisError;
 
-use super::Revision;
+use super::{Era, Revision};
 
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, ThisError)]
@@ -16,6 +16,13 @@
         /// Oldest revision that can be watched; 0 if the store did not say.
         oldest: Revision,
     },
+    /// The store has come back from an older copy: what it answered before, in an earlier era, no
+    /// longer holds.
+    #[error("the store has come back from an older copy, era {era}")]
+    Restored {
+        /// The era since.
+        era: Era,
+    },
     /// The lease has expired or never existed.
     #[error("the lease is not found")]
     LeaseNotFound,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod entry;
 mod error;
+mod position;
 mod range;
 mod txn;
 mod update;
@@ -14,12 +15,14 @@
 pub use self::{
     entry::Entry,
     error::Error,
+    position::{Era, Position},
     range::{Listing, Range},
     txn::{Compare, Put, Txn, TxnResult},
     update::Update,
 };
 
-/// Revision of the store, incremented by each change.
+/// Revision of the store, higher with each change. If the store may come back from an older copy,
+/// it is a packed [`Position`].
 pub type Revision = i64;
 
 /// Identifies a lease.
@@ -44,6 +47,12 @@
     /// Renews a lease and returns its new time to live; [`Error::LeaseNotFound`] if it expired.
     async fn keep_alive(&self, lease: LeaseId) -> Result<Duration, Error>;
 
+    /// Waits until it is known that the store has lost a lease by coming back from an older copy.
+    /// Never returns for stores that do not do so.
+    async fn lease_lost(&self, _lease: LeaseId) {
+        std::future::pending().await
+    }
+
     /// Revokes a lease and deletes its keys.
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error>;
 
--- a/crates/wire/src/flow/body.rs
+++ b/crates/wire/src/flow/body.rs
@@ -103,3 +103,31 @@
         waiting: u16,
     },
 }
+
+impl Body<'_> {
+    /// The agent's report, if an agent that is known to its receiver sends one with the message.
+    ///
+    /// ```
+    /// use sassafrasmast_wire::flow::{Body, Report};
+    /// let report = Report::default();
+    /// assert_eq!(Body::Report(report).report(), Some(report));
+    /// assert_eq!(Body::Probe { sent: 0 }.report(), None);
+    /// ```
+    pub fn report(&self) -> Option<Report> {
+        match self {
+            Self::Absent { report, .. }
+            | Self::Unconfirmed { report, .. }
+            | Self::Accepted { report, .. }
+            | Self::Returned { report, .. }
+            | Self::Found { report, .. }
+            | Self::Missing { report, .. }
+            | Self::Report(report)
+            | Self::Answer { report, .. } => Some(*report),
+            Self::Deliver { .. }
+            | Self::Locate { .. }
+            | Self::Hello { .. }
+            | Self::Probe { .. }
+            | Self::Demand { .. } => None,
+        }
+    }
+}
