fix(core): an upstream that was leaving is not used again when its agent is restarted

An agent that was restarted beside a draining upstream reports it as unknown until the next heartbeat, and its balancers placed flows on it for that time. They now keep what they knew. The test failed before.

Log lines flow_placed also show the SYN's age, the room that the agent stated and the queue's length.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -123,6 +123,11 @@
         self.queue.len()
     }
 
+    /// Time since the client of a flow sent its first SYN, if the flow is in the table.
+    pub fn syn_age(&self, now: Instant, flow: &Key) -> Option<Duration> {
+        self.flows.get(flow).map(|flow| flow.syn_age(now))
+    }
+
     /// Number of running searches.
     pub fn search_count(&self) -> usize {
         self.searches.len()
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -86,9 +86,15 @@
         }
     }
 
-    /// Stores a report that arrived from the agent itself.
+    /// Stores a report that arrived from the agent itself. An agent that was restarted knows its
+    /// upstream only after the next announcement: until then an upstream that was leaving still is.
     pub fn record_report(&mut self, now: Instant, report: Report) {
-        self.report = report;
+        let was_leaving = matches!(self.report.state, State::Draining | State::Gone);
+        let state = match report.state {
+            State::Unknown if was_leaving => self.report.state,
+            state => state,
+        };
+        self.report = Report { state, ..report };
         self.placed_since_report = 0;
         self.last_frame_at = Some(now);
         self.unanswered_since = None;
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -911,3 +911,29 @@
     assert_eq!(rig.open(flow(2)), agent(2));
     assert_eq!(target(&rig.packet(&data(flow(1), 8))), owner);
 }
+
+#[test]
+fn an_upstream_that_was_leaving_is_not_used_again_when_its_agent_is_restarted() {
+    for state in [State::Draining, State::Gone] {
+        let mut rig = Rig::new(&[(1, ZONE)]);
+        let leaving = Report {
+            state,
+            ..ready_report()
+        };
+        rig.report_from(agent(1), leaving);
+        let restarted = Report {
+            agent: 2,
+            upstream: 0,
+            state: State::Unknown,
+            ..ready_report()
+        };
+        rig.report_from(agent(1), restarted);
+        let sent = rig.packet(&syn(flow(1)));
+        let is_sent = |action: &Action| matches!(action, Action::Forward { .. });
+        assert!(!sent.iter().any(is_sent), "{state:?}: {sent:?}");
+
+        // Its next upstream announces itself.
+        rig.report_from(agent(1), ready_report());
+        assert_eq!(rig.open(flow(2)), agent(1));
+    }
+}
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -160,6 +160,8 @@
             let age = member
                 .and_then(|member| member.last_frame_at)
                 .map(|at| age_ms(now, at));
+            let syn_age = flow.and_then(|flow| self.core.syn_age(now, &flow));
+            let syn_age_ms = syn_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
             [
                 ("flow", flow_text(flow.as_ref())),
                 ("agent", to.to_string().into()),
@@ -170,6 +172,15 @@
                 ),
                 ("load", member.map(|member| member.load(now)).into()),
                 ("report_age_ms", age.into()),
+                (
+                    "room",
+                    member
+                        .filter(|member| member.states_room())
+                        .map(|member| member.report.headroom)
+                        .into(),
+                ),
+                ("syn_age_ms", syn_age_ms.into()),
+                ("queued", self.core.queued_count().into()),
                 ("revision", self.core.revision().into()),
             ]
         });
