--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -298,11 +298,17 @@
         member.load(now) + remote + state + shed
     }
 
-    /// Whether the service has no upstream. False while no agent at all is known, since the list is
-    /// then more likely to be missing than empty.
-    pub fn has_no_upstream(&self, now: Instant, service: &str) -> bool {
+    /// Whether the service has no upstream outside `zones_out`. False while no agent at all is known,
+    /// since the list is then more likely to be missing than empty.
+    pub fn has_no_upstream(
+        &self,
+        now: Instant,
+        service: &str,
+        zones_out: &BTreeSet<ZoneName>,
+    ) -> bool {
         let serves = |member: &Member| {
             &*member.service == service
+                && !zones_out.contains(&member.zone)
                 && (member.listed || member.is_alive(now))
                 && member.report.state != State::Gone
         };
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -131,7 +131,7 @@
                 flow_state.add_syn_recipient(now, to);
                 Ok((to, service))
             }
-            None if settled && self.members.has_no_upstream(now, &service) => {
+            None if settled && self.members.has_no_upstream(now, &service, zones_out) => {
                 Err(PlacementError::NoUpstream)
             }
             None if !flow_state.all_returned() => Err(PlacementError::Outstanding),
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -937,3 +937,18 @@
         assert_eq!(rig.open(flow(2)), agent(1));
     }
 }
+
+#[test]
+fn a_flow_to_a_service_whose_zones_are_all_out_is_reset_at_once() {
+    let mut rig = Rig::new(&[(1, OTHER_ZONE)]);
+    let mut out = (*simple_intent()).clone();
+    out.revision = 2;
+    out.zones_out.insert(OTHER_ZONE.into());
+    assert!(rig.balancer.set_intent(out.into()));
+    let reset = Action::Reset {
+        flow: flow(1),
+        sequence: 0,
+        cause: ResetCause::NoUpstream,
+    };
+    assert_eq!(rig.packet(&syn(flow(1))), [reset]);
+}
