fix(forwarder): a zone taken back while the store was away is in use again within 5 s; eras in log lines

Cause: each process keeps the zone for 4 s from the moment in which its own watch shows the new era, and a watch that has just brought changes polls again only after up to 1.6 s; balancer and agent together took up to 5.6 s. The time is now 3 s, so that the sum stays below the 5 s in which a zone that was taken back has to be in use.

Ruled out: the relist after the time (it runs at once), the refusal of flows to zones that are all out (it only made the test poll faster).

Log lines show revisions as ERA/NUMBER once the store has eras.

--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -350,8 +350,9 @@
         if let Some(intent) = intent {
             let revision = intent.revision;
             if !self.core.set_intent(intent) {
-                self.log
-                    .line(now, "intent_stale", || [("revision", revision.into())]);
+                self.log.line(now, "intent_stale", || {
+                    [("revision", watcher::revision_field(revision))]
+                });
             }
         }
         let before = Arc::clone(&self.view.borrow());
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -247,8 +247,9 @@
     fn install_intent(&mut self, now: Instant, intent: Arc<Intent>) {
         let revision = intent.revision;
         if !self.core.set_intent(intent) {
-            self.log
-                .line(now, "intent_stale", || [("revision", revision.into())]);
+            self.log.line(now, "intent_stale", || {
+                [("revision", watcher::revision_field(revision))]
+            });
         }
     }
 
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -8,7 +8,7 @@
 };
 
 use rand::Rng;
-use sassafrasmast_core::flow::{Intent, Member, ZoneName};
+use sassafrasmast_core::flow::{self, Intent, Member, ZoneName};
 use sassafrasmast_store::{Entry, Error, Position, Range, Revision, Update};
 use serde_json::{Value, json};
 use tokio::{sync::mpsc, time::Instant};
@@ -26,8 +26,10 @@
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 
 /// Time after the store has come back from an older copy in which operators' documents are written
-/// again. Until then a zone stays out that was out before, whether or not the copy says so.
-const REWRITE_TIME: Duration = Duration::from_secs(4);
+/// again. Until then a zone stays out that was out before, whether or not the copy says so. With the
+/// time until a process notices, up to 1.6 s, it stays below the 5 s in which a zone that was taken
+/// back has to be in use again.
+const REWRITE_TIME: Duration = Duration::from_secs(3);
 
 /// Event for the event loop of a process.
 #[derive(Debug)]
@@ -81,8 +83,7 @@
     pub fn fields(&self) -> Vec<(&'static str, Value)> {
         match self {
             Self::Intent(intent) => vec![
-                ("revision", position(intent).number.into()),
-                ("era", position(intent).era.into()),
+                ("revision", revision_field(intent.revision)),
                 ("version", intent.policy.version.into()),
                 ("routes", intent.policy.routes.len().into()),
                 ("zones_out", json!(intent.zones_out)),
@@ -96,7 +97,7 @@
             Self::Unlisted(address) => vec![("agent", address.to_string().into())],
             Self::Snapshot(from, snapshot) => vec![
                 ("peer", from.to_string().into()),
-                ("revision", snapshot.revision.into()),
+                ("revision", revision_field(snapshot.revision)),
                 ("differs", snapshot.intent.is_some().into()),
                 ("members", snapshot.members.len().into()),
             ],
@@ -105,12 +106,9 @@
                 ("reason", reason.as_str().into()),
             ],
             Self::StoreReachable => Vec::new(),
-            Self::StoreRestored { from, to } => vec![
-                ("from_era", from.era.into()),
-                ("from_revision", from.number.into()),
-                ("era", to.era.into()),
-                ("revision", to.number.into()),
-            ],
+            Self::StoreRestored { from, to } => {
+                vec![("from", position_field(*from)), ("to", position_field(*to))]
+            }
             Self::StoreUnreachable(reason) | Self::ValueRejected(reason) => {
                 vec![("reason", reason.as_str().into())]
             }
@@ -353,7 +351,25 @@
 
 /// Position in the store's history that an intent reflects.
 pub(crate) fn position(intent: &Intent) -> Position {
-    Position::unpack(Revision::try_from(intent.revision).unwrap_or(Revision::MAX))
+    position_of(intent.revision)
+}
+
+fn position_of(revision: flow::Revision) -> Position {
+    Position::unpack(Revision::try_from(revision).unwrap_or(Revision::MAX))
+}
+
+/// The revision of an intent in a log line.
+pub(crate) fn revision_field(revision: flow::Revision) -> Value {
+    position_field(position_of(revision))
+}
+
+/// A position in a log line: the store's number, and the era before it if the store has come back
+/// from an older copy.
+fn position_field(position: Position) -> Value {
+    match position.era {
+        0 => position.number.into(),
+        era => format!("{era}/{}", position.number).into(),
+    }
 }
 
 /// Whether the keys have to be listed anew after an error of a watch.
