fix(forwarder): zones kept out after a restore come back although nothing is written meanwhile

The listing after the time had the revision of the one at the restore if nothing was written in between, so the core took the zones as unchanged and the zone stayed out for good; whether an agent wrote its entry before or after the first listing decided. a_zone_taken_back_while_the_store_was_away_is_in_use_again_if_nothing_else_is_written plays it without agents and failed each time before. The intent of that time now counts as one revision older than the listing.

--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -196,6 +196,9 @@
         self.note_restore(position(&intent)).await;
         if let Some((zones, _)) = &self.zones_kept {
             intent.zones_out.extend(zones.iter().cloned());
+            // Older than the listing, so that the listing counts once the time is over, also if
+            // nothing is written until then.
+            intent.revision = intent.revision.saturating_sub(1);
         }
         if has_policy && intent.revision >= self.intent.revision {
             intent.keep_newer_policy(&self.intent);
@@ -208,7 +211,7 @@
         Ok(listing.revision)
     }
 
-    /// If the listing at `position` is the first one of a later era, keeps the zones that are out.
+    /// If the listing at `listed` is the first one of a later era, keeps the zones that are out.
     async fn note_restore(&mut self, listed: Position) {
         let before = position(&self.intent);
         let is_known = self.intent.revision > 0;
