refactor: requests in progress are counted only for packets that may bring one

An agent counted them for each client packet, acknowledgements included, although only a request uses the number. The position of the revision in force is worked out in one place for both roles.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -349,7 +349,11 @@
     ) {
         let knows_all_flows = self.knows_all_flows();
         let has_room = self.flows.len() < self.settings.max_flows;
-        let in_progress = self.requests_in_progress(now);
+        // Counted for packets that may bring a request, not for acknowledgements.
+        let in_progress = match delivery.head.data_len {
+            0 => 0,
+            _ => self.requests_in_progress(now),
+        };
         match self.flows.get_mut(&flow) {
             Some(known) if known.is_held_elsewhere(delivery.head.acknowledgement) => {
                 actions.push(Action::Missing { to: from, flow });
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -401,8 +401,7 @@
         let report = self.core.report(now);
         metrics::gauge!("sassafrasmast_flows").set(f64::from(report.flows));
         metrics::gauge!("sassafrasmast_busy").set(f64::from(report.busy));
-        let position = self.core.intent().map(|intent| watcher::position(intent));
-        let position = position.unwrap_or_default();
+        let position = watcher::position_of(self.core.revision());
         metrics::gauge!("sassafrasmast_revision").set(position.number as f64);
         metrics::gauge!("sassafrasmast_store_era").set(position.era as f64);
     }
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -307,8 +307,7 @@
         metrics::gauge!("sassafrasmast_openings_waiting").set(self.core.queued_count() as f64);
         metrics::gauge!("sassafrasmast_searches").set(self.core.search_count() as f64);
         metrics::gauge!("sassafrasmast_members").set(self.core.members().iter().count() as f64);
-        let position = self.core.intent().map(|intent| watcher::position(intent));
-        let position = position.unwrap_or_default();
+        let position = watcher::position_of(self.core.revision());
         metrics::gauge!("sassafrasmast_revision").set(position.number as f64);
         metrics::gauge!("sassafrasmast_store_era").set(position.era as f64);
     }
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -357,7 +357,8 @@
     position_of(intent.revision)
 }
 
-fn position_of(revision: flow::Revision) -> Position {
+/// Position in the store's history of an intent's revision.
+pub(crate) fn position_of(revision: flow::Revision) -> Position {
     Position::unpack(Revision::try_from(revision).unwrap_or(Revision::MAX))
 }
 
