feat(core): priorities of routes, and messages for admission by class

Cause: a route's priority is not decoded, so no decision can prefer critical requests. Beside it the parts of docs/design/hard-load.md need common messages and a model of load with several routes and uneven upstreams.

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -14,7 +14,7 @@
 pub mod packet;
 pub mod ranking;
 
-pub use sassafrasmast_wire::flow::{Key, Purpose, Reason, Report, Revision, State};
+pub use sassafrasmast_wire::flow::{Key, Priority, Purpose, Reason, Report, Revision, State};
 
 pub use self::{
     agent::Agent, balancer::Balancer, intent::Intent, limiter::Limiter, member::Member,
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -321,7 +321,12 @@
             | Body::Deliver { .. }
             | Body::Locate { .. }
             | Body::Probe { .. }
-            | Body::Demand { .. } => {}
+            | Body::Demand { .. }
+            | Body::ClassDemand { .. }
+            | Body::Speed { .. }
+            | Body::Ended { .. }
+            | Body::Inquire { .. }
+            | Body::Earlier { .. } => {}
         }
     }
 
--- a/crates/core/src/flow/intent/policy.rs
+++ b/crates/core/src/flow/intent/policy.rs
@@ -1,11 +1,15 @@
 //! Routes, services and limits.
 
-use std::{collections::HashMap, net::SocketAddrV4, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddrV4,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 use super::{Route, Service};
-use crate::flow::ServiceName;
+use crate::flow::{Priority, ServiceName};
 
 /// Routes, services and limits of one configuration version.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -40,4 +44,27 @@
             .filter_map(|route| route.latency_objective)
             .min()
     }
+
+    /// The distinct priorities of the routes that lead to a service. Requests of the service are told
+    /// apart by priority only if there are two or more.
+    ///
+    /// ```
+    /// use sassafrasmast_core::flow::intent::{Backend, Policy, Route};
+    /// let mut policy = Policy::default();
+    /// for priority in [2, 1] {
+    ///     let backend = Backend { service: "booking".into(), weight: 1 };
+    ///     let route = Route { priority, backends: vec![backend], ..Route::default() };
+    ///     let address = format!("198.18.0.1:{priority}").parse().unwrap();
+    ///     policy.routes.insert(address, route);
+    /// }
+    /// assert!(policy.priorities("booking").into_iter().eq([1, 2]));
+    /// assert!(policy.priorities("manifests").is_empty());
+    /// ```
+    pub fn priorities(&self, service: &str) -> BTreeSet<Priority> {
+        self.routes
+            .values()
+            .filter(|route| route.routes_to(service))
+            .map(|route| route.priority)
+            .collect()
+    }
 }
--- a/crates/core/src/flow/intent/route.rs
+++ b/crates/core/src/flow/intent/route.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Backend;
-use crate::flow::{Key, ServiceName, ranking};
+use crate::flow::{Key, Priority, ServiceName, ranking};
 
 /// Whether a request may be executed more than once.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -26,6 +26,8 @@
     pub timeout: Option<Duration>,
     /// Latency objective of its requests; `None` if operators configured none.
     pub latency_objective: Option<Duration>,
+    /// Priority of its requests among those of the routes that lead to the same service.
+    pub priority: Priority,
     /// Services that new flows are distributed to.
     pub backends: Vec<Backend>,
 }
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -21,6 +21,7 @@
     Agent, Balancer, Head, Intent, Key, Member, Purpose, Report, State,
     agent::{self, Action as AgentAction, Announcement, Delivery},
     balancer::{self, Action},
+    intent::Route,
     packet::Flags,
 };
 use sassafrasmast_wire::flow::{Body, Frame, Question};
@@ -31,7 +32,7 @@
 };
 pub use self::{
     outcome::Outcome,
-    scenario::{Disturbance, Scenario},
+    scenario::{Class, Disturbance, Scenario, Tail},
 };
 use crate::fixture::{
     SERVICE, bounced, client_head, data, ms, route_address, simple_intent, syn_ack, upstream_head,
@@ -136,7 +137,26 @@
     usize::from(address.ip().octets()[3])
 }
 
-/// The flow of an attempt: 16 bits of its number are the client's port, the others its address.
+/// The bits of an attempt's id above these name its class.
+const CLASS_SHIFT: u32 = 28;
+
+/// The place of an attempt in [`Model::attempts`].
+fn number(attempt: AttemptId) -> usize {
+    (attempt & ((1 << CLASS_SHIFT) - 1)) as usize
+}
+
+/// The class of an attempt's requests, by its number in [`Scenario::classes`].
+fn class_of(attempt: AttemptId) -> usize {
+    (attempt >> CLASS_SHIFT) as usize
+}
+
+/// The address that clients of a class connect to.
+fn class_route(class: usize) -> SocketAddrV4 {
+    let route = route_address();
+    SocketAddrV4::new(*route.ip(), route.port() + u16::try_from(class).unwrap())
+}
+
+/// The flow of an attempt: 16 bits of its id are the client's port, the others its address.
 fn key(attempt: AttemptId) -> Key {
     let [high, low, port_high, port_low] = attempt.to_be_bytes();
     Key {
@@ -144,7 +164,7 @@
             [100, 64, high, low].into(),
             u16::from_be_bytes([port_high, port_low]),
         ),
-        route: route_address(),
+        route: class_route(class_of(attempt)),
     }
 }
 
@@ -358,9 +378,15 @@
     /// An intent with a time limit and a latency objective.
     fn intent(&self) -> Arc<Intent> {
         let mut limited = (*simple_intent()).clone();
-        for route in limited.policy.routes.values_mut() {
-            route.timeout = Some(self.scenario.time_limit);
-            route.latency_objective = Some(self.scenario.objective);
+        let template = limited.policy.routes[&route_address()].clone();
+        for (index, class) in self.scenario.classes.iter().enumerate() {
+            let route = Route {
+                timeout: Some(class.time_limit),
+                latency_objective: Some(class.objective),
+                priority: class.priority,
+                ..template.clone()
+            };
+            limited.policy.routes.insert(class_route(index), route);
         }
         for service in limited.policy.services.values_mut() {
             service.cold_for = self.scenario.cold_for;
@@ -378,12 +404,12 @@
             }
             Event::SynAck { attempt, upstream } => {
                 if self.is_waiting(attempt) {
-                    self.attempts[attempt as usize].upstream = Some(upstream);
+                    self.attempts[number(attempt)].upstream = Some(upstream);
                     self.schedule(self.scenario.client_delay, Event::Request { attempt });
                 }
             }
             Event::Request { attempt } => {
-                let upstream = self.attempts[attempt as usize].upstream.unwrap();
+                let upstream = self.attempts[number(attempt)].upstream.unwrap();
                 let head = data(key(attempt), sequence_of(upstream) + 1);
                 self.send_to_balancer(attempt, &head);
             }
@@ -398,7 +424,7 @@
             }
             Event::Answer { attempt } => self.record_answer(attempt),
             Event::Close { attempt } => {
-                let upstream = self.attempts[attempt as usize].upstream.unwrap();
+                let upstream = self.attempts[number(attempt)].upstream.unwrap();
                 self.send_to_balancer(attempt, &fin(attempt, upstream));
             }
             Event::Reset { attempt } => self.end_attempt(attempt),
@@ -487,11 +513,14 @@
     }
 
     fn arrive(&mut self) {
+        let class = self.scenario.draw_class(&mut self.rng);
         let client = Client {
+            class,
             arrived_at: self.now,
             attempts_left: client::ATTEMPTS,
         };
-        self.outcome.record_arrival(self.scenario.period(self.now));
+        let period = self.scenario.period(self.now);
+        self.outcome.record_arrival(period, class);
         self.clients.push(client);
         self.begin_attempt(self.clients.len() - 1);
         let surge = match self.scenario.disturbance {
@@ -510,10 +539,11 @@
             return;
         }
         state.attempts_left -= 1;
-        let attempt = AttemptId::try_from(self.attempts.len()).unwrap();
+        let class = AttemptId::try_from(state.class).unwrap() << CLASS_SHIFT;
+        let attempt = AttemptId::try_from(self.attempts.len()).unwrap() | class;
         self.attempts.push(Attempt {
             client,
-            balancer: self.rng.random_range(0..self.scenario.balancers),
+            balancer: self.scenario.draw_balancer(&mut self.rng),
             upstream: None,
             is_over: false,
         });
@@ -526,23 +556,24 @@
 
     /// When the client gives up.
     fn deadline(&self, client: usize) -> Duration {
-        self.clients[client].arrived_at + self.scenario.time_limit
+        let state = &self.clients[client];
+        state.arrived_at + self.scenario.classes[state.class].time_limit
     }
 
     /// Whether the attempt is over or its client has given up.
     fn is_over(&self, attempt: AttemptId) -> bool {
-        let attempt = &self.attempts[attempt as usize];
+        let attempt = &self.attempts[number(attempt)];
         attempt.is_over || self.now >= self.deadline(attempt.client)
     }
 
     /// Whether the client still waits for a SYN-ACK.
     fn is_waiting(&self, attempt: AttemptId) -> bool {
-        !self.is_over(attempt) && self.attempts[attempt as usize].upstream.is_none()
+        !self.is_over(attempt) && self.attempts[number(attempt)].upstream.is_none()
     }
 
     fn end_attempt(&mut self, attempt: AttemptId) {
         if !self.is_over(attempt) {
-            let state = &mut self.attempts[attempt as usize];
+            let state = &mut self.attempts[number(attempt)];
             state.is_over = true;
             let client = state.client;
             self.begin_attempt(client);
@@ -553,13 +584,14 @@
         if self.is_over(attempt) {
             return;
         }
-        let state = &mut self.attempts[attempt as usize];
+        let state = &mut self.attempts[number(attempt)];
         state.is_over = true;
-        let arrived_at = self.clients[state.client].arrived_at;
+        let Client {
+            class, arrived_at, ..
+        } = self.clients[state.client];
         let period = self.scenario.period(arrived_at);
-        let took = self.now - arrived_at;
-        self.outcome
-            .record_answer(period, took, self.scenario.objective);
+        let is_in_time = self.now - arrived_at < self.scenario.classes[class].objective;
+        self.outcome.record_answer(period, class, is_in_time);
     }
 
     fn tick(&mut self) {
@@ -586,7 +618,7 @@
         if self.is_down {
             return;
         }
-        let balancer = self.attempts[attempt as usize].balancer;
+        let balancer = self.attempts[number(attempt)].balancer;
         let now = self.at();
         let mut actions = Vec::new();
         self.balancers[balancer].handle_client_packet(now, head, &encode(head), &mut actions);
@@ -616,7 +648,7 @@
                 Action::Reset { flow, .. } => {
                     let attempt = attempt_of(&flow);
                     let period = self.period_of(attempt);
-                    self.outcome.record_reset(period);
+                    self.outcome.record_reset(period, class_of(attempt));
                     self.schedule(self.scenario.client_delay, Event::Reset { attempt });
                 }
                 Action::Drop(..) => {}
@@ -636,7 +668,7 @@
     }
 
     fn period_of(&self, attempt: AttemptId) -> scenario::Period {
-        let client = self.attempts[attempt as usize].client;
+        let client = self.attempts[number(attempt)].client;
         self.scenario.period(self.clients[client].arrived_at)
     }
 
@@ -644,7 +676,7 @@
         if purpose == Purpose::Open {
             let attempt = attempt_of(&decode(packet).client_flow());
             let period = self.period_of(attempt);
-            self.outcome.record_forwarded_syn(period);
+            self.outcome.record_forwarded_syn(period, class_of(attempt));
         }
         let body = Body::Deliver {
             purpose,
@@ -813,7 +845,7 @@
     }
 
     fn begin_request(&mut self, upstream: usize, attempt: AttemptId) {
-        let work = self.rng.random_range(self.scenario.work_micros.clone());
+        let work = self.scenario.draw_work(&mut self.rng, upstream);
         let state = &mut self.upstreams[upstream];
         state.running += 1;
         let start = state.start;
@@ -822,7 +854,7 @@
         } else {
             1.0
         };
-        let took = Duration::from_micros(work).mul_f64(cold * state.slowdown);
+        let took = work.mul_f64(cold * state.slowdown);
         self.schedule(
             took,
             Event::Finish {
--- a/crates/core/tests/flow/load/client.rs
+++ b/crates/core/tests/flow/load/client.rs
@@ -8,6 +8,8 @@
 /// A request of a client over all its attempts.
 #[derive(Debug)]
 pub struct Client {
+    /// Its class, by its number in [`super::Scenario::classes`].
+    pub class: usize,
     pub arrived_at: Duration,
     pub attempts_left: u32,
 }
--- a/crates/core/tests/flow/load/outcome.rs
+++ b/crates/core/tests/flow/load/outcome.rs
@@ -1,6 +1,6 @@
 //! What clients got.
 
-use std::{fmt, time::Duration};
+use std::{collections::BTreeMap, fmt};
 
 use super::scenario::Period;
 
@@ -57,6 +57,8 @@
     pub during: Service,
     pub after: Service,
     outside: Service,
+    /// What clients of each class got from the time for recovery on.
+    after_by_class: BTreeMap<usize, Service>,
     /// SYNs that upstreams bounced.
     pub shed: usize,
     /// SYNs that reached an upstream after their client's attempt was over.
@@ -64,31 +66,40 @@
 }
 
 impl Outcome {
-    fn service(&mut self, period: Period) -> &mut Service {
-        match period {
+    fn record(&mut self, period: Period, class: usize, apply: impl Fn(&mut Service)) {
+        apply(match period {
             Period::Before => &mut self.before,
             Period::During => &mut self.during,
             Period::After => &mut self.after,
             Period::Outside => &mut self.outside,
+        });
+        if period == Period::After {
+            apply(self.after_by_class.entry(class).or_default());
         }
     }
 
-    pub fn record_arrival(&mut self, period: Period) {
-        self.service(period).arrived += 1;
+    /// What clients of a class got from the time for recovery on.
+    pub fn after_of(&self, class: usize) -> Service {
+        self.after_by_class.get(&class).cloned().unwrap_or_default()
     }
 
-    pub fn record_answer(&mut self, period: Period, took: Duration, objective: Duration) {
-        let service = self.service(period);
-        service.answered += 1;
-        service.in_time += usize::from(took < objective);
+    pub fn record_arrival(&mut self, period: Period, class: usize) {
+        self.record(period, class, |service| service.arrived += 1);
     }
 
-    pub fn record_reset(&mut self, period: Period) {
-        self.service(period).resets += 1;
+    pub fn record_answer(&mut self, period: Period, class: usize, is_in_time: bool) {
+        self.record(period, class, |service| {
+            service.answered += 1;
+            service.in_time += usize::from(is_in_time);
+        });
     }
 
-    pub fn record_forwarded_syn(&mut self, period: Period) {
-        self.service(period).forwarded_syns += 1;
+    pub fn record_reset(&mut self, period: Period, class: usize) {
+        self.record(period, class, |service| service.resets += 1);
+    }
+
+    pub fn record_forwarded_syn(&mut self, period: Period, class: usize) {
+        self.record(period, class, |service| service.forwarded_syns += 1);
     }
 }
 
--- a/crates/core/tests/flow/load/scenario.rs
+++ b/crates/core/tests/flow/load/scenario.rs
@@ -2,6 +2,9 @@
 
 use std::{ops::RangeInclusive, time::Duration};
 
+use rand::{Rng, rngs::StdRng};
+use sassafrasmast_core::flow::Priority;
+
 use crate::fixture::ms;
 
 /// Time after the end of a disturbance in which service must be as before it.
@@ -44,6 +47,36 @@
     Outside,
 }
 
+/// Requests of one route.
+#[derive(Debug, Clone)]
+pub struct Class {
+    pub priority: Priority,
+    /// Share of the requests.
+    pub share: f64,
+    /// Time limit and latency objective of a request.
+    pub time_limit: Duration,
+    pub objective: Duration,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Self {
+            priority: 0,
+            share: 1.0,
+            time_limit: ms(1_500),
+            objective: ms(150),
+        }
+    }
+}
+
+/// Requests that take longer than others.
+#[derive(Debug, Clone, Copy)]
+pub struct Tail {
+    /// Share of the requests.
+    pub share: f64,
+    pub factor: f64,
+}
+
 /// A deployment, its load and a disturbance.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -64,9 +97,13 @@
     pub near_delay: Duration,
     /// One-way delay between processes of two zones.
     pub far_delay: Duration,
-    /// Time limit and latency objective of a request.
-    pub time_limit: Duration,
-    pub objective: Duration,
+    /// Requests by route; the shares add up to 1.
+    pub classes: Vec<Class>,
+    /// Factors of the time that requests take, which upstreams have in turn.
+    pub speeds: Vec<f64>,
+    pub tail: Option<Tail>,
+    /// Relative loads of the zones; equal if empty.
+    pub zone_loads: Vec<f64>,
     /// The load as a share of what the upstreams bear.
     pub load: f64,
     pub disturbance: Disturbance,
@@ -89,8 +126,10 @@
             client_delay: ms(1),
             near_delay: Duration::from_micros(400),
             far_delay: Duration::from_micros(1_700),
-            time_limit: ms(1_500),
-            objective: ms(150),
+            classes: vec![Class::default()],
+            speeds: vec![1.0],
+            tail: None,
+            zone_loads: Vec::new(),
             load: 0.5,
             disturbance: Disturbance::None,
             begin: ms(4_100),
@@ -100,6 +139,23 @@
     }
 }
 
+/// The number of an entry, by their weights. Draws nothing if there is one entry only.
+fn draw(weights: impl ExactSizeIterator<Item = f64> + Clone, rng: &mut StdRng) -> usize {
+    let last = weights.len() - 1;
+    if last == 0 {
+        return 0;
+    }
+    let total: f64 = weights.clone().sum();
+    let mut point = rng.random::<f64>() * total;
+    for (index, weight) in weights.enumerate() {
+        if point < weight {
+            return index;
+        }
+        point -= weight;
+    }
+    last
+}
+
 impl Scenario {
     /// Zone of the balancer or agent with this index.
     pub fn zone_of(&self, index: usize) -> &'static str {
@@ -115,14 +171,55 @@
         }
     }
 
-    /// Mean time that a request takes, in seconds.
+    /// Mean time that a request takes at an upstream of speed 1, in seconds.
     fn mean_work(&self) -> f64 {
-        (self.work_micros.start() + self.work_micros.end()) as f64 / 2e6
+        let tail = self
+            .tail
+            .map_or(1.0, |tail| 1.0 + tail.share * (tail.factor - 1.0));
+        (self.work_micros.start() + self.work_micros.end()) as f64 / 2e6 * tail
+    }
+
+    /// Factor of the time that requests take at an upstream.
+    fn speed(&self, upstream: usize) -> f64 {
+        self.speeds[upstream % self.speeds.len()]
     }
 
     /// Requests a second that the upstreams bear.
     pub fn capacity(&self) -> f64 {
-        (self.upstreams * self.slots) as f64 / self.mean_work()
+        let speeds = (0..self.upstreams).map(|upstream| self.speed(upstream).recip());
+        speeds.sum::<f64>() * self.slots as f64 / self.mean_work()
+    }
+
+    /// Time limit of the requests with the longest one.
+    fn time_limit(&self) -> Duration {
+        let limits = self.classes.iter().map(|class| class.time_limit);
+        limits.max().unwrap_or_default()
+    }
+
+    /// The class of a request, by its number.
+    pub fn draw_class(&self, rng: &mut StdRng) -> usize {
+        let shares = self.classes.iter().map(|class| class.share);
+        draw(shares, rng)
+    }
+
+    /// The balancer that the router selects for an attempt.
+    pub fn draw_balancer(&self, rng: &mut StdRng) -> usize {
+        if self.zone_loads.is_empty() {
+            return rng.random_range(0..self.balancers);
+        }
+        let zone = draw(self.zone_loads.iter().copied(), rng);
+        let count = (self.balancers - zone).div_ceil(self.zones);
+        zone + self.zones * rng.random_range(0..count)
+    }
+
+    /// The time that a request takes at an upstream that is neither cold nor disturbed.
+    pub fn draw_work(&self, rng: &mut StdRng, upstream: usize) -> Duration {
+        let work = Duration::from_micros(rng.random_range(self.work_micros.clone()));
+        let tail = match self.tail {
+            Some(tail) if rng.random::<f64>() < tail.share => tail.factor,
+            _ => 1.0,
+        };
+        work.mul_f64(self.speed(upstream) * tail)
     }
 
     /// Requests a second that clients send.
@@ -132,13 +229,13 @@
 
     /// Length of the period after the disturbance in which requests count.
     pub fn counted_after(&self) -> Duration {
-        self.length - self.time_limit - self.end - RECOVERY_TIME
+        self.length - self.time_limit() - self.end - RECOVERY_TIME
     }
 
     /// The period in which a request counts that was sent at `at`. Its client's time limit ends
     /// before the disturbance begins or before the scenario does.
     pub fn period(&self, at: Duration) -> Period {
-        let is_within = |from: Duration, to: Duration| at >= from && at + self.time_limit < to;
+        let is_within = |from: Duration, to: Duration| at >= from && at + self.time_limit() < to;
         if is_within(WARM_UP, self.begin) {
             Period::Before
         } else if is_within(self.end + RECOVERY_TIME, self.length) {
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -7,6 +7,7 @@
 
 mod agent;
 mod balancer;
+mod classes;
 mod fixture;
 mod load;
 mod overload;
--- a/crates/core/tests/flow/recovery.rs
+++ b/crates/core/tests/flow/recovery.rs
@@ -1,9 +1,11 @@
 //! Service under load, and how soon it is as before after a disturbance, on deployments whose
 //! upstreams differ in slots and in the duration of requests.
 
+use std::time::Duration;
+
 use crate::{
     fixture::ms,
-    load::{Disturbance, Model, Outcome, Scenario},
+    load::{Class, Disturbance, Model, Outcome, Scenario},
 };
 
 const SEEDS: std::ops::Range<u64> = 0..3;
@@ -21,13 +23,20 @@
 /// Target for the SYNs that balancers send to agents for each answer, in an overload.
 const SYNS_PER_ANSWER: f64 = 1.3;
 
+fn one_class(objective: Duration, time_limit: Duration) -> Vec<Class> {
+    vec![Class {
+        objective,
+        time_limit,
+        ..Class::default()
+    }]
+}
+
 fn short_requests() -> Scenario {
     Scenario {
         balancers: 4,
         slots: 1,
         work_micros: 6_000..=8_000,
-        objective: ms(70),
-        time_limit: ms(1_000),
+        classes: one_class(ms(70), ms(1_000)),
         ..Scenario::default()
     }
 }
@@ -37,8 +46,7 @@
         balancers: 13,
         upstreams: 26,
         slots: 2,
-        objective: ms(300),
-        time_limit: ms(2_000),
+        classes: one_class(ms(300), ms(2_000)),
         ..Scenario::default()
     }
 }
@@ -48,8 +56,7 @@
         upstreams: 4,
         slots: 20,
         work_micros: 100_000..=300_000,
-        objective: ms(800),
-        time_limit: ms(3_000),
+        classes: one_class(ms(800), ms(3_000)),
         length: ms(14_000),
         ..Scenario::default()
     }
--- a/crates/forwarder/src/peer.rs
+++ b/crates/forwarder/src/peer.rs
@@ -32,7 +32,7 @@
 /// Format of requests and snapshots, which changes with the types in a [`Snapshot`]. A process
 /// answers only requests of its own format, so that during an upgrade no intent is decoded wrongly;
 /// the store and peers of the same build remain. The requests of builds before it begin with 0.
-const FORMAT: u32 = 1;
+const FORMAT: u32 = 2;
 
 /// An agent in a [`Snapshot`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/wire/src/flow.rs
+++ b/crates/wire/src/flow.rs
@@ -1,8 +1,10 @@
 //! Frames of flow forwarding. They carry packets whose payload the system does not interpret.
 
+mod attempt;
 mod body;
 mod frame;
 mod key;
+mod priority;
 mod purpose;
 mod question;
 mod reason;
@@ -10,9 +12,11 @@
 mod state;
 
 pub use self::{
+    attempt::Attempt,
     body::Body,
     frame::{Frame, MAX_BYTES, VERSION},
     key::Key,
+    priority::Priority,
     purpose::Purpose,
     question::Question,
     reason::Reason,
--- a/crates/wire/src/flow/body.rs
+++ b/crates/wire/src/flow/body.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Key, Purpose, Question, Reason, Report};
+use super::{Attempt, Key, Priority, Purpose, Question, Reason, Report};
 
 /// Content of a [`super::Frame`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -102,6 +102,37 @@
         /// Number of SYNs that are queued.
         waiting: u16,
     },
+    /// Balancer to agent: as [`Body::Demand`], for a service whose routes differ in priority.
+    /// Agents of earlier builds do not know this message and drop it; balancers then place SYNs by
+    /// the agents' reports.
+    ClassDemand {
+        /// Number of queued SYNs by priority.
+        waiting: Vec<(Priority, u16)>,
+    },
+    /// Agent to balancer: time that the upstream takes for a request in a slot. Balancers of earlier
+    /// builds drop it and compare upstreams by their busy slots alone.
+    Speed {
+        /// The time in microseconds.
+        service_time_micros: u32,
+    },
+    /// Balancer to agent: attempts that ended without an answer. At most
+    /// [`Question::MAX_PER_FRAME`]. Dropped by agents of earlier builds: later attempts of these
+    /// callers then count as first ones.
+    Ended {
+        /// The attempts.
+        attempts: Vec<Attempt>,
+    },
+    /// Balancer to agent: asks for earlier attempts of the callers of these flows. At most
+    /// [`Question::MAX_PER_FRAME`].
+    Inquire {
+        /// The flows.
+        flows: Vec<Key>,
+    },
+    /// Agent to balancer, answer to [`Body::Inquire`]: callers of these flows had earlier attempts.
+    Earlier {
+        /// The flows, each with the age of its caller's first attempt in milliseconds.
+        flows: Vec<(Key, u32)>,
+    },
 }
 
 impl Body<'_> {
@@ -127,7 +158,12 @@
             | Self::Locate { .. }
             | Self::Hello { .. }
             | Self::Probe { .. }
-            | Self::Demand { .. } => None,
+            | Self::Demand { .. }
+            | Self::ClassDemand { .. }
+            | Self::Speed { .. }
+            | Self::Ended { .. }
+            | Self::Inquire { .. }
+            | Self::Earlier { .. } => None,
         }
     }
 }
