feat(core): placement by expected completion, share of flows sent to other zones

Upstreams were compared by busy slots and fixed penalties. Agents now report the time in a slot, and balancers compare wait, time and path.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -9,7 +9,9 @@
 mod delivery;
 mod flow;
 mod offers;
+mod service_time;
 mod settings;
+mod speed_reports;
 mod upstream;
 mod work;
 
@@ -28,7 +30,9 @@
     delivery::Delivery,
     flow::{Flow, Phase},
     offers::Offers,
+    service_time::ServiceTime,
     settings::Settings,
+    speed_reports::SpeedReports,
     upstream::{Change, Upstream},
     work::Work,
 };
@@ -329,6 +333,7 @@
         actions: &mut Vec<Action>,
     ) {
         let flow = delivery.head.client_flow();
+        self.work.record_sender(now, from, delivery.head.opens());
         if delivery.head.opens() {
             self.open(now, from, flow, delivery, actions);
         } else {
@@ -667,6 +672,8 @@
     /// Handles SYN timeouts and removes expired flows.
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.make_offers(now, actions);
+        let is_cold = self.upstream.state(now) == State::Cold;
+        self.work.report_speed(now, is_cold, actions);
         let timed_out: Vec<Key> = self
             .pending_syns
             .iter()
--- a/crates/core/src/flow/agent/action.rs
+++ b/crates/core/src/flow/agent/action.rs
@@ -81,6 +81,13 @@
         /// The balancer.
         to: SocketAddrV4,
     },
+    /// Tell a balancer the time that the upstream takes for a request in a slot.
+    Speed {
+        /// The balancer.
+        to: SocketAddrV4,
+        /// The time in microseconds.
+        service_time_micros: u32,
+    },
     /// Reset a flow towards its client.
     Reset {
         /// The flow.
@@ -105,7 +112,8 @@
             | Self::Unconfirmed { to, .. }
             | Self::Missing { to, .. }
             | Self::MissingBuffered { to, .. }
-            | Self::Report { to } => Some(*to),
+            | Self::Report { to }
+            | Self::Speed { to, .. } => Some(*to),
         }
     }
 }
--- a/crates/core/src/flow/agent/work.rs
+++ b/crates/core/src/flow/agent/work.rs
@@ -1,7 +1,11 @@
 //! How long an upstream takes for requests, and how many it should have at a time.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
 
+use super::{Action, ServiceTime, SpeedReports};
 use crate::flow::average::Average;
 
 /// Requests in progress per slot while the duration of requests is not known: one that runs and one
@@ -26,12 +30,48 @@
     opening_time: Average,
     /// Time from an offer of room until the SYN arrives that uses it.
     offer_time: Average,
+    /// What balancers are told of the time in a slot.
+    reported_time: ServiceTime,
+    speed_reports: SpeedReports,
+    /// Whether the upstream was cold when speeds were last reported.
+    was_cold: bool,
 }
 
 impl Work {
     /// Forgets what was observed, since the upstream has started anew.
     pub fn reset(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            speed_reports: std::mem::take(&mut self.speed_reports),
+            ..Self::default()
+        };
+    }
+
+    /// The time in a slot that balancers are told, `None` until some requests were observed.
+    pub fn reported_time(&self) -> Option<Duration> {
+        self.reported_time.get()
+    }
+
+    /// Records a client's packet that a balancer sent, which opens a flow or not.
+    pub fn record_sender(&mut self, now: Instant, balancer: SocketAddrV4, opens: bool) {
+        self.speed_reports.record_packet(now, balancer, opens);
+    }
+
+    /// Tells balancers that place flows here the time that the upstream takes for a request. What a
+    /// cold upstream took is forgotten once it is no longer cold.
+    pub fn report_speed(&mut self, now: Instant, is_cold: bool, actions: &mut Vec<Action>) {
+        if self.was_cold && !is_cold {
+            self.reported_time = ServiceTime::default();
+        }
+        self.was_cold = is_cold;
+        let Some(time) = self.reported_time.get() else {
+            return;
+        };
+        let service_time_micros = u32::try_from(time.as_micros()).unwrap_or(u32::MAX);
+        let due = self.speed_reports.take_due(now, time);
+        actions.extend(due.into_iter().map(|to| Action::Speed {
+            to,
+            service_time_micros,
+        }));
     }
 
     /// Records that a request was answered after `took`. When it arrived, `in_progress` requests
@@ -45,6 +85,7 @@
             took
         };
         self.service_time.add(in_slot);
+        self.reported_time.record(in_slot);
     }
 
     /// Records that the first request of a flow arrived `took` after the flow's SYN.
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -9,6 +9,7 @@
 
 mod action;
 mod candidate;
+mod candidates;
 mod flow;
 mod members;
 mod path_monitor;
@@ -18,7 +19,9 @@
 mod search;
 mod searches;
 mod settings;
+mod speeds;
 mod timeliness;
+mod zones;
 
 use std::{
     collections::HashMap,
@@ -39,7 +42,9 @@
     response_times::ResponseTimes,
     search::{Search, Status},
     settings::Settings,
+    speeds::{Speed, Speeds},
     timeliness::{Ages, Timeliness},
+    zones::{ZoneShare, Zones},
 };
 use super::{
     Head, Intent, Key, Member, Purpose, Revision,
@@ -76,8 +81,10 @@
     /// A balancer without intent, agents and flows.
     pub fn new(now: Instant, settings: Settings) -> Self {
         let rate = settings.questions_per_second;
+        let mut members = Members::new(now, settings.zone.clone());
+        members.set_remote_cost(settings.remote_cost);
         Self {
-            members: Members::new(now, settings.zone.clone()),
+            members,
             question_limiter: Bucket::new(now, rate, rate / QUESTION_BURST_DIVISOR),
             settings,
             intent: None,
@@ -281,6 +288,9 @@
         match body {
             Body::Accepted { flow, sequence, .. } => {
                 if let Some(flow_state) = self.flows.get_mut(flow) {
+                    if let Some(took) = flow_state.time_to_accept(now, from) {
+                        self.members.record_acceptance(now, from, flow, took);
+                    }
                     flow_state.accept(from, *sequence);
                 }
             }
@@ -317,13 +327,18 @@
             Body::Answer { sent, report } => {
                 self.members.record_probe_answer(now, from, *sent, *report)
             }
+            Body::Speed {
+                service_time_micros,
+            } => {
+                let time = Duration::from_micros((*service_time_micros).into());
+                self.members.record_speed(now, from, time);
+            }
             Body::Report(_)
             | Body::Deliver { .. }
             | Body::Locate { .. }
             | Body::Probe { .. }
             | Body::Demand { .. }
             | Body::ClassDemand { .. }
-            | Body::Speed { .. }
             | Body::Ended { .. }
             | Body::Inquire { .. }
             | Body::Earlier { .. } => {}
@@ -346,6 +361,7 @@
 
     /// Continues searches, places queued SYNs, sends probes and removes expired state.
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.members.tick(now);
         self.continue_searches(now, actions);
         self.place_queued(now, actions);
         self.members.probe(now, actions);
--- /dev/null
+++ b/crates/core/src/flow/balancer/candidates.rs
@@ -0,0 +1,191 @@
+//! Choice of the agent for a new flow.
+
+use std::{
+    cmp::Reverse,
+    collections::BTreeSet,
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
+
+use super::{Members, Speed};
+use crate::flow::{Key, Member, State, ZoneName, ranking};
+
+/// Cost of a new flow at the best upstream of the own zone up to which other zones are not
+/// considered: requests still find a free slot. Like the penalties below it is a fraction of the
+/// upstream's slots, as [`Member::load`] is.
+const MAX_LOCAL_COST: f64 = 0.6;
+
+/// Load added for the latency to an upstream of another zone.
+const REMOTE_PENALTY: f64 = 0.15;
+
+/// Load added for a cold upstream, whose requests take about 1.5 times as long.
+const COLD_PENALTY: f64 = 0.3;
+
+/// Load added for an upstream that has not announced itself to its agent or has recently bounced a
+/// SYN. Exceeds the sum of the other penalties.
+const LAST_CHOICE_PENALTY: f64 = 3.0;
+
+/// Number of the highest ranked upstreams of the own zone among which the cheapest is selected.
+const LOCAL_CANDIDATES: usize = 2;
+
+/// Expected completion at the best candidate of the own zone up to which no other upstream is
+/// considered, as a multiple of the service's median time.
+const MAX_LOCAL_COMPLETION: f64 = 1.25;
+
+/// Expected completion at a place that becomes free, as a multiple of the median time: agents take
+/// half a request of work ahead.
+const PLACE_COMPLETION: f64 = 1.5;
+
+/// Difference of the expected completions up to which a flow stays in the own zone while that has
+/// room, as a multiple of the median time: waits are known only as of the last reports.
+const LEAVING_MARGIN: f64 = 0.5;
+
+/// Time of a request at a cold upstream, as a multiple of the service's median time.
+const COLD_FACTOR: f64 = 1.5;
+
+/// The member with the lowest cost, and the cost.
+fn cheapest<'a>(
+    members: &[&'a Member],
+    cost: impl Fn(&Member) -> f64,
+) -> Option<(f64, &'a Member)> {
+    members
+        .iter()
+        .map(|&member| (cost(member), member))
+        .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.address.cmp(&b.1.address)))
+}
+
+impl Members {
+    /// The agent for a new flow. The cheaper of the two highest ranked upstreams of this zone is
+    /// taken if it has room to spare, else the upstream where the flow is expected to complete
+    /// first. `None` if no upstream has room, or if a place in the own zone is expected sooner than
+    /// what it costs to leave it.
+    pub fn choose(
+        &self,
+        now: Instant,
+        flow: &Key,
+        service: &str,
+        tried: &[SocketAddrV4],
+        zones_out: &BTreeSet<ZoneName>,
+    ) -> Option<SocketAddrV4> {
+        let usable: Vec<&Member> = self
+            .iter()
+            .filter(|member| {
+                &*member.service == service
+                    && member.accepts_flows(now)
+                    && !zones_out.contains(&member.zone)
+                    && !tried.contains(&member.address)
+            })
+            .collect();
+        let (own, others): (Vec<&Member>, Vec<&Member>) = usable
+            .iter()
+            .copied()
+            .partition(|member| member.zone == *self.zones().own());
+        let mut local = own.clone();
+        local.sort_by_cached_key(|member| Reverse(ranking::rank(flow, member.address)));
+        local.truncate(LOCAL_CANDIDATES);
+        let load_cost = |member: &Member| self.load_cost(now, member);
+        let Some(speed) = self.speeds().get(service) else {
+            return match cheapest(&local, load_cost) {
+                Some((cost, member)) if cost <= MAX_LOCAL_COST => Some(member.address),
+                _ => cheapest(&usable, load_cost).map(|(_, member)| member.address),
+            };
+        };
+        let completion = |member: &Member| self.completion(now, member, speed);
+        if self.zones().is_sent_away(service, flow)
+            && let Some((_, member)) = cheapest(&others, completion)
+        {
+            return Some(member.address);
+        }
+        let own_best = if speed.is_even {
+            match cheapest(&local, load_cost) {
+                Some((cost, member)) if cost <= MAX_LOCAL_COST => return Some(member.address),
+                _ => cheapest(&own, load_cost).map(|(_, member)| (completion(member), member)),
+            }
+        } else {
+            let limit = speed.median.as_secs_f64() * MAX_LOCAL_COMPLETION;
+            match cheapest(&local, completion) {
+                Some((cost, member)) if cost <= limit => return Some(member.address),
+                _ => cheapest(&own, completion),
+            }
+        };
+        // A place at a slow upstream is not worth more than the next one at another.
+        let own_best = own_best
+            .filter(|(own, _)| speed.is_even || !self.is_worth_waiting(service, *own, speed));
+        let Some((away, other)) = cheapest(&others, completion) else {
+            return own_best.map(|(_, member)| member.address);
+        };
+        let margin = speed.median.as_secs_f64() * LEAVING_MARGIN;
+        match own_best {
+            Some((own, member)) if speed.is_even || own <= away + margin => Some(member.address),
+            Some(_) => Some(other.address),
+            None => self
+                .is_leaving(now, service, zones_out, away, speed)
+                .then_some(other.address),
+        }
+    }
+
+    /// Whether a flow that would complete after `completion` seconds had better wait for a place at
+    /// an upstream of median speed.
+    fn is_worth_waiting(&self, service: &str, completion: f64, speed: Speed) -> bool {
+        let wait = self.zones().own_wait(service);
+        let median = speed.median.as_secs_f64() * PLACE_COMPLETION;
+        wait.is_some_and(|wait| wait.as_secs_f64() + median < completion)
+    }
+
+    /// Whether a flow leaves the own zone, which has no room for it, for a place where it completes
+    /// after `away` seconds.
+    fn is_leaving(
+        &self,
+        now: Instant,
+        service: &str,
+        zones_out: &BTreeSet<ZoneName>,
+        away: f64,
+        speed: Speed,
+    ) -> bool {
+        let own = self.zones().own();
+        let may_get_room = !zones_out.contains(own)
+            && self.iter().any(|member| {
+                &*member.service == service && member.zone == *own && member.is_usable(now)
+            });
+        if !may_get_room {
+            return true;
+        }
+        let wait = self.zones().own_wait(service);
+        wait.is_none_or(|wait| (wait + speed.median).as_secs_f64() > away)
+    }
+
+    /// Cost of placing a new flow on a member by its load, where nothing is known of the times that
+    /// requests take or these are equal.
+    fn load_cost(&self, now: Instant, member: &Member) -> f64 {
+        let remote = if member.zone == *self.zones().own() {
+            0.0
+        } else {
+            REMOTE_PENALTY
+        };
+        let cold = match member.report.state {
+            State::Cold => COLD_PENALTY,
+            _ => 0.0,
+        };
+        member.load(now) + remote + cold + last_choice_penalty(now, member)
+    }
+
+    /// Time until a new flow is expected to complete on a member, in seconds, with what it costs to
+    /// go to the member's zone.
+    fn completion(&self, now: Instant, member: &Member, speed: Speed) -> f64 {
+        let assumed = match member.report.state {
+            State::Cold => speed.median.mul_f64(COLD_FACTOR),
+            _ => speed.median,
+        };
+        let time: Duration = member.service_time(now).unwrap_or(assumed);
+        let last_choice = speed.median.as_secs_f64() * last_choice_penalty(now, member);
+        let path = self.zones().cost(&member.zone).as_secs_f64();
+        member.expected_wait(now, time) + time.as_secs_f64() + path + last_choice
+    }
+}
+
+/// Load added for an upstream that is taken only if no other one is left, else 0.
+fn last_choice_penalty(now: Instant, member: &Member) -> f64 {
+    let is_unknown = member.report.state == State::Unknown;
+    let penalty = |applies: bool| if applies { LAST_CHOICE_PENALTY } else { 0.0 };
+    penalty(is_unknown) + penalty(member.has_shed(now))
+}
--- a/crates/core/src/flow/balancer/flow.rs
+++ b/crates/core/src/flow/balancer/flow.rs
@@ -126,6 +126,14 @@
         });
     }
 
+    /// Time since the SYN was sent to an agent whose upstream has not accepted it before.
+    pub fn time_to_accept(&self, now: Instant, agent: SocketAddrV4) -> Option<Duration> {
+        let mut recipients = self.syn_recipients.iter();
+        let recipient = recipients.find(|recipient| recipient.agent == agent)?;
+        let is_first = recipient.syn_ack_sequence.is_none();
+        is_first.then(|| now.saturating_duration_since(recipient.sent_at))
+    }
+
     /// Records that an agent's upstream accepted the flow with `sequence`.
     pub fn accept(&mut self, agent: SocketAddrV4, sequence: u32) {
         for recipient in &mut self.syn_recipients {
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -7,26 +7,12 @@
     time::{Duration, Instant},
 };
 
-use super::{Action, PathMonitor};
-use crate::flow::{Key, Member, Report, State, ZoneName, intent::Route, ranking};
+use super::{Action, PathMonitor, Speeds, Zones};
+use crate::flow::{Key, Member, Report, ServiceName, State, ZoneName, intent::Route, ranking};
 
-/// Cost of a new flow at the best upstream of the own zone up to which other zones are not
-/// considered: requests still find a free slot. Like the penalties below it is a fraction of the
-/// upstream's slots, as [`Member::load`] is.
-const MAX_LOCAL_COST: f64 = 0.6;
-
-/// Load added for the latency to an upstream of another zone.
-const REMOTE_PENALTY: f64 = 0.15;
-
-/// Load added for a cold upstream, whose requests take about 1.5 times as long.
-const COLD_PENALTY: f64 = 0.3;
-
-/// Load added for an upstream that has not announced itself to its agent or has recently bounced a
-/// SYN. Exceeds the sum of the other penalties.
-const LAST_CHOICE_PENALTY: f64 = 3.0;
-
-/// Number of the highest ranked upstreams of the own zone among which the cheapest is selected.
-const LOCAL_CANDIDATES: usize = 2;
+/// What a flow that leaves its zone costs unless operators set it: about ten times a path between
+/// zones of one region, so that traffic leaves for room and not for noise.
+pub(super) const DEFAULT_REMOTE_COST: Duration = Duration::from_millis(5);
 
 /// Interval between probes of a silent agent.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
@@ -68,7 +54,6 @@
 /// Table of the agents that a balancer knows.
 #[derive(Debug)]
 pub struct Members {
-    zone: ZoneName,
     by_address: HashMap<SocketAddrV4, Member>,
     additions: u64,
     /// When this balancer started.
@@ -76,21 +61,71 @@
     path_monitor: PathMonitor,
     /// When the last frame arrived from any agent.
     last_frame_at: Option<Instant>,
+    speeds: Speeds,
+    zones: Zones,
 }
 
 impl Members {
     /// An empty table of a balancer in `zone`.
     pub fn new(now: Instant, zone: ZoneName) -> Self {
         Self {
-            zone,
             by_address: HashMap::new(),
             additions: 0,
             started_at: now,
             path_monitor: PathMonitor::default(),
             last_frame_at: None,
+            speeds: Speeds::default(),
+            zones: Zones::new(now, zone, DEFAULT_REMOTE_COST),
+        }
+    }
+
+    /// How long upstreams take for a request.
+    pub fn speeds(&self) -> &Speeds {
+        &self.speeds
+    }
+
+    /// Where flows go that leave the own zone.
+    pub fn zones(&self) -> &Zones {
+        &self.zones
+    }
+
+    /// Changes what a flow that leaves the own zone costs.
+    pub fn set_remote_cost(&mut self, remote_cost: Duration) {
+        self.zones.set_remote_cost(remote_cost);
+    }
+
+    /// Records the time that an agent's upstream takes for a request in a slot.
+    pub fn record_speed(&mut self, now: Instant, from: SocketAddrV4, time: Duration) {
+        if let Some(member) = self.by_address.get_mut(&from) {
+            member.record_service_time(now, time);
+        }
+    }
+
+    /// Records that an agent's upstream accepted a flow, `took` after the SYN was sent there.
+    pub fn record_acceptance(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        flow: &Key,
+        took: Duration,
+    ) {
+        if let Some(member) = self.by_address.get(&from) {
+            self.zones
+                .record_acceptance(now, &member.service, &member.zone, flow, took);
         }
     }
 
+    /// Records that `waiting` SYNs for a service are queued.
+    pub fn record_waiting(&mut self, service: &ServiceName, waiting: usize) {
+        self.zones.record_waiting(service, waiting);
+    }
+
+    /// Compares speeds and counts what left the own zone, at intervals.
+    pub fn tick(&mut self, now: Instant) {
+        self.speeds.refresh(now, self.by_address.values());
+        self.zones.tick(now);
+    }
+
     /// All members.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.by_address.values()
@@ -230,46 +265,6 @@
         }
     }
 
-    /// The agent for a new flow: the cheaper of the two highest ranked of this zone, or the
-    /// cheapest of all zones while the cost of those exceeds `MAX_LOCAL_COST`.
-    pub fn choose(
-        &self,
-        now: Instant,
-        flow: &Key,
-        service: &str,
-        tried: &[SocketAddrV4],
-        zones_out: &BTreeSet<ZoneName>,
-    ) -> Option<SocketAddrV4> {
-        let usable: Vec<&Member> = self
-            .by_address
-            .values()
-            .filter(|member| {
-                &*member.service == service
-                    && member.accepts_flows(now)
-                    && !zones_out.contains(&member.zone)
-                    && !tried.contains(&member.address)
-            })
-            .collect();
-        let mut local: Vec<&Member> = usable
-            .iter()
-            .copied()
-            .filter(|member| member.zone == self.zone)
-            .collect();
-        local.sort_by_cached_key(|member| Reverse(ranking::rank(flow, member.address)));
-        local.truncate(LOCAL_CANDIDATES);
-        let cost = |member: &Member| self.cost(now, member);
-        let cheapest = |members: &[&Member]| {
-            members
-                .iter()
-                .map(|member| (cost(member), member.address))
-                .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
-        };
-        match cheapest(&local) {
-            Some((cost, address)) if cost <= MAX_LOCAL_COST => Some(address),
-            _ => cheapest(&usable).map(|(_, address)| address),
-        }
-    }
-
     /// Records that a SYN is sent to an agent.
     pub fn record_placement(&mut self, now: Instant, address: SocketAddrV4) {
         if let Some(member) = self.by_address.get_mut(&address) {
@@ -278,26 +273,6 @@
         }
     }
 
-    /// Cost of placing a new flow on a member: its load and penalties.
-    fn cost(&self, now: Instant, member: &Member) -> f64 {
-        let remote = if member.zone == self.zone {
-            0.0
-        } else {
-            REMOTE_PENALTY
-        };
-        let state = match member.report.state {
-            State::Cold => COLD_PENALTY,
-            State::Unknown => LAST_CHOICE_PENALTY,
-            State::Ready | State::Silent | State::Draining | State::Gone => 0.0,
-        };
-        let shed = if member.has_shed(now) {
-            LAST_CHOICE_PENALTY
-        } else {
-            0.0
-        };
-        member.load(now) + remote + state + shed
-    }
-
     /// Whether the service has no upstream outside `zones_out`. False while no agent at all is known,
     /// since the list is then more likely to be missing than empty.
     pub fn has_no_upstream(
@@ -373,7 +348,7 @@
             .collect();
         others.sort_by_cached_key(|member| {
             let routed = route.is_some_and(|route| route.routes_to(&member.service));
-            let local = member.zone == self.zone;
+            let local = member.zone == *self.zones.own();
             Reverse((routed, local, ranking::rank(flow, member.address)))
         });
         let known = candidates
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -125,6 +125,8 @@
         };
         let tried = flow_state.syn_recipients();
         let zones_out = &intent.zones_out;
+        let waiting = self.queue.waiting_for(&service);
+        self.members.record_waiting(&service, waiting);
         match self.members.choose(now, &flow, &service, &tried, zones_out) {
             Some(to) => {
                 self.members.record_placement(now, to);
--- a/crates/core/src/flow/balancer/settings.rs
+++ b/crates/core/src/flow/balancer/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::members::DEFAULT_REMOTE_COST;
 use crate::flow::ZoneName;
 
 /// Settings of a balancer's decision logic.
@@ -25,6 +26,9 @@
     /// Time after the first list of agents before the list is taken to be complete: an agent whose
     /// store entry was lost writes it again within this time.
     pub settle_time: Duration,
+    /// What a flow that leaves this balancer's zone costs beside the longer path. It leaves if it is
+    /// expected to complete earlier by more than both.
+    pub remote_cost: Duration,
 }
 
 impl Default for Settings {
@@ -38,6 +42,7 @@
             idle_timeout: Duration::from_secs(15),
             max_flow_age: Duration::from_secs(60),
             settle_time: Duration::from_millis(600),
+            remote_cost: DEFAULT_REMOTE_COST,
         }
     }
 }
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -35,6 +35,17 @@
 /// Requests in progress per slot from which on an upstream counts as full.
 const MAX_BUSY_PER_SLOT: f64 = 2.0;
 
+/// Time for which the time that an upstream takes for a request is used after the agent has sent it.
+/// Agents repeat it every 2 s while they get flows; an upstream that gets none is tried again.
+const SERVICE_TIME_VALIDITY: Duration = Duration::from_secs(10);
+
+/// Shortest time for which agents take work ahead of free slots, as in `agent::Work`.
+const MIN_WORK_AHEAD: Duration = Duration::from_millis(10);
+
+/// Expected wait at an upstream whose slots are just all taken, as a fraction of the time in a slot.
+/// It grows with the square of the load up to there: the load may have changed since the report.
+const WAIT_AT_FULL: f64 = 0.25;
+
 /// A balancer's state of one agent and its upstream.
 #[derive(Debug, Clone)]
 pub struct Member {
@@ -61,6 +72,8 @@
     pub shed_at: Option<Instant>,
     /// Flows placed since the last report.
     pub placed_since_report: u16,
+    /// Time that the upstream takes for a request in a slot, and when the agent sent it.
+    pub time_in_slot: Option<(Duration, Instant)>,
 }
 
 impl Member {
@@ -83,6 +96,7 @@
             probed_at: None,
             shed_at: None,
             placed_since_report: 0,
+            time_in_slot: None,
         }
     }
 
@@ -94,12 +108,45 @@
             State::Unknown if was_leaving => self.report.state,
             state => state,
         };
+        if report.upstream != self.report.upstream {
+            self.time_in_slot = None;
+        }
         self.report = Report { state, ..report };
         self.placed_since_report = 0;
         self.last_frame_at = Some(now);
         self.unanswered_since = None;
     }
 
+    /// Stores the time that the upstream takes for a request in a slot.
+    pub fn record_service_time(&mut self, now: Instant, time: Duration) {
+        self.time_in_slot = Some((time, now));
+    }
+
+    /// Time that the upstream takes for a request in a slot, if the agent has sent it lately.
+    pub fn service_time(&self, now: Instant) -> Option<Duration> {
+        let (time, at) = self.time_in_slot?;
+        let age = now.saturating_duration_since(at);
+        (age < SERVICE_TIME_VALIDITY).then_some(time)
+    }
+
+    /// Expected wait of a new flow for a slot in seconds, if a request takes `time` in a slot. Some of
+    /// the busy flows only open while the new one does: what the agent has room for beside the work
+    /// that it takes ahead needs no wait.
+    pub fn expected_wait(&self, now: Instant, time: Duration) -> f64 {
+        let slots = f64::from(self.report.slots.max(1));
+        let load = self.load(now);
+        let beyond_slots = load * slots + 1.0 - slots;
+        let beyond = if self.states_room() {
+            let ahead = (time / 2).max(MIN_WORK_AHEAD).as_secs_f64();
+            let beyond_room = ahead * slots / time.as_secs_f64().max(1e-6) + 1.0 - self.free(now);
+            beyond_slots.min(beyond_room)
+        } else {
+            beyond_slots
+        };
+        let uncertainty = WAIT_AT_FULL * load.min(1.0).powi(2);
+        time.as_secs_f64() * (beyond.max(0.0) / slots + uncertainty)
+    }
+
     /// Records that a packet was sent to the agent that it should answer.
     pub fn expect_answer(&mut self, now: Instant) {
         self.unanswered_since.get_or_insert(now);
@@ -150,17 +197,24 @@
 
     /// Whether the upstream has room for a new flow.
     fn has_room(&self, now: Instant) -> bool {
-        let is_limited = matches!(self.report.state, State::Cold | State::Unknown);
         if !self.states_room() {
             return !self.is_full(now);
         }
+        self.free(now) > 0.0
+    }
+
+    /// New flows that the upstream can take now, by the agent's last report and what was placed there
+    /// since. Requests are taken to have finished as the report ages, but not at upstreams whose new
+    /// flows are limited in number.
+    fn free(&self, now: Instant) -> f64 {
+        let is_limited = matches!(self.report.state, State::Cold | State::Unknown);
         let free = f64::from(self.report.headroom);
         let finished = if is_limited {
             0.0
         } else {
             f64::from(self.report.busy) * (1.0 - self.report_weight(now))
         };
-        f64::from(self.placed_since_report) < free + finished
+        free + finished - f64::from(self.placed_since_report)
     }
 
     /// Whether the agent's reports state the room at its upstream, which earlier builds do not.
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -252,6 +252,12 @@
             report,
         },
         AgentAction::Report { .. } => Body::Report(report),
+        AgentAction::Speed {
+            service_time_micros,
+            ..
+        } => Body::Speed {
+            service_time_micros: *service_time_micros,
+        },
         AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => {
             panic!("{action:?} sends no message")
         }
@@ -545,6 +551,7 @@
             client,
             balancer: self.scenario.draw_balancer(&mut self.rng),
             upstream: None,
+            requested_at: Duration::ZERO,
             is_over: false,
         });
         for (copy, after) in COPIES.into_iter().enumerate() {
@@ -835,6 +842,7 @@
             Some(Phase::Requested) => {}
             Some(phase @ Phase::Accepted) => {
                 *phase = Phase::Requested;
+                self.attempts[number(attempt)].requested_at = self.now;
                 if state.running < self.scenario.slots {
                     self.begin_request(upstream, attempt);
                 } else {
@@ -845,6 +853,7 @@
     }
 
     fn begin_request(&mut self, upstream: usize, attempt: AttemptId) {
+        self.record_begin(upstream, attempt);
         let work = self.scenario.draw_work(&mut self.rng, upstream);
         let state = &mut self.upstreams[upstream];
         state.running += 1;
@@ -865,6 +874,19 @@
         );
     }
 
+    fn record_begin(&mut self, upstream: usize, attempt: AttemptId) {
+        let state = &self.attempts[number(attempt)];
+        let arrived_at = self.clients[state.client].arrived_at;
+        let zone_of = |index| self.scenario.zone_of(index);
+        self.outcome.record_begin(
+            self.scenario.period(arrived_at),
+            upstream,
+            (zone_of(state.balancer), zone_of(upstream)),
+            self.now - state.requested_at,
+            self.now - arrived_at,
+        );
+    }
+
     fn finish(&mut self, upstream: usize, attempt: AttemptId) {
         let state = &mut self.upstreams[upstream];
         state.running -= 1;
--- a/crates/core/tests/flow/load/client.rs
+++ b/crates/core/tests/flow/load/client.rs
@@ -21,5 +21,7 @@
     pub balancer: usize,
     /// The upstream whose SYN-ACK the client acknowledges.
     pub upstream: Option<usize>,
+    /// When its request arrived at the upstream.
+    pub requested_at: Duration,
     pub is_over: bool,
 }
--- a/crates/core/tests/flow/load/outcome.rs
+++ b/crates/core/tests/flow/load/outcome.rs
@@ -1,6 +1,6 @@
 //! What clients got.
 
-use std::{collections::BTreeMap, fmt};
+use std::{collections::BTreeMap, fmt, time::Duration};
 
 use super::scenario::Period;
 
@@ -50,6 +50,24 @@
     }
 }
 
+/// Times that requests waited.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Waits {
+    pub count: u32,
+    pub total: Duration,
+}
+
+impl Waits {
+    fn add(&mut self, wait: Duration) {
+        self.count += 1;
+        self.total += wait;
+    }
+
+    pub fn mean(&self) -> Duration {
+        self.total / self.count.max(1)
+    }
+}
+
 /// What clients got before, during and after the disturbance.
 #[derive(Debug, Clone, Default)]
 pub struct Outcome {
@@ -59,6 +77,11 @@
     outside: Service,
     /// What clients of each class got from the time for recovery on.
     after_by_class: BTreeMap<usize, Service>,
+    /// Waits in the queue of each upstream, from the time for recovery on.
+    pub queue_waits: BTreeMap<usize, Waits>,
+    /// Waits from a client's first SYN until its request begins, by the zone of the balancer and
+    /// that of the upstream, from the time for recovery on.
+    pub zone_waits: BTreeMap<(&'static str, &'static str), Waits>,
     /// SYNs that upstreams bounced.
     pub shed: usize,
     /// SYNs that reached an upstream after their client's attempt was over.
@@ -83,6 +106,64 @@
         self.after_by_class.get(&class).cloned().unwrap_or_default()
     }
 
+    /// Records that an upstream begins a request, which waited for `queued` in its queue and for
+    /// `waited` in all.
+    pub fn record_begin(
+        &mut self,
+        period: Period,
+        upstream: usize,
+        zones: (&'static str, &'static str),
+        queued: Duration,
+        waited: Duration,
+    ) {
+        if period == Period::After {
+            self.queue_waits.entry(upstream).or_default().add(queued);
+            self.zone_waits.entry(zones).or_default().add(waited);
+        }
+    }
+
+    /// Mean wait in the queues of all upstreams.
+    pub fn mean_queue_wait(&self) -> Duration {
+        let mut all = Waits::default();
+        for waits in self.queue_waits.values() {
+            all.count += waits.count;
+            all.total += waits.total;
+        }
+        all.mean()
+    }
+
+    /// Mean wait of the requests that arrive at the balancers of a zone.
+    pub fn wait_in(&self, zone: &str) -> Duration {
+        let mut all = Waits::default();
+        for (_, waits) in self
+            .zone_waits
+            .iter()
+            .filter(|((from, _), _)| *from == zone)
+        {
+            all.count += waits.count;
+            all.total += waits.total;
+        }
+        all.mean()
+    }
+
+    /// Requests that balancers of a zone placed in another one.
+    pub fn sent_away(&self, zone: &str) -> u32 {
+        let away = self
+            .zone_waits
+            .iter()
+            .filter(|((from, to), _)| *from == zone && to != from);
+        away.map(|(_, waits)| waits.count).sum()
+    }
+
+    /// Requests that balancers of a zone placed.
+    pub fn placed(&self, zone: &str) -> u32 {
+        let placed = self
+            .zone_waits
+            .iter()
+            .filter(|((from, _), _)| *from == zone);
+        placed.map(|(_, waits)| waits.count).sum()
+    }
+
     pub fn record_arrival(&mut self, period: Period, class: usize) {
         self.record(period, class, |service| service.arrived += 1);
     }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -11,5 +11,6 @@
 mod fixture;
 mod load;
 mod overload;
+mod placement;
 mod recovery;
 mod simulation;
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -479,6 +479,16 @@
         let bytes = encode(&without_bounced_flag(current));
         let (to, body, packet) = match &action {
             AgentAction::Report { to } => (*to, Body::Report(report), None),
+            AgentAction::Speed {
+                to,
+                service_time_micros,
+            } => {
+                let service_time_micros = *service_time_micros;
+                let body = Body::Speed {
+                    service_time_micros,
+                };
+                (*to, body, None)
+            }
             AgentAction::Return { to, reason } => {
                 let body = returned(*reason, report, &bytes);
                 (*to, body, Some(without_bounced_flag(current)))
--- a/crates/forwarder/src/agent/output.rs
+++ b/crates/forwarder/src/agent/output.rs
@@ -68,6 +68,15 @@
                     let report = self.core.report_to(now, to);
                     self.send(to, Body::Report(report));
                 }
+                Action::Speed {
+                    to,
+                    service_time_micros,
+                } => self.send(
+                    to,
+                    Body::Speed {
+                        service_time_micros,
+                    },
+                ),
                 Action::Missing { to, flow } => self.send_missing(now, to, flow, packet),
                 Action::MissingBuffered { to, flow, packet } => {
                     self.send_missing(now, to, flow, &packet)
