feat: flows leave their zone only for lack of room; status, log and gauge; index by service and zone

Flows now leave when no upstream of the own zone has room and a place there is expected later than path and remote_cost allow.

--- a/crates/cli/src/processes.rs
+++ b/crates/cli/src/processes.rs
@@ -5,6 +5,7 @@
 use sassafrasmast_forwarder::{
     Status,
     status::{self, Upstream},
+    zone_status::ServicePlacement,
 };
 
 use crate::{client::Client, exit::Exit, status::push_line};
@@ -63,12 +64,35 @@
         let peer = format!("peer {} {outcome} {} ms ago", peer.address, peer.heard_ms);
         push_line(&mut text, &peer);
     }
+    for placement in &status.placements {
+        push_line(&mut text, &placement_row(placement));
+    }
     for upstream in &status.upstreams {
         push_line(&mut text, &row(upstream));
     }
     text
 }
 
+fn placement_row(placement: &ServicePlacement) -> String {
+    let zones = placement.zones.iter().map(|zone| {
+        let path = zone
+            .path_us
+            .map_or_else(String::new, |path| format!(", path {path} us"));
+        format!("; zone {}: room {}{path}", zone.zone, zone.room)
+    });
+    format!(
+        "placement of {}: {} accepted a second, {} in other zones, {} SYNs wait, {} of 1000 sent away \
+         ({}){}",
+        placement.service,
+        placement.accepted,
+        placement.away,
+        placement.waiting,
+        placement.share_permille,
+        placement.reason,
+        zones.collect::<String>()
+    )
+}
+
 fn row(upstream: &Upstream) -> String {
     let report = &upstream.report;
     let heard = upstream
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -8,6 +8,7 @@
 use sassafrasmast_forwarder::{
     Status,
     status::{Peer, Store, Upstream},
+    zone_status::{ServicePlacement, ZoneRoom},
 };
 
 fn upstream(state: State, listed: bool) -> Upstream {
@@ -60,6 +61,19 @@
             upstream(State::Ready, true),
             upstream(State::Draining, false),
         ],
+        placements: vec![ServicePlacement {
+            service: "bookings".to_owned(),
+            accepted: 120,
+            away: 30,
+            waiting: 2,
+            share_permille: 240,
+            reason: "own zone has no room".to_owned(),
+            zones: vec![ZoneRoom {
+                zone: "a".to_owned(),
+                room: 0,
+                path_us: Some(310),
+            }],
+        }],
     };
     expect![[r#"
         balancer entry-1 in zone a: version 7 at revision 120 of era 2, 34 flows
@@ -67,6 +81,7 @@
         store has been silent for 1200 ms: timed out
         peer 10.1.0.11:7720 answered 100 ms ago
         peer 10.1.0.12:7720 failed (connection refused) 400 ms ago
+        placement of bookings: 120 accepted a second, 30 in other zones, 2 SYNs wait, 240 of 1000 sent away (own zone has no room); zone a: room 0, path 310 us
         upstream at agent 10.1.0.20:7720 of bookings in a: ready, 2 of 5 slots busy, 12 flows, heard 30 ms ago
         upstream at agent 10.1.0.20:7720 of bookings in a: draining (agent stops), 2 of 5 slots busy, 12 flows, not listed
     "#]].assert_eq(&processes::table(&status));
--- a/crates/core/benches/flow.rs
+++ b/crates/core/benches/flow.rs
@@ -14,6 +14,9 @@
 /// Upstreams of the service: as in the grown deployments, in the large one, and beyond.
 const UPSTREAMS: [u16; 3] = [47, 109, 1_000];
 
+/// Room of each upstream. Without it SYNs are queued, and no choice is measured.
+const ROOM: u16 = 1_000;
+
 /// Flows in the table, as on a busy entry VM.
 const FLOWS: u16 = 10_000;
 
@@ -26,6 +29,7 @@
     Report {
         state: State::Ready,
         slots: 1_000,
+        headroom: ROOM,
         ..Report::default()
     }
 }
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -140,6 +140,11 @@
         self.searches.len()
     }
 
+    /// Changes what a flow that leaves this balancer's zone costs.
+    pub fn set_remote_cost(&mut self, remote_cost: Duration) {
+        self.members.set_remote_cost(remote_cost);
+    }
+
     /// Replaces the intent in force if `intent` is newer, and returns whether it is.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
         Intent::replace_if_newer(&mut self.intent, intent)
@@ -287,12 +292,7 @@
         }
         match body {
             Body::Accepted { flow, sequence, .. } => {
-                if let Some(flow_state) = self.flows.get_mut(flow) {
-                    if let Some(took) = flow_state.time_to_accept(now, from) {
-                        self.members.record_acceptance(now, from, flow, took);
-                    }
-                    flow_state.accept(from, *sequence);
-                }
+                self.handle_accepted(now, flow, from, *sequence);
             }
             Body::Returned { reason, packet, .. } => {
                 if let Some(head) = head {
@@ -345,6 +345,17 @@
         }
     }
 
+    /// Records that an agent's upstream accepted a flow.
+    fn handle_accepted(&mut self, now: Instant, flow: &Key, from: SocketAddrV4, sequence: u32) {
+        let Some(flow_state) = self.flows.get_mut(flow) else {
+            return;
+        };
+        if let Some(took) = flow_state.time_to_accept(now, from) {
+            self.members.record_acceptance(now, from, took);
+        }
+        flow_state.accept(from, sequence);
+    }
+
     /// Places queued SYNs if an agent's upstream has room.
     fn use_room(&mut self, now: Instant, agent: SocketAddrV4, actions: &mut Vec<Action>) {
         if self.queue.is_empty() {
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Action, PathMonitor, Speeds, Zones};
+use super::{Action, PathMonitor, Speeds, Zones, candidates::Candidates};
 use crate::flow::{Key, Member, Report, ServiceName, State, ZoneName, intent::Route, ranking};
 
 /// What a flow that leaves its zone costs unless operators set it: about ten times a path between
@@ -61,6 +61,7 @@
     path_monitor: PathMonitor,
     /// When the last frame arrived from any agent.
     last_frame_at: Option<Instant>,
+    candidates: Candidates,
     speeds: Speeds,
     zones: Zones,
 }
@@ -74,11 +75,17 @@
             started_at: now,
             path_monitor: PathMonitor::default(),
             last_frame_at: None,
+            candidates: Candidates::default(),
             speeds: Speeds::default(),
             zones: Zones::new(now, zone, DEFAULT_REMOTE_COST),
         }
     }
 
+    /// The agents by service and zone.
+    pub(super) fn candidates(&self) -> &Candidates {
+        &self.candidates
+    }
+
     /// How long upstreams take for a request.
     pub fn speeds(&self) -> &Speeds {
         &self.speeds
@@ -102,16 +109,10 @@
     }
 
     /// Records that an agent's upstream accepted a flow, `took` after the SYN was sent there.
-    pub fn record_acceptance(
-        &mut self,
-        now: Instant,
-        from: SocketAddrV4,
-        flow: &Key,
-        took: Duration,
-    ) {
+    pub fn record_acceptance(&mut self, now: Instant, from: SocketAddrV4, took: Duration) {
         if let Some(member) = self.by_address.get(&from) {
             self.zones
-                .record_acceptance(now, &member.service, &member.zone, flow, took);
+                .record_acceptance(now, &member.service, &member.zone, took);
         }
     }
 
@@ -122,7 +123,9 @@
 
     /// Compares speeds and counts what left the own zone, at intervals.
     pub fn tick(&mut self, now: Instant) {
-        self.speeds.refresh(now, self.by_address.values());
+        let members = self.by_address.values();
+        let usable = members.filter(|member| member.is_usable(now));
+        self.speeds.refresh(now, usable);
         self.zones.tick(now);
     }
 
@@ -182,6 +185,10 @@
 
     fn insert(&mut self, member: Member) {
         self.additions += 1;
+        if let Some(before) = self.by_address.remove(&member.address) {
+            self.candidates.remove(&before);
+        }
+        self.candidates.insert(&member);
         self.by_address.insert(member.address, member);
     }
 
@@ -431,11 +438,16 @@
 
     /// Removes agents that the store has not listed for `UNLISTED_RETENTION`.
     pub fn sweep(&mut self, now: Instant) {
+        let candidates = &mut self.candidates;
         self.by_address.retain(|_, member| {
-            member.listed
+            let is_kept = member.listed
                 || member
                     .unlisted_at
-                    .is_none_or(|at| now.saturating_duration_since(at) < UNLISTED_RETENTION)
+                    .is_none_or(|at| now.saturating_duration_since(at) < UNLISTED_RETENTION);
+            if !is_kept {
+                candidates.remove(member);
+            }
+            is_kept
         });
     }
 }
--- a/crates/core/src/flow/balancer/zones.rs
+++ b/crates/core/src/flow/balancer/zones.rs
@@ -2,11 +2,10 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    ops::RangeInclusive,
     time::{Duration, Instant},
 };
 
-use crate::flow::{Key, ServiceName, ZoneName, ranking};
+use crate::flow::{ServiceName, ZoneName};
 
 /// Interval at which placements are counted and the share sent away is adjusted.
 const INTERVAL: Duration = Duration::from_millis(200);
@@ -14,16 +13,11 @@
 /// Intervals over which placements are counted: one second.
 const INTERVALS: usize = 5;
 
-/// The share sent away changes in each interval by this part of the difference from what is needed.
-/// Other balancers decide on reports of the same age, and would all overshoot together with more.
+/// The share sent away follows what was observed by this part of the difference in each interval.
 const ADJUSTMENT: f64 = 0.25;
 
-/// Part of the flows for which the own zone is expected to lack room while it is just used to
-/// capacity: arrivals and the lengths of requests vary. Within these bounds the share stands still.
-const TARGET_REFUSED: f64 = 0.1;
-
-/// See [`TARGET_REFUSED`].
-const REFUSED_BOUNDS: RangeInclusive<f64> = 0.07..=0.15;
+/// Differences within this many standard errors of the observed share are taken for noise.
+const NOISE_ERRORS: f64 = 3.0;
 
 /// Share below which nothing counts as sent away.
 const MIN_SHARE: f64 = 0.01;
@@ -31,9 +25,6 @@
 /// Time after which a path is observed anew.
 const PATH_PERIOD: Duration = Duration::from_secs(10);
 
-/// Salt of the hash that selects flows which leave at once.
-const SALT: &str = "zone";
-
 /// Round trips to the agents of a zone: the shortest within this period and within the last one.
 #[derive(Debug)]
 struct Path {
@@ -46,16 +37,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Accepted {
     own: u32,
-    /// Elsewhere, since the own zone had no room for them.
-    refused: u32,
-    /// Elsewhere, as part of the share sent away.
-    shared: u32,
-}
-
-impl Accepted {
-    fn away(self) -> u32 {
-        self.refused + self.shared
-    }
+    away: u32,
 }
 
 /// Where flows of a service go.
@@ -65,7 +47,7 @@
     past: VecDeque<Accepted>,
     /// SYNs that wait for a place.
     waiting: usize,
-    /// Share of the flows that are sent to other zones although the own one has room.
+    /// Smoothed share of the flows that were accepted in other zones.
     share: f64,
 }
 
@@ -75,8 +57,7 @@
         let mut sum = Accepted::default();
         for accepted in &self.past {
             sum.own += accepted.own;
-            sum.refused += accepted.refused;
-            sum.shared += accepted.shared;
+            sum.away += accepted.away;
         }
         let intervals = u32::try_from(self.past.len()).unwrap_or_default();
         (sum, INTERVAL * intervals)
@@ -88,19 +69,16 @@
         if self.past.len() > INTERVALS {
             self.past.pop_front();
         }
-        let (Accepted { own, refused, .. }, _) = self.last_second();
-        if refused == 0 {
-            self.share -= ADJUSTMENT * self.share;
-            if self.share < MIN_SHARE {
-                self.share = 0.0;
-            }
-            return;
+        let (Accepted { own, away }, _) = self.last_second();
+        let count = f64::from(own + away).max(1.0);
+        let observed = f64::from(away) / count;
+        let difference = observed - self.share;
+        let noise = NOISE_ERRORS * (observed * (1.0 - observed) / count).sqrt();
+        if difference.abs() > noise {
+            self.share += ADJUSTMENT * difference;
         }
-        let refused = f64::from(refused) / f64::from(own + refused);
-        if !REFUSED_BOUNDS.contains(&refused) {
-            let kept = (1.0 - self.share) * (1.0 - refused) / (1.0 - TARGET_REFUSED);
-            let needed = (1.0 - kept).max(0.0);
-            self.share += ADJUSTMENT * (needed - self.share);
+        if away == 0 && self.share < MIN_SHARE {
+            self.share = 0.0;
         }
     }
 }
@@ -151,6 +129,11 @@
         &self.own
     }
 
+    /// What a flow that leaves the zone costs beside the path.
+    pub fn remote_cost(&self) -> Duration {
+        self.remote_cost
+    }
+
     /// Changes what a flow that leaves the zone costs.
     pub fn set_remote_cost(&mut self, remote_cost: Duration) {
         self.remote_cost = remote_cost;
@@ -162,17 +145,13 @@
         now: Instant,
         service: &ServiceName,
         zone: &ZoneName,
-        flow: &Key,
         took: Duration,
     ) {
-        let is_shared = self.is_sent_away(service, flow);
         let current = &mut self.departures.entry(service.clone()).or_default().current;
         if *zone == self.own {
             current.own += 1;
-        } else if is_shared {
-            current.shared += 1;
         } else {
-            current.refused += 1;
+            current.away += 1;
         }
         let path = self.paths.entry(zone.clone()).or_insert_with(|| Path {
             shortest: took,
@@ -219,22 +198,13 @@
         path.saturating_sub(own) + self.remote_cost
     }
 
-    /// Time until the own zone has a place for one more SYN of a service, while it has none, by the
-    /// SYNs that wait and the flows that it accepted in the last second. `None` if it accepted none.
+    /// Time until the own zone has had a place for each SYN of a service that waits before a new one,
+    /// by the flows that it accepted in the last second. `None` if it accepted none.
     pub fn own_wait(&self, service: &str) -> Option<Duration> {
         let departure = self.departures.get(service)?;
         let (accepted, length) = departure.last_second();
-        let waiting = u32::try_from(departure.waiting + 1).unwrap_or(u32::MAX);
-        (length * waiting).checked_div(accepted.own)
-    }
-
-    /// Whether a flow is of the share that is sent away although the own zone may have room.
-    pub fn is_sent_away(&self, service: &str, flow: &Key) -> bool {
-        let share = self
-            .departures
-            .get(service)
-            .map_or(0.0, |departure| departure.share);
-        share > 0.0 && (ranking::hash(flow, SALT) as f64) < share * u64::MAX as f64
+        let waiting = u32::try_from(departure.waiting).unwrap_or(u32::MAX);
+        length.saturating_mul(waiting).checked_div(accepted.own)
     }
 
     /// Counts anew, and adjusts the shares sent away, each [`INTERVAL`].
@@ -262,8 +232,8 @@
                 let (accepted, _) = departure.last_second();
                 ZoneShare {
                     service: service.clone(),
-                    accepted: accepted.own + accepted.away(),
-                    away: accepted.away(),
+                    accepted: accepted.own + accepted.away,
+                    away: accepted.away,
                     waiting: departure.waiting,
                     share: departure.share,
                 }
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -42,8 +42,8 @@
 /// Shortest time for which agents take work ahead of free slots, as in `agent::Work`.
 const MIN_WORK_AHEAD: Duration = Duration::from_millis(10);
 
-/// Expected wait at an upstream whose slots are just all taken, as a fraction of the time in a slot.
-/// It grows with the square of the load up to there: the load may have changed since the report.
+/// Uncertain wait at an upstream whose slots are just all taken, as a fraction of the time in a slot.
+/// It grows with the square of the load up to there.
 const WAIT_AT_FULL: f64 = 0.25;
 
 /// A balancer's state of one agent and its upstream.
@@ -143,8 +143,13 @@
         } else {
             beyond_slots
         };
-        let uncertainty = WAIT_AT_FULL * load.min(1.0).powi(2);
-        time.as_secs_f64() * (beyond.max(0.0) / slots + uncertainty)
+        time.as_secs_f64() * beyond.max(0.0) / slots
+    }
+
+    /// Wait that is added to the expected one, since the load may have changed since the report. It
+    /// makes balancers with reports of different ages spread their SYNs over free upstreams.
+    pub fn uncertain_wait(&self, now: Instant, time: Duration) -> f64 {
+        time.as_secs_f64() * WAIT_AT_FULL * self.load(now).min(1.0).powi(2)
     }
 
     /// Records that a packet was sent to the agent that it should answer.
--- a/crates/core/src/flow/ranking.rs
+++ b/crates/core/src/flow/ranking.rs
@@ -2,10 +2,16 @@
 
 use std::net::SocketAddrV4;
 
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use super::Key;
 
+/// Bytes of an IP address.
+const IP_BYTES: usize = 4;
+
+/// Bytes of an IP address and a port.
+const ADDRESS_BYTES: usize = 6;
+
 /// Hash of a flow that is the same in each process and build. `salt` makes the hashes of different
 /// uses independent.
 pub fn hash(flow: &Key, salt: &str) -> u64 {
@@ -28,11 +34,15 @@
 /// assert_eq!(ranking::rank(&flow, candidate), ranking::rank(&flow, candidate));
 /// ```
 pub fn rank(flow: &Key, candidate: SocketAddrV4) -> u64 {
-    let mut hasher = Xxh3::new();
-    hash_address(&mut hasher, flow.client);
-    hash_address(&mut hasher, flow.route);
-    hash_address(&mut hasher, candidate);
-    hasher.digest()
+    // Without a hasher's state, since placement ranks all upstreams of a zone.
+    let mut bytes = [0; 3 * ADDRESS_BYTES];
+    let addresses = [flow.client, flow.route, candidate];
+    for (target, address) in bytes.chunks_exact_mut(ADDRESS_BYTES).zip(addresses) {
+        let (ip, port) = target.split_at_mut(IP_BYTES);
+        ip.copy_from_slice(&address.ip().octets());
+        port.copy_from_slice(&address.port().to_be_bytes());
+    }
+    xxh3_64(&bytes)
 }
 
 /// Hashes an address in network byte order.
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -31,7 +31,7 @@
     upstream::{Phase, Upstream},
 };
 pub use self::{
-    outcome::Outcome,
+    outcome::{Outcome, Service},
     scenario::{Class, Disturbance, Scenario, Tail},
 };
 use crate::fixture::{
@@ -611,6 +611,7 @@
             self.balancers[balancer].tick(now, &mut actions);
             self.balancer_actions(balancer, actions, None);
         }
+        self.record_share();
         for agent in 0..self.agents.len() {
             if self.upstreams[agent].is_down {
                 continue;
@@ -621,6 +622,17 @@
         }
     }
 
+    /// Records the mean share that the balancers of the first zone send to other zones.
+    fn record_share(&mut self) {
+        let of_zone = self.balancers.iter().step_by(self.scenario.zones);
+        let shares: Vec<f64> = of_zone
+            .filter_map(|balancer| balancer.members().zones().shares().first().cloned())
+            .map(|share| share.share)
+            .collect();
+        let mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+        self.outcome.shares.push((self.now, mean));
+    }
+
     fn send_to_balancer(&mut self, attempt: AttemptId, head: &Head) {
         if self.is_down {
             return;
@@ -701,9 +713,16 @@
     }
 
     fn frame_to_balancer(&mut self, from: usize, to: SocketAddrV4, body: Body<'_>) {
+        let is_of_earlier_build = from >= self.scenario.earlier_builds_from;
+        if is_of_earlier_build && matches!(body, Body::Speed { .. }) {
+            return;
+        }
         let balancer = index(to);
+        let mut delay = self.scenario.frame_delay(balancer, from);
+        if matches!(body, Body::Report(_) | Body::Answer { .. }) {
+            delay += self.scenario.report_delay;
+        }
         let frame = self.store_frame(body);
-        let delay = self.scenario.frame_delay(balancer, from);
         self.schedule(
             delay,
             Event::ToBalancer {
--- a/crates/core/tests/flow/load/outcome.rs
+++ b/crates/core/tests/flow/load/outcome.rs
@@ -82,6 +82,8 @@
     /// Waits from a client's first SYN until its request begins, by the zone of the balancer and
     /// that of the upstream, from the time for recovery on.
     pub zone_waits: BTreeMap<(&'static str, &'static str), Waits>,
+    /// Share that the first balancer sent to other zones, by time.
+    pub shares: Vec<(Duration, f64)>,
     /// SYNs that upstreams bounced.
     pub shed: usize,
     /// SYNs that reached an upstream after their client's attempt was over.
@@ -146,6 +148,22 @@
         all.mean()
     }
 
+    /// How often the share sent to other zones changed its direction, by `least` or more.
+    pub fn share_turns(&self, least: f64) -> usize {
+        let mut turns = 0;
+        let (mut is_rising, mut extreme) = (true, 0.0);
+        for &(_, share) in &self.shares {
+            if (share >= extreme) == is_rising {
+                extreme = share;
+            } else if f64::abs(share - extreme) >= least {
+                turns += 1;
+                is_rising = !is_rising;
+                extreme = share;
+            }
+        }
+        turns
+    }
+
     /// Requests that balancers of a zone placed in another one.
     pub fn sent_away(&self, zone: &str) -> u32 {
         let away = self
--- a/crates/core/tests/flow/load/scenario.rs
+++ b/crates/core/tests/flow/load/scenario.rs
@@ -104,6 +104,10 @@
     pub tail: Option<Tail>,
     /// Relative loads of the zones; equal if empty.
     pub zone_loads: Vec<f64>,
+    /// Agents from this one on are of an earlier build, which sends no speeds.
+    pub earlier_builds_from: usize,
+    /// Time that frames of agents take longer which bring nothing but a report.
+    pub report_delay: Duration,
     /// The load as a share of what the upstreams bear.
     pub load: f64,
     pub disturbance: Disturbance,
@@ -130,6 +134,8 @@
             speeds: vec![1.0],
             tail: None,
             zone_loads: Vec::new(),
+            earlier_builds_from: usize::MAX,
+            report_delay: ms(0),
             load: 0.5,
             disturbance: Disturbance::None,
             begin: ms(4_100),
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -482,13 +482,7 @@
             AgentAction::Speed {
                 to,
                 service_time_micros,
-            } => {
-                let service_time_micros = *service_time_micros;
-                let body = Body::Speed {
-                    service_time_micros,
-                };
-                (*to, body, None)
-            }
+            } => (*to, speed(*service_time_micros), None),
             AgentAction::Return { to, reason } => {
                 let body = returned(*reason, report, &bytes);
                 (*to, body, Some(without_bounced_flag(current)))
@@ -514,14 +508,10 @@
                 };
                 (*to, body, None)
             }
-            AgentAction::Found { to, flow } => (
-                *to,
-                Body::Found {
-                    flow: *flow,
-                    report,
-                },
-                None,
-            ),
+            AgentAction::Found { to, flow } => {
+                let flow = *flow;
+                (*to, Body::Found { flow, report }, None)
+            }
             AgentAction::Absent { to, flow } => (
                 *to,
                 Body::Absent {
@@ -839,6 +829,12 @@
     }
 }
 
+fn speed<'a>(service_time_micros: u32) -> Body<'a> {
+    Body::Speed {
+        service_time_micros,
+    }
+}
+
 fn returned(reason: Reason, report: Report, packet: &[u8]) -> Body<'_> {
     Body::Returned {
         reason,
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -35,6 +35,7 @@
     status::{self, Status},
     udp,
     watcher::{self, Event},
+    zone_status::{Departures, ServicePlacement},
 };
 
 /// Interval between ticks while a search runs or a SYN waits for placement.
@@ -59,6 +60,7 @@
     stopping: bool,
     fallback: Fallback,
     reload: Reload,
+    departures: Departures,
     view: watch::Sender<Arc<View>>,
 }
 
@@ -139,6 +141,7 @@
                 zone: settings.zone.clone(),
                 max_flow_age: settings.max_flow_age,
                 questions_per_second: settings.questions_per_second(),
+                remote_cost: settings.remote_cost,
                 ..balancer::Settings::default()
             },
         );
@@ -151,6 +154,7 @@
             frame_buffer: Vec::with_capacity(MAX_BYTES),
             fallback: Fallback::new(now, pulls, true, settings.peers.clone()),
             reload: Reload::new(now),
+            departures: Departures::default(),
             view,
             settings,
             platform,
@@ -291,6 +295,7 @@
             .run(now, &*platform, &mut self.settings, &mut self.log)
         {
             self.fallback.set_peers(self.settings.peers.clone());
+            self.core.set_remote_cost(self.settings.remote_cost);
         }
     }
 
@@ -303,6 +308,8 @@
         self.core.tick(now, &mut self.actions);
         self.execute_actions(now, None);
         self.update_ready(now);
+        self.departures
+            .observe(now, self.core.members(), &mut self.log);
         metrics::gauge!("sassafrasmast_flows").set(self.core.flow_count() as f64);
         metrics::gauge!("sassafrasmast_openings_waiting").set(self.core.queued_count() as f64);
         metrics::gauge!("sassafrasmast_searches").set(self.core.search_count() as f64);
@@ -321,9 +328,13 @@
             .map(|member| status::Upstream::of(now, member))
             .collect();
         upstreams.sort_by_key(|upstream| upstream.agent);
+        let zones_out = intent
+            .map(|intent| intent.zones_out.clone())
+            .unwrap_or_default();
         let status = Status {
             flows: self.core.flow_count() as u64,
             upstreams,
+            placements: ServicePlacement::of(now, self.core.members(), &zones_out),
             ..Status::new(now, &self.settings, intent, &self.fallback)
         };
         status.reply(request);
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -32,6 +32,7 @@
 mod tcp;
 pub mod udp;
 pub mod watcher;
+pub mod zone_status;
 
 use std::sync::Arc;
 
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use sassafrasmast_core::flow::{ServiceName, ZoneName};
+use sassafrasmast_core::flow::{ServiceName, ZoneName, balancer};
 
 /// Bytes that one question of a search takes on the link, including its share of the datagram's
 /// header.
@@ -65,6 +65,8 @@
     pub lease_ttl: Duration,
     /// Capacity of the VM's link.
     pub link_bytes_per_s: u64,
+    /// What a flow that leaves a balancer's zone costs beside the longer path.
+    pub remote_cost: Duration,
 }
 
 impl Settings {
@@ -100,6 +102,7 @@
         self.peers = new.peers;
         self.cold_coverage = new.cold_coverage;
         self.cold_slack = new.cold_slack;
+        self.remote_cost = new.remote_cost;
         let differing = fixed.into_iter().filter(|(_, differs)| *differs);
         differing.map(|(name, _)| name).collect()
     }
@@ -122,6 +125,7 @@
             max_flow_age: Duration::from_secs(60),
             lease_ttl: Duration::from_secs(9),
             link_bytes_per_s: 1_250_000,
+            remote_cost: balancer::Settings::default().remote_cost,
         }
     }
 }
--- a/crates/forwarder/src/status.rs
+++ b/crates/forwarder/src/status.rs
@@ -10,6 +10,7 @@
     fallback::Fallback,
     settings::{Role, Settings},
     watcher,
+    zone_status::ServicePlacement,
 };
 
 /// Path of the status on the metrics address.
@@ -46,6 +47,10 @@
     pub peers: Vec<Peer>,
     /// Upstreams that the process knows: an agent knows its own, a balancer all.
     pub upstreams: Vec<Upstream>,
+    /// Where a balancer places flows, by service. Empty from agents and from processes of earlier
+    /// builds.
+    #[serde(default)]
+    pub placements: Vec<ServicePlacement>,
 }
 
 /// Reachability of the store.
@@ -114,6 +119,7 @@
             store: fallback.store_status(now),
             peers: fallback.peer_statuses(now),
             upstreams: Vec::new(),
+            placements: Vec::new(),
         }
     }
 
