--- a/crates/core/benches/flow.rs
+++ b/crates/core/benches/flow.rs
@@ -20,6 +20,9 @@
 /// Flows in the table, as on a busy entry VM.
 const FLOWS: u16 = 10_000;
 
+/// New flows before the table of flows is emptied: below its limit, at which SYNs are dropped.
+const NEW_FLOWS: u16 = 40_000;
+
 fn agent(number: u16) -> SocketAddrV4 {
     let [high, low] = number.to_be_bytes();
     SocketAddrV4::new([10, 0, high, low].into(), 7000)
@@ -120,21 +123,20 @@
 
 fn place_new_flow(bench: &mut Criterion, upstreams: u16) {
     let now = Instant::now();
-    let mut balancer = balancer(now, upstreams);
+    let mut table = balancer(now, upstreams);
     let mut actions = Vec::new();
     let mut port = 0_u16;
     let name = format!("SYN of a new flow, {upstreams} upstreams");
     bench.bench_function(&name, |bencher| {
         bencher.iter(|| {
-            port = port.wrapping_add(1);
-            balancer.handle_client_packet(
-                now,
-                black_box(&head(port, true)),
-                b"packet",
-                &mut actions,
-            );
+            port += 1;
+            if port == NEW_FLOWS {
+                table = balancer(now, upstreams);
+                port = 0;
+            }
+            table.handle_client_packet(now, black_box(&head(port, true)), b"packet", &mut actions);
             if let Some(Action::Forward { to, .. }) = actions.pop() {
-                balancer.handle_agent_frame(now, to, &Body::Report(report()), None, &mut actions);
+                table.handle_agent_frame(now, to, &Body::Report(report()), None, &mut actions);
             }
             actions.clear();
         });
--- a/crates/core/src/flow/balancer/candidates.rs
+++ b/crates/core/src/flow/balancer/candidates.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{Members, Speed};
-use crate::flow::{Key, Member, ServiceName, State, ZoneName, ranking};
+use crate::flow::{Key, Member, ServiceName, State, ZoneName, ranking::Ranker};
 
 /// Cost of a new flow at the best upstream of the own zone up to which other zones are not
 /// considered: requests still find a free slot. Like the penalties below it is a fraction of the
@@ -164,8 +164,9 @@
         accepts: impl Fn(&Member) -> bool,
     ) -> impl Iterator<Item = &Member> {
         let mut best: [Option<(u64, &Member)>; LOCAL_CANDIDATES] = [None; LOCAL_CANDIDATES];
+        let mut ranker = Ranker::new(flow);
         for &address in self.candidates().of_zone(service, self.zones().own()) {
-            let rank = ranking::rank(flow, address);
+            let rank = ranker.rank(address);
             // Few upstreams rank above the best so far, so few are looked up.
             let is_higher =
                 |entry: &Option<(u64, &Member)>| entry.is_none_or(|(other, _)| rank > other);
--- a/crates/core/src/flow/ranking.rs
+++ b/crates/core/src/flow/ranking.rs
@@ -6,9 +6,6 @@
 
 use super::Key;
 
-/// Bytes of an IP address.
-const IP_BYTES: usize = 4;
-
 /// Bytes of an IP address and a port.
 const ADDRESS_BYTES: usize = 6;
 
@@ -34,15 +31,44 @@
 /// assert_eq!(ranking::rank(&flow, candidate), ranking::rank(&flow, candidate));
 /// ```
 pub fn rank(flow: &Key, candidate: SocketAddrV4) -> u64 {
-    // Without a hasher's state, since placement ranks all upstreams of a zone.
-    let mut bytes = [0; 3 * ADDRESS_BYTES];
-    let addresses = [flow.client, flow.route, candidate];
-    for (target, address) in bytes.chunks_exact_mut(ADDRESS_BYTES).zip(addresses) {
-        let (ip, port) = target.split_at_mut(IP_BYTES);
-        ip.copy_from_slice(&address.ip().octets());
-        port.copy_from_slice(&address.port().to_be_bytes());
+    Ranker::new(flow).rank(candidate)
+}
+
+/// Ranks many candidates for one flow.
+#[derive(Debug, Clone, Copy)]
+pub struct Ranker {
+    /// The flow's addresses, then the candidate's. One hash without state for each candidate, since
+    /// placement ranks all upstreams of a zone.
+    bytes: [u8; 3 * ADDRESS_BYTES],
+}
+
+impl Ranker {
+    /// Ranks candidates for `flow`.
+    pub fn new(flow: &Key) -> Self {
+        let mut ranker = Self {
+            bytes: [0; 3 * ADDRESS_BYTES],
+        };
+        ranker.write(0, flow.client);
+        ranker.write(ADDRESS_BYTES, flow.route);
+        ranker
+    }
+
+    /// The same as [`rank`].
+    #[inline]
+    pub fn rank(&mut self, candidate: SocketAddrV4) -> u64 {
+        self.write(2 * ADDRESS_BYTES, candidate);
+        xxh3_64(&self.bytes)
+    }
+
+    /// Writes an address in network byte order.
+    #[inline]
+    fn write(&mut self, at: usize, address: SocketAddrV4) {
+        let [a, b, c, d] = address.ip().octets();
+        let [high, low] = address.port().to_be_bytes();
+        if let Some(target) = self.bytes.get_mut(at..at + ADDRESS_BYTES) {
+            target.copy_from_slice(&[a, b, c, d, high, low]);
+        }
     }
-    xxh3_64(&bytes)
 }
 
 /// Hashes an address in network byte order.
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -7,10 +7,12 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use sassafrasmast_core::flow::{Member, Report, State, balancer::Members};
+use sassafrasmast_core::flow::{
+    Member, Report, State, agent::Action, balancer::Members, packet::Flags,
+};
 
 use crate::{
-    fixture::{SERVICE, flow, ms},
+    fixture::{AgentRig, SERVICE, announcement, flow, ms, upstream_head},
     load::{Class, Disturbance, Model, Outcome, Scenario, Service, Tail},
 };
 
@@ -444,3 +446,39 @@
     }
     assert_eq!(share(&members), 0.0);
 }
+
+/// The speeds that an agent sends at its next tick.
+fn speeds(rig: &mut AgentRig, after: Duration) -> Vec<u32> {
+    let actions = rig.tick(after).into_iter();
+    let speed = |action| match action {
+        Action::Speed {
+            service_time_micros,
+            ..
+        } => Some(service_time_micros),
+        _ => None,
+    };
+    actions.filter_map(speed).collect()
+}
+
+/// Guards against balancers that do not learn how fast an upstream is, or still use the time of one
+/// that has been restarted.
+#[test]
+fn an_agent_tells_balancers_the_time_in_a_slot_until_its_upstream_restarts() {
+    let mut rig = AgentRig::ready();
+    let ack = Flags {
+        ack: true,
+        ..Flags::default()
+    };
+    for port in 0..8 {
+        rig.open(flow(port), 1_000);
+        rig.now += ms(10);
+        rig.handle_upstream_packet(&upstream_head(flow(port), ack, 1_001, 500));
+    }
+    assert_eq!(speeds(&mut rig, ms(1)), [10_000]);
+    assert_eq!(speeds(&mut rig, ms(3_000)), []);
+    rig.open(flow(8), 1_000);
+    assert_eq!(speeds(&mut rig, ms(1)), [10_000]);
+    rig.announce(&announcement(2, 1));
+    rig.open(flow(9), 1_000);
+    assert_eq!(speeds(&mut rig, ms(3_000)), []);
+}
