--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -475,10 +475,10 @@
         rig.handle_upstream_packet(&upstream_head(flow(port), ack, 1_001, 500));
     }
     assert_eq!(speeds(&mut rig, ms(1)), [10_000]);
-    assert_eq!(speeds(&mut rig, ms(3_000)), []);
+    assert!(speeds(&mut rig, ms(3_000)).is_empty());
     rig.open(flow(8), 1_000);
     assert_eq!(speeds(&mut rig, ms(1)), [10_000]);
     rig.announce(&announcement(2, 1));
     rig.open(flow(9), 1_000);
-    assert_eq!(speeds(&mut rig, ms(3_000)), []);
+    assert!(speeds(&mut rig, ms(3_000)).is_empty());
 }
