--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -32,8 +32,9 @@
 const MAX_SEARCH_TIME: Duration = Duration::from_secs(2);
 
 /// An agent that has not answered for this long no longer delays the end of a search for a flow
-/// whose requests may be executed more than once.
-const SEARCH_UNREACHABLE_AFTER: Duration = Duration::from_secs(1);
+/// whose requests may be executed more than once: the time after which a known owner of such a flow
+/// counts as unreachable. Clients with a time limit of 1.5 s can still use a new flow then.
+const SEARCH_UNREACHABLE_AFTER: Duration = Duration::from_millis(550);
 
 /// Limit of buffered packets per flow; a client has no more than 16 in flight.
 const MAX_BUFFERED_PACKETS: usize = 16;
