feat(core): a flow counts as lost only by a list of agents from after its packet

Change: a search whose candidates are all ruled out waits until the list of agents is confirmed as of the search's start; Action::List asks the store, once for all searches of 100 ms. After 400 ms without confirmation, or while the store is unreachable, the known list has to do, as before. The processes do not confirm lists yet, so nothing changes until they do.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -10,6 +10,7 @@
 mod action;
 mod candidate;
 mod flow;
+mod listing;
 mod members;
 mod path_monitor;
 mod placement;
@@ -33,6 +34,7 @@
     action::{Action, DropCause, ResetCause},
     candidate::Candidate,
     flow::Flow,
+    listing::Listing,
     members::Members,
     path_monitor::PathMonitor,
     queue::Queue,
@@ -67,6 +69,7 @@
     searches_continued_at: Instant,
     queue: Queue,
     response_times: ResponseTimes,
+    listing: Listing,
     /// When a list of agents was first received.
     members_known_since: Option<Instant>,
     swept_at: Instant,
@@ -86,6 +89,7 @@
             searches_continued_at: now,
             queue: Queue::default(),
             response_times: ResponseTimes::default(),
+            listing: Listing::default(),
             members_known_since: None,
             swept_at: now,
         }
@@ -144,6 +148,18 @@
         self.members_known_since.get_or_insert(now);
     }
 
+    /// Records that the list of agents is complete as of `at`: the store was asked for it then, and all
+    /// that it said since is known here.
+    pub fn confirm_members(&mut self, now: Instant, at: Instant, actions: &mut Vec<Action>) {
+        self.listing.confirm(at);
+        self.finish_exhausted_searches(now, actions);
+    }
+
+    /// Records that the store is unreachable, so that it cannot confirm the list of agents.
+    pub fn lose_store(&mut self) {
+        self.listing.lose();
+    }
+
     /// Adds agents that another balancer knows, except those that are known here.
     pub fn add_members(&mut self, now: Instant, members: Vec<Member>) {
         if members.is_empty() {
--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -38,6 +38,9 @@
     },
     /// Ask an agent for a report.
     Probe(SocketAddrV4),
+    /// Ask the store for the list of agents, and confirm it with
+    /// [`Balancer::confirm_members`](super::Balancer::confirm_members).
+    List,
     /// Tell an agent that SYNs for its service wait for room.
     Demand {
         /// The agent.
--- /dev/null
+++ b/crates/core/src/flow/balancer/listing.rs
@@ -0,0 +1,70 @@
+//! How current the list of agents is.
+
+use std::time::{Duration, Instant};
+
+/// Interval at which the store is asked for the list again while searches wait for it: a few replies
+/// of the store, and one call for all searches that ended meanwhile.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time after which the list that is known is used although the store has not confirmed it. A slow
+/// store answers within 300 ms; a client's next retransmission comes after 400 ms.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How current the list of agents is.
+///
+/// Load answered: upstreams are replaced while routers move flows to other balancers. Another
+/// balancer may have opened a flow at an agent that this one has not heard of yet, so that all agents
+/// known here deny the flow. An agent is listed before it gets flows, so a list from after the flow's
+/// packet names its owner.
+#[derive(Debug, Default)]
+pub struct Listing {
+    /// The list is complete as of this time; `None` if the store does not confirm lists at present.
+    confirmed_at: Option<Instant>,
+    /// When the list was first requested since it was last confirmed.
+    requested_since: Option<Instant>,
+    last_request_at: Option<Instant>,
+}
+
+impl Listing {
+    /// Records that the list is complete as of `at`.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.requested_since = None;
+    }
+
+    /// Records that the store is unreachable, so that the list that is known has to do.
+    pub fn lose(&mut self) {
+        self.confirmed_at = None;
+        self.requested_since = None;
+    }
+
+    /// Whether the list is complete as of `at`, or the store does not tell in time.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use sassafrasmast_core::flow::balancer::Listing;
+    /// let now = Instant::now();
+    /// let mut listing = Listing::default();
+    /// assert!(listing.covers(now, now));
+    /// listing.confirm(now);
+    /// assert!(!listing.covers(now, now + Duration::from_millis(1)));
+    /// ```
+    pub fn covers(&self, now: Instant, at: Instant) -> bool {
+        let is_overdue = self
+            .requested_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= CONFIRMATION_TIMEOUT);
+        is_overdue || self.confirmed_at.is_none_or(|confirmed| confirmed >= at)
+    }
+
+    /// Whether the store is to be asked for the list now.
+    pub fn request(&mut self, now: Instant) -> bool {
+        self.requested_since.get_or_insert(now);
+        let is_due = self
+            .last_request_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= REQUEST_INTERVAL);
+        if is_due {
+            self.last_request_at = Some(now);
+        }
+        is_due
+    }
+}
--- a/crates/core/src/flow/balancer/searches.rs
+++ b/crates/core/src/flow/balancer/searches.rs
@@ -165,6 +165,18 @@
         }
     }
 
+    /// Ends the searches that waited for the list of agents.
+    pub(super) fn finish_exhausted_searches(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let searches = self.searches.iter();
+        let exhausted: Vec<Key> = searches
+            .filter(|(_, search)| search.is_exhausted())
+            .map(|(flow, _)| *flow)
+            .collect();
+        for flow in exhausted {
+            self.finish_search(now, flow, actions);
+        }
+    }
+
     /// Ends a search if the flow is lost or the time limit is reached.
     pub(super) fn finish_search(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
         let settled = self.is_member_list_settled(now);
@@ -174,6 +186,12 @@
         search.add_new_members(&self.members);
         match search.status(now, &self.members, settled) {
             Status::Running => {}
+            // Another balancer may have opened the flow at an agent that is not known here yet.
+            Status::Lost if !self.listing.covers(now, search.started_at()) => {
+                if self.listing.request(now) {
+                    actions.push(Action::List);
+                }
+            }
             Status::Lost => {
                 let sequence = search.acknowledgement();
                 self.searches.remove(&flow);
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -495,6 +495,58 @@
     assert_eq!(reset, [expected]);
 }
 
+/// A balancer whose only known agent denies a flow, while the list of agents is older.
+fn rig_with_old_list() -> Rig {
+    let mut rig = Rig::new(&[(1, ZONE)]);
+    let listed_at = rig.now;
+    rig.balancer
+        .confirm_members(rig.now, listed_at, &mut Vec::new());
+    rig.now += ms(100);
+    rig.packet(&data(flow(1), 8));
+    assert_eq!(rig.answer_absent(agent(1), flow(1)), [Action::List]);
+    rig
+}
+
+#[test]
+fn a_flow_at_an_agent_that_was_listed_meanwhile_is_not_reset() {
+    let mut rig = rig_with_old_list();
+    rig.balancer
+        .set_members(rig.now, vec![member(1, ZONE), member(2, ZONE)]);
+    let mut actions = Vec::new();
+    rig.balancer.confirm_members(rig.now, rig.now, &mut actions);
+    actions.extend(rig.tick(20));
+    let located = |action: &Action| matches!(action, Action::Locate { to, .. } if *to == agent(2));
+    assert!(actions.iter().any(located), "{actions:?}");
+    let found = Body::Found {
+        flow: flow(1),
+        report: ready_report(),
+    };
+    rig.frame(agent(2), &found, None);
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), agent(2));
+    assert_eq!(rig.resets_within(3_000), 0);
+}
+
+#[test]
+fn a_lost_flow_is_reset_as_soon_as_the_list_of_agents_is_confirmed() {
+    let mut rig = rig_with_old_list();
+    rig.now += ms(8);
+    let mut actions = Vec::new();
+    rig.balancer.confirm_members(rig.now, rig.now, &mut actions);
+    let reset = Action::Reset {
+        flow: flow(1),
+        sequence: 8,
+        cause: ResetCause::Lost,
+    };
+    assert_eq!(actions, [reset]);
+}
+
+#[test]
+fn a_lost_flow_is_reset_although_the_store_does_not_answer() {
+    let mut rig = rig_with_old_list();
+    assert_eq!(rig.resets_within(300), 0);
+    assert_eq!(rig.resets_within(300), 1);
+}
+
 #[test]
 fn a_flow_is_not_reset_while_one_agent_has_not_answered() {
     let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -651,7 +651,7 @@
                     self.outcome.record_reset(period, class_of(attempt));
                     self.schedule(self.scenario.client_delay, Event::Reset { attempt });
                 }
-                Action::Drop(..) => {}
+                Action::Drop(..) | Action::List => {}
                 Action::Locate {
                     to,
                     flow,
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -383,6 +383,7 @@
                     };
                     (*to, body, client_head(*flow, Flags::default(), 0, 0))
                 }
+                Action::List => continue,
                 Action::Probe(to) => (
                     *to,
                     Body::Probe {
