feat(core): intents of store and peers are merged by one rule

Cause: an intent replaced another only at a later position, so a process that took the content of a restored copy ignored a peer's newer policy at an earlier position.

Change: Intent::merge takes the policy of the higher version, and zones out and revision of the later position; equal positions unite zones out.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -128,7 +128,7 @@
         self.flows.len()
     }
 
-    /// Replaces the intent in force if `intent` is newer, and returns whether it is.
+    /// Merges `intent` into the intent in force, and returns whether that changed it.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
         let is_newer = Intent::replace_if_newer(&mut self.intent, intent);
         if is_newer && let Some(intent) = &self.intent {
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -133,7 +133,7 @@
         self.searches.len()
     }
 
-    /// Replaces the intent in force if `intent` is newer, and returns whether it is.
+    /// Merges `intent` into the intent in force, and returns whether that changed it.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
         Intent::replace_if_newer(&mut self.intent, intent)
     }
--- a/crates/core/src/flow/intent.rs
+++ b/crates/core/src/flow/intent.rs
@@ -33,20 +33,51 @@
 }
 
 impl Intent {
-    /// Replaces `current` if `next` is newer, and returns whether it is.
-    pub(super) fn replace_if_newer(current: &mut Option<Arc<Self>>, mut next: Arc<Self>) -> bool {
-        let is_newer = current
+    /// Merges `next` into `current`, and returns whether that changed it.
+    pub(super) fn replace_if_newer(current: &mut Option<Arc<Self>>, next: Arc<Self>) -> bool {
+        let merged = match current {
+            Some(current) => Self::merge(current, &next),
+            None => next,
+        };
+        let changes = current
             .as_ref()
-            .is_none_or(|current| next.revision > current.revision);
-        if is_newer {
-            if let Some(current) = current
-                && next.policy.version < current.policy.version
-            {
-                Arc::make_mut(&mut next).keep_newer_policy(current);
-            }
-            *current = Some(next);
+            .is_none_or(|current| !Arc::ptr_eq(current, &merged));
+        *current = Some(merged);
+        changes
+    }
+
+    /// The policy of the higher version, and zones out and revision of the later one. The order in
+    /// which intents are merged does not matter. Returns `current` itself if `other` adds nothing.
+    ///
+    /// A store that has come back from an older copy holds an older policy at a later revision until
+    /// operators have written the latest one again. At equal revisions zones out are united: a
+    /// process keeps zones out for some time after such a return.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use sassafrasmast_core::flow::{Intent, intent::Policy};
+    /// let intent = |revision, version| Arc::new(Intent {
+    ///     revision,
+    ///     policy: Policy { version, ..Policy::default() },
+    ///     ..Intent::default()
+    /// });
+    /// assert_eq!(Intent::merge(&intent(9, 3), &intent(8, 4)), intent(9, 4));
+    /// ```
+    pub fn merge(current: &Arc<Self>, other: &Arc<Self>) -> Arc<Self> {
+        let (earlier, later) = if other.revision > current.revision {
+            (current, other)
+        } else {
+            (other, current)
+        };
+        let mut merged = Arc::clone(later);
+        if earlier.policy.version > later.policy.version {
+            Arc::make_mut(&mut merged).keep_newer_policy(earlier);
+        }
+        if earlier.revision == later.revision && !earlier.zones_out.is_subset(&later.zones_out) {
+            let zones = earlier.zones_out.iter().cloned();
+            Arc::make_mut(&mut merged).zones_out.extend(zones);
         }
-        is_newer
+        merged
     }
 
     /// Keeps the policy of an earlier intent if its version is higher: a store that has come back
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -9,6 +9,7 @@
 mod balancer;
 mod classes;
 mod fixture;
+mod intents;
 mod load;
 mod overload;
 mod recovery;
