--- a/crates/forwarder/src/registration.rs
+++ b/crates/forwarder/src/registration.rs
@@ -170,9 +170,11 @@
     async fn reconcile(&mut self) -> Result<(), Error> {
         let desired = self.desired.borrow_and_update().clone();
         let Some(record) = desired else {
-            if let Some(lease) = self.lease.take() {
+            if let Some(lease) = self.lease {
                 self.written = None;
+                // After a failure the lease is kept, and ended by the next attempt.
                 self.store.revoke(lease).await?;
+                self.lease = None;
             }
             return Ok(());
         };
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -53,7 +53,8 @@
         std::future::pending().await
     }
 
-    /// Revokes a lease and deletes its keys.
+    /// Revokes a lease and deletes its keys. For stores that come back from older copies this never
+    /// ends a lease of another holder that got the same id.
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error>;
 
     /// Watches `range` for changes from revision `from` on, inclusive. The watch ends with an error
