fix(forwarder): a process started after a restore asks its peers before it puts anything in force

Cause: a process that starts between the return of an older copy and the operators' rewriting took the copy's version and zones; pulls compared positions only, and the copy's position is the later one. The modules fallback and status, and peer and watcher, depended on each other.

Change: a process whose first listing shows an era above 0 asks each peer of its settings once and waits for an intent for 500 ms at most. Zones of that intent that the listing does not show stay out for 3 s. Events, positions and pulls are modules of their own, so that no two modules of the crate depend on each other there.

--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -27,18 +27,20 @@
 
 use self::announcements::UpstreamCall;
 use crate::{
+    event::Event,
     fallback::Fallback,
     inputs::{self, Inputs},
     log::{Log, unix_time_ms},
-    peer::{Pull, View},
+    peer::View,
     platform::Platform,
+    position::{position_of, revision_field},
+    puller::Pull,
     registration::{Record, Registration},
     reload::Reload,
     settings::{Settings, Upstream},
     signals::Command,
     status::{self, Status},
     udp,
-    watcher::{self, Event},
 };
 
 /// Interval between ticks while a SYN waits for the upstream's answer, or balancers wait for room.
@@ -351,7 +353,7 @@
             let revision = intent.revision;
             if !self.core.set_intent(intent) {
                 self.log.line(now, "intent_stale", || {
-                    [("revision", watcher::revision_field(revision))]
+                    [("revision", revision_field(revision))]
                 });
             }
         }
@@ -401,7 +403,7 @@
         let report = self.core.report(now);
         metrics::gauge!("sassafrasmast_flows").set(f64::from(report.flows));
         metrics::gauge!("sassafrasmast_busy").set(f64::from(report.busy));
-        let position = watcher::position_of(self.core.revision());
+        let position = position_of(self.core.revision());
         metrics::gauge!("sassafrasmast_revision").set(position.number as f64);
         metrics::gauge!("sassafrasmast_store_era").set(position.era as f64);
     }
@@ -422,9 +424,10 @@
         let mut status = Status {
             flows: report.flows.into(),
             upstreams: vec![own],
-            ..Status::new(now, &self.settings, intent, &self.fallback)
+            ..Status::new(&self.settings, intent, self.fallback.store_status(now))
         };
         let balancers = self.balancers.iter();
+        status.peers = self.fallback.peer_statuses(now);
         status
             .peers
             .extend(balancers.map(|(address, at)| status::Peer {
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -23,18 +23,20 @@
 };
 
 use crate::{
+    event::Event,
     fallback::Fallback,
     http_server::{self, Answer},
     inputs::Inputs,
     log::Log,
-    peer::{KnownAgent, Pull, View},
+    peer::{KnownAgent, View},
     platform::{Call, Platform},
+    position::{position_of, revision_field},
+    puller::Pull,
     reload::Reload,
     settings::Settings,
     signals::Command,
     status::{self, Status},
     udp,
-    watcher::{self, Event},
 };
 
 /// Interval between ticks while a search runs or a SYN waits for placement.
@@ -248,7 +250,7 @@
         let revision = intent.revision;
         if !self.core.set_intent(intent) {
             self.log.line(now, "intent_stale", || {
-                [("revision", watcher::revision_field(revision))]
+                [("revision", revision_field(revision))]
             });
         }
     }
@@ -307,7 +309,7 @@
         metrics::gauge!("sassafrasmast_openings_waiting").set(self.core.queued_count() as f64);
         metrics::gauge!("sassafrasmast_searches").set(self.core.search_count() as f64);
         metrics::gauge!("sassafrasmast_members").set(self.core.members().iter().count() as f64);
-        let position = watcher::position_of(self.core.revision());
+        let position = position_of(self.core.revision());
         metrics::gauge!("sassafrasmast_revision").set(position.number as f64);
         metrics::gauge!("sassafrasmast_store_era").set(position.era as f64);
     }
@@ -324,7 +326,8 @@
         let status = Status {
             flows: self.core.flow_count() as u64,
             upstreams,
-            ..Status::new(now, &self.settings, intent, &self.fallback)
+            peers: self.fallback.peer_statuses(now),
+            ..Status::new(&self.settings, intent, self.fallback.store_status(now))
         };
         status.reply(request);
     }
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -9,7 +9,7 @@
 use sassafrasmast_wire::flow::{Body, Frame, Question};
 
 use super::{Process, flow_text};
-use crate::{platform::Platform, status::age_ms, udp, watcher};
+use crate::{platform::Platform, position::revision_field, status::age_ms, udp};
 
 impl<P: Platform> Process<P> {
     /// Logs an agent's frame about a flow.
@@ -142,7 +142,7 @@
             [
                 ("flow", flow_text(Some(flow))),
                 ("cause", cause.into()),
-                ("revision", watcher::revision_field(self.core.revision())),
+                ("revision", revision_field(self.core.revision())),
             ]
         });
     }
@@ -181,7 +181,7 @@
                 ),
                 ("syn_age_ms", syn_age_ms.into()),
                 ("queued", self.core.queued_count().into()),
-                ("revision", watcher::revision_field(self.core.revision())),
+                ("revision", revision_field(self.core.revision())),
             ]
         });
     }
--- a/crates/forwarder/src/fallback.rs
+++ b/crates/forwarder/src/fallback.rs
@@ -9,11 +9,7 @@
 use sassafrasmast_core::flow::Revision;
 use tokio::sync::mpsc;
 
-use crate::{
-    peer::{Pull, View},
-    status,
-    watcher::Event,
-};
+use crate::{event::Event, peer::View, puller::Pull, status};
 
 /// Time for which the store may be unreachable before the process pulls from peers.
 const STORE_LOSS_GRACE: Duration = Duration::from_millis(150);
--- a/crates/forwarder/src/inputs.rs
+++ b/crates/forwarder/src/inputs.rs
@@ -6,13 +6,15 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::{
+    event::Event,
     metrics_server,
-    peer::{self, Pull, View},
+    peer::{self, View},
     platform::Platform,
+    puller::{self, Pull},
     settings::Settings,
     signals::Signals,
     status,
-    watcher::{Event, Watcher},
+    watcher::Watcher,
 };
 
 /// Events, or calls of the upstream, that may wait for the event loop.
@@ -45,8 +47,10 @@
         let metrics_handle = metrics_server::install()?;
         let signals = Signals::new()?;
         let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
-        tokio::spawn(Watcher::new(Arc::clone(platform), range, sender.clone()).run());
-        let pulls = peer::start_puller(sender);
+        let peers = settings.other_peers();
+        let watcher = Watcher::new(Arc::clone(platform), range, peers, sender.clone());
+        tokio::spawn(watcher.run());
+        let pulls = puller::start_puller(sender);
         let (view, view_receiver) = watch::channel(Arc::default());
         peer::serve(settings.frames, view_receiver).await?;
         let status_requests = metrics_server::serve(settings.metrics, metrics_handle).await?;
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod agent;
 pub mod balancer;
+pub mod event;
 mod fallback;
 pub mod http_server;
 mod inputs;
@@ -24,6 +25,8 @@
 pub mod metrics_server;
 pub mod peer;
 pub mod platform;
+mod position;
+mod puller;
 pub mod registration;
 mod reload;
 pub mod settings;
--- a/crates/forwarder/src/peer.rs
+++ b/crates/forwarder/src/peer.rs
@@ -1,8 +1,9 @@
 //! Pull of intent and members from a peer process, for a process that cannot reach the store or
 //! whose watch lags behind a peer.
 //!
-//! The [`Request`] holds the revision and digest of the requester's intent. The peer responds with
-//! a [`Snapshot`]: its intent if that is newer and differs, and the agents that it knows. The
+//! The [`Request`] holds revision, version and digest of the requester's intent. The peer responds
+//! with a [`Snapshot`]: its intent if that is later or has a higher version, and the agents that it
+//! knows. The
 //! exchange uses TCP on the address and port that take frames over UDP.
 
 mod view;
@@ -15,12 +16,12 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    sync::{mpsc, watch},
+    sync::watch,
     time::timeout,
 };
 
 pub use self::view::View;
-use crate::{registration::Record, tcp, watcher::Event};
+use crate::{registration::Record, tcp};
 
 /// Time limit for one exchange: enough for a configuration over a link of 10 Mbit/s that also
 /// carries traffic.
@@ -58,6 +59,8 @@
 pub struct Request {
     /// Revision of the intent in force at the requester.
     pub revision: Revision,
+    /// Version of that intent's policy.
+    pub version: u64,
     /// Digest of that intent.
     pub digest: u64,
     /// Whether the requester wants the list of agents as well.
@@ -68,6 +71,7 @@
     async fn write(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         stream.write_u32(FORMAT).await?;
         stream.write_u64(self.revision).await?;
+        stream.write_u64(self.version).await?;
         stream.write_u64(self.digest).await?;
         stream.write_u8(u8::from(self.wants_members)).await
     }
@@ -79,6 +83,7 @@
         }
         Ok(Self {
             revision: stream.read_u64().await?,
+            version: stream.read_u64().await?,
             digest: stream.read_u64().await?,
             wants_members: stream.read_u8().await? != 0,
         })
@@ -92,7 +97,8 @@
     pub revision: Revision,
     /// Digest of the peer's intent, 0 if it has none.
     pub digest: u64,
-    /// The peer's intent if it is newer than the requester's and differs.
+    /// The peer's intent if it differs from the requester's, and its revision is later or its
+    /// version higher.
     pub intent: Option<Arc<Intent>>,
     /// The agents that the peer knows, if requested. Empty if the peer is an agent.
     pub members: Vec<KnownAgent>,
@@ -152,30 +158,3 @@
         .await
         .context("no answer in time")?
 }
-
-/// An order to pull from a peer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Pull {
-    /// Address of the peer.
-    pub from: SocketAddrV4,
-    /// Request to send.
-    pub request: Request,
-}
-
-/// Starts the task that executes pulls, one at a time, and sends their results to `events`. While
-/// one runs, one more can wait in the returned channel.
-pub fn start_puller(events: mpsc::Sender<Event>) -> mpsc::Sender<Pull> {
-    let (sender, mut pulls) = mpsc::channel::<Pull>(1);
-    tokio::spawn(async move {
-        while let Some(pull) = pulls.recv().await {
-            let event = match fetch(pull.from, pull.request).await {
-                Ok(snapshot) => Event::Snapshot(pull.from, Box::new(snapshot)),
-                Err(error) => Event::PullFailed(pull.from, format!("{error:#}")),
-            };
-            if events.send(event).await.is_err() {
-                return;
-            }
-        }
-    });
-    sender
-}
--- a/crates/forwarder/src/peer/view.rs
+++ b/crates/forwarder/src/peer/view.rs
@@ -36,10 +36,18 @@
         self.intent.as_ref().map_or(0, |intent| intent.revision)
     }
 
+    /// Version of the intent's policy, 0 if there is none.
+    fn version(&self) -> u64 {
+        self.intent
+            .as_ref()
+            .map_or(0, |intent| intent.policy.version)
+    }
+
     /// The request that this process sends to a peer.
     pub fn request(&self, wants_members: bool) -> Request {
         Request {
             revision: self.revision(),
+            version: self.version(),
             digest: self.digest,
             wants_members,
         }
@@ -47,11 +55,16 @@
 
     /// The response to a peer's request. The intent is left out if only its revision differs.
     pub fn snapshot_for(&self, request: &Request) -> Snapshot {
-        let is_newer = self.revision() > request.revision && self.digest != request.digest;
+        let is_newer = self.revision() > request.revision || self.version() > request.version;
+        let differs = self.digest != request.digest;
         Snapshot {
             revision: self.revision(),
             digest: self.digest,
-            intent: self.intent.as_ref().filter(|_| is_newer).cloned(),
+            intent: self
+                .intent
+                .as_ref()
+                .filter(|_| is_newer && differs)
+                .cloned(),
             members: if request.wants_members {
                 self.members.clone()
             } else {
@@ -60,7 +73,7 @@
         }
     }
 
-    /// The intent to put in force after a peer's response: the peer's intent, or the intent of this
+    /// The intent to merge after a peer's response: the peer's intent, or the intent of this
     /// process with the peer's later revision if the two differ in nothing else.
     pub fn newer_intent(&self, snapshot: &Snapshot) -> Option<Arc<Intent>> {
         if snapshot.intent.is_some() {
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -74,6 +74,12 @@
             .unwrap_or(u32::MAX)
     }
 
+    /// Addresses of the peers other than this process, which settings may name as well.
+    pub fn other_peers(&self) -> Vec<SocketAddrV4> {
+        let peers = self.peers.iter().copied();
+        peers.filter(|peer| *peer != self.frames).collect()
+    }
+
     /// Applies those settings of `new` that may change at run time. Returns the names of the others
     /// that differ, which need a restart.
     ///
--- a/crates/forwarder/src/status.rs
+++ b/crates/forwarder/src/status.rs
@@ -7,9 +7,8 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    fallback::Fallback,
+    position::position,
     settings::{Role, Settings},
-    watcher,
 };
 
 /// Path of the status on the metrics address.
@@ -88,18 +87,13 @@
 }
 
 impl Status {
-    /// The part that is common to both roles. The caller sets `flows` and `upstreams`.
-    pub(crate) fn new(
-        now: Instant,
-        settings: &Settings,
-        intent: Option<&Intent>,
-        fallback: &Fallback,
-    ) -> Self {
+    /// The part that is common to both roles. The caller sets `flows`, `peers` and `upstreams`.
+    pub(crate) fn new(settings: &Settings, intent: Option<&Intent>, store: Store) -> Self {
         let role = match settings.role {
             Role::Balancer => "balancer",
             Role::Agent(_) => "agent",
         };
-        let position = intent.map(watcher::position).unwrap_or_default();
+        let position = intent.map(position).unwrap_or_default();
         Self {
             name: settings.name.clone(),
             role: role.to_owned(),
@@ -111,8 +105,8 @@
                 .map(|intent| intent.zones_out.clone())
                 .unwrap_or_default(),
             flows: 0,
-            store: fallback.store_status(now),
-            peers: fallback.peer_statuses(now),
+            store,
+            peers: Vec::new(),
             upstreams: Vec::new(),
         }
     }
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -8,14 +8,15 @@
 };
 
 use rand::Rng;
-use sassafrasmast_core::flow::{self, Intent, Member, ZoneName};
+use sassafrasmast_core::flow::{Intent, ZoneName};
 use sassafrasmast_store::{Entry, Error, Position, Range, Revision, Update};
-use serde_json::{Value, json};
-use tokio::{sync::mpsc, time::Instant};
+use tokio::{sync::mpsc, task::JoinSet, time::Instant};
 
 use crate::{
-    peer::Snapshot,
+    event::Event,
+    peer::{self, View},
     platform::{OperatorChange, Platform},
+    position::position,
     registration::Record,
 };
 
@@ -31,96 +32,17 @@
 /// back has to be in use again.
 const REWRITE_TIME: Duration = Duration::from_secs(3);
 
-/// Event for the event loop of a process.
-#[derive(Debug)]
-pub enum Event {
-    /// The operators' intent has changed.
-    Intent(Arc<Intent>),
-    /// The complete list of agents.
-    Members(Vec<Member>),
-    /// An agent's entry was written.
-    Listed(Box<Member>),
-    /// An agent's entry was removed.
-    Unlisted(SocketAddrV4),
-    /// The store has become reachable.
-    StoreReachable,
-    /// The store has come back from an older copy.
-    StoreRestored {
-        /// Position before.
-        from: Position,
-        /// Position of the first listing since.
-        to: Position,
-    },
-    /// The store has become unreachable, with the error.
-    StoreUnreachable(String),
-    /// A pull from this peer returned a snapshot.
-    Snapshot(SocketAddrV4, Box<Snapshot>),
-    /// A pull from this peer failed, with the error.
-    PullFailed(SocketAddrV4, String),
-    /// The value of a key (operator's document or agent's entry) cannot be decoded and was ignored;
-    /// holds the key and the error.
-    ValueRejected(String),
-}
-
-impl Event {
-    /// The `event` field of the log line.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Self::Intent(_) => "intent_read",
-            Self::Members(_) => "members_read",
-            Self::Listed(_) => "member_listed",
-            Self::Unlisted(_) => "member_unlisted",
-            Self::StoreReachable => "store_regained",
-            Self::StoreRestored { .. } => "store_restored",
-            Self::StoreUnreachable(_) => "store_lost",
-            Self::Snapshot(..) => "peer_told",
-            Self::PullFailed(..) => "peer_failed",
-            Self::ValueRejected(_) => "document_refused",
-        }
-    }
-
-    /// The other fields of the log line.
-    pub fn fields(&self) -> Vec<(&'static str, Value)> {
-        match self {
-            Self::Intent(intent) => vec![
-                ("revision", revision_field(intent.revision)),
-                ("version", intent.policy.version.into()),
-                ("routes", intent.policy.routes.len().into()),
-                ("zones_out", json!(intent.zones_out)),
-            ],
-            Self::Members(members) => vec![("count", members.len().into())],
-            Self::Listed(member) => vec![
-                ("agent", member.address.to_string().into()),
-                ("service", (&*member.service).into()),
-                ("upstream_state", member.report.state.as_str().into()),
-            ],
-            Self::Unlisted(address) => vec![("agent", address.to_string().into())],
-            Self::Snapshot(from, snapshot) => vec![
-                ("peer", from.to_string().into()),
-                ("revision", revision_field(snapshot.revision)),
-                ("differs", snapshot.intent.is_some().into()),
-                ("members", snapshot.members.len().into()),
-            ],
-            Self::PullFailed(from, reason) => vec![
-                ("peer", from.to_string().into()),
-                ("reason", reason.as_str().into()),
-            ],
-            Self::StoreReachable => Vec::new(),
-            Self::StoreRestored { from, to } => {
-                vec![("from", position_field(*from)), ("to", position_field(*to))]
-            }
-            Self::StoreUnreachable(reason) | Self::ValueRejected(reason) => {
-                vec![("reason", reason.as_str().into())]
-            }
-        }
-    }
-}
+/// Time for which a process that starts after a restore waits for a peer's intent. A process has to
+/// take traffic within a second of the store's first answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Lists and watches a range of keys in the store.
 #[derive(Debug)]
 pub struct Watcher<P> {
     platform: Arc<P>,
     range: Range,
+    /// Peers that a starting process asks for their intent.
+    peers: Vec<SocketAddrV4>,
     intent: Intent,
     events: mpsc::Sender<Event>,
     /// Consecutive failures.
@@ -133,10 +55,16 @@
 
 impl<P: Platform> Watcher<P> {
     /// A watcher on the keys of `range` that sends its events to `events`.
-    pub fn new(platform: Arc<P>, range: Range, events: mpsc::Sender<Event>) -> Self {
+    pub fn new(
+        platform: Arc<P>,
+        range: Range,
+        peers: Vec<SocketAddrV4>,
+        events: mpsc::Sender<Event>,
+    ) -> Self {
         Self {
             platform,
             range,
+            peers,
             intent: Intent::default(),
             events,
             failures: 0,
@@ -193,6 +121,12 @@
                 apply(&mut intent, change);
             }
         }
+        let members = members.into_values().collect();
+        self.send(Event::Members(members)).await;
+        let is_first = self.intent.revision == 0;
+        if is_first && position(&intent).era > 0 {
+            self.ask_peers(&intent).await;
+        }
         self.note_restore(position(&intent)).await;
         if let Some((zones, _)) = &self.zones_kept {
             intent.zones_out.extend(zones.iter().cloned());
@@ -206,18 +140,54 @@
             self.send(Event::Intent(Arc::new(self.intent.clone())))
                 .await;
         }
-        self.send(Event::Members(members.into_values().collect()))
-            .await;
         Ok(listing.revision)
     }
 
+    /// Asks all peers for their intent, since the first listing may show an older copy that operators
+    /// have not written to again. Ends with the first intent, when all peers have answered, or after
+    /// `PEER_TIMEOUT`. Zones of the peer's intent that are not out in `listed` are kept out.
+    async fn ask_peers(&mut self, listed: &Intent) {
+        let mut exchanges = JoinSet::new();
+        for &from in &self.peers {
+            let request = View::default().request(false);
+            exchanges.spawn(async move { (from, peer::fetch(from, request).await) });
+        }
+        let until = Instant::now() + PEER_TIMEOUT;
+        while let Ok(Some(Ok((from, answer)))) =
+            tokio::time::timeout_at(until, exchanges.join_next()).await
+        {
+            match answer {
+                Ok(snapshot) => {
+                    let intent = snapshot.intent.clone();
+                    self.send(Event::Snapshot(from, Box::new(snapshot))).await;
+                    if let Some(intent) = intent {
+                        self.intent = Intent::clone(&intent);
+                        break;
+                    }
+                }
+                Err(error) => {
+                    let reason = format!("{error:#}");
+                    self.send(Event::PullFailed(from, reason)).await;
+                }
+            }
+        }
+        if !self.intent.zones_out.is_subset(&listed.zones_out) {
+            self.keep_zones();
+        }
+    }
+
+    /// Keeps the zones that are out for `REWRITE_TIME`.
+    fn keep_zones(&mut self) {
+        let until = Instant::now() + REWRITE_TIME;
+        self.zones_kept = Some((self.intent.zones_out.clone(), until));
+    }
+
     /// If the listing at `listed` is the first one of a later era, keeps the zones that are out.
     async fn note_restore(&mut self, listed: Position) {
         let before = position(&self.intent);
         let is_known = self.intent.revision > 0;
         if is_known && listed.era > before.era {
-            let until = Instant::now() + REWRITE_TIME;
-            self.zones_kept = Some((self.intent.zones_out.clone(), until));
+            self.keep_zones();
             self.send(Event::StoreRestored {
                 from: before,
                 to: listed,
@@ -352,30 +322,6 @@
     }
 }
 
-/// Position in the store's history that an intent reflects.
-pub(crate) fn position(intent: &Intent) -> Position {
-    position_of(intent.revision)
-}
-
-/// Position in the store's history of an intent's revision.
-pub(crate) fn position_of(revision: flow::Revision) -> Position {
-    Position::unpack(Revision::try_from(revision).unwrap_or(Revision::MAX))
-}
-
-/// The revision of an intent in a log line.
-pub(crate) fn revision_field(revision: flow::Revision) -> Value {
-    position_field(position_of(revision))
-}
-
-/// A position in a log line: the store's number, and the era before it if the store has come back
-/// from an older copy.
-fn position_field(position: Position) -> Value {
-    match position.era {
-        0 => position.number.into(),
-        era => format!("{era}/{}", position.number).into(),
-    }
-}
-
 /// Whether the keys have to be listed anew after an error of a watch.
 fn needs_listing(error: &Error) -> bool {
     matches!(
--- a/crates/forwarder/tests/peer.rs
+++ b/crates/forwarder/tests/peer.rs
@@ -49,13 +49,39 @@
 
 #[test]
 fn a_peer_of_an_earlier_build_gets_no_snapshot() {
+    // Revision, digest and flag: without a format, and with format 1.
+    let without_format = vec![0; 17];
+    let mut with_format = 1_u32.to_be_bytes().to_vec();
+    with_format.extend([0; 17]);
+    for request in [without_format, with_format] {
+        block_on(async {
+            let mut stream = TcpStream::connect(serve().await).await.expect("a peer");
+            stream.write_all(&request).await.expect("sent");
+            let mut answer = Vec::new();
+            // The peer may also reset the connection, since it has not read the whole request.
+            let _ = stream.read_to_end(&mut answer).await;
+            assert!(answer.is_empty(), "{answer:?}");
+        });
+    }
+}
+
+/// Guards against a process that takes part of an answer of an earlier build for an intent, or waits
+/// for it: such a peer closes a request of a format that it does not know.
+#[test]
+fn a_pull_from_a_peer_of_an_earlier_build_fails() {
     block_on(async {
-        let mut stream = TcpStream::connect(serve().await).await.expect("a peer");
-        // Revision, digest and flag, without a format.
-        stream.write_all(&[0; 17]).await.expect("sent");
-        let mut answer = Vec::new();
-        // The peer may also reset the connection, since it has not read the whole request.
-        let _ = stream.read_to_end(&mut answer).await;
-        assert!(answer.is_empty(), "{answer:?}");
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port");
+        let Ok(std::net::SocketAddr::V4(address)) = listener.local_addr() else {
+            panic!("an IPv4 address is expected");
+        };
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            // It reads the format and closes.
+            stream.read_u32().await.expect("a format");
+        });
+        let pulled = peer::fetch(address, View::default().request(false)).await;
+        assert!(pulled.is_err(), "{pulled:?}");
     });
 }
--- a/crates/forwarder/tests/view.rs
+++ b/crates/forwarder/tests/view.rs
@@ -35,6 +35,18 @@
     })
 }
 
+fn with_version(revision: u64, version: u64) -> Arc<Intent> {
+    let policy = Policy {
+        version,
+        ..Policy::default()
+    };
+    Arc::new(Intent {
+        revision,
+        policy,
+        ..Intent::default()
+    })
+}
+
 fn view(intent: &Arc<Intent>) -> View {
     View::new(&View::default(), Some(intent), Vec::new())
 }
@@ -76,3 +88,18 @@
     // The watch has since delivered a change that the peer's snapshot does not contain.
     assert_eq!(view(&intent(78, "b")).newer_intent(&snapshot), None);
 }
+
+/// Guards against a process that stays at the version of a restored copy although a peer, which has
+/// not noticed the restore, knows a higher one at an earlier position.
+#[test]
+fn snapshot_contains_an_intent_of_a_higher_version_at_an_earlier_revision() {
+    let (young, peer) = (view(&with_version(900, 100)), view(&with_version(76, 101)));
+    let snapshot = peer.snapshot_for(&young.request(false));
+    assert_eq!(snapshot.intent, Some(with_version(76, 101)));
+    let reverse = young.snapshot_for(&peer.request(false));
+    assert_eq!(reverse.intent, Some(with_version(900, 100)));
+    // Both have merged the other's intent, so nothing is sent any more.
+    let merged = Intent::merge(&with_version(900, 100), &with_version(76, 101));
+    let (young, peer) = (view(&merged), view(&merged));
+    assert_eq!(peer.snapshot_for(&young.request(false)).intent, None);
+}
