feat(store,platform): listings that may be some seconds old

Cause: the platform's store answers a range with allowStale=1 for a tenth of a call, and no client could ask for it.

Change: Store::range_stale, which is a normal read for stores without such reads (the QUIC daemon's).

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -38,6 +38,12 @@
     /// Reads one key, or all keys with a prefix, ordered by key.
     async fn range(&self, range: Range) -> Result<Listing, Error>;
 
+    /// Reads like [`Self::range`], but the result may be some seconds old: its revision may be lower
+    /// than that of an earlier read. Cheaper where the store has such reads; otherwise a normal read.
+    async fn range_stale(&self, range: Range) -> Result<Listing, Error> {
+        self.range(range).await
+    }
+
     /// Applies the writes of `txn` atomically if all its comparisons hold, otherwise none of them.
     async fn txn(&self, txn: Txn) -> Result<TxnResult, Error>;
 
