perf(forwarder): balancers read stale listings of agents instead of watching them

Cause: each agent that joined, drained or left ended the pending watch of every balancer, so calls to the store grew as changes x balancers.

Change: membership::Schedule decides, without I/O, whether agents are watched (for 10 s after a start, a return or a restore of the store, and while a service has no upstream, 60 s at most) or listed every 2 s, at most 2 % of the link; membership::AgentList tells what a listing changes and ignores older ones. New agents send a hello to the balancers of their settings, and to a balancer that sends its first frame. After a failed watch a fresh listing follows; before, the store counted as away until the next change.

--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -18,7 +18,6 @@
     Agent, State,
     agent::{self, Action, Change, Delivery},
 };
-use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES, Question};
 use tokio::{
     net::UdpSocket,
@@ -76,6 +75,7 @@
     view: watch::Sender<Arc<View>>,
     /// Whether the store matches `record`, according to the last call of the registration.
     registered: Arc<AtomicBool>,
+    started_at: Instant,
     /// When balancers were last sent [`Body::Hello`].
     hello_sent_at: Instant,
 }
@@ -90,14 +90,14 @@
     upstream: Upstream,
     platform: Arc<P>,
 ) -> anyhow::Result<()> {
-    let operators = Range::Prefix(platform.operator_prefix().to_owned());
     let Inputs {
         mut signals,
         mut events,
         mut status_requests,
         pulls,
         view,
-    } = Inputs::start(&settings, &platform, operators).await?;
+        ..
+    } = Inputs::start(&settings, &platform).await?;
     let (sender, mut upstream_calls) = mpsc::channel(inputs::EVENT_QUEUE_CAPACITY);
     announcements::serve(upstream.announcements, &platform, sender.clone()).await?;
     if settings.ready != upstream.announcements {
@@ -180,6 +180,7 @@
             reload: Reload::new(now),
             view,
             registered,
+            started_at: now,
             hello_sent_at: now,
             settings,
             upstream,
@@ -231,7 +232,9 @@
                 continue;
             };
             let now = Instant::now();
-            self.balancers.insert(from, now);
+            if self.balancers.insert(from, now).is_none() {
+                self.greet(now, from);
+            }
             let own = self.core.revision();
             self.fallback
                 .observe_revision(now, from, frame.revision, own);
--- a/crates/forwarder/src/agent/output.rs
+++ b/crates/forwarder/src/agent/output.rs
@@ -16,18 +16,40 @@
 /// Interval of [`Body::Hello`] to balancers while the agent's entry is not in the store.
 const HELLO_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time after the agent's start in which it also sends [`Body::Hello`] if its entry is in the store:
+/// balancers list entries every two seconds only. Single frames may be lost.
+const HELLO_TIME: Duration = Duration::from_secs(2);
+
+/// Time after the agent's start in which a balancer gets [`Body::Hello`] in answer to its first frame:
+/// it may take the agent for an earlier one at the same address, which served something else.
+const GREETING_TIME: Duration = Duration::from_secs(10);
+
 impl<P: Platform> Process<P> {
-    /// Sends [`Body::Hello`] to the balancers of the settings while the entry is not in the store.
+    /// Sends [`Body::Hello`] to the balancers of the settings while the agent is new or the entry is
+    /// not in the store.
     pub(super) fn send_hello(&mut self, now: Instant) {
         let is_due = now.saturating_duration_since(self.hello_sent_at) >= HELLO_INTERVAL;
-        if self.registered.load(Ordering::Relaxed) || !is_due {
+        let is_new = now.saturating_duration_since(self.started_at) < HELLO_TIME;
+        let is_listed = self.registered.load(Ordering::Relaxed);
+        if (is_listed && !is_new) || !is_due {
             return;
         }
         self.hello_sent_at = now;
+        self.send_hello_to(now, &self.settings.peers.clone());
+    }
+
+    /// Sends [`Body::Hello`] to a balancer that has sent its first frame to a new agent.
+    pub(super) fn greet(&mut self, now: Instant, balancer: SocketAddrV4) {
+        if now.saturating_duration_since(self.started_at) < GREETING_TIME {
+            self.send_hello_to(now, &[balancer]);
+        }
+    }
+
+    fn send_hello_to(&mut self, now: Instant, balancers: &[SocketAddrV4]) {
         let report = self.core.report(now);
         let service = self.upstream.service.clone();
         let zone = self.settings.zone.clone();
-        for to in self.settings.peers.clone() {
+        for &to in balancers {
             let body = Body::Hello {
                 service: &service,
                 zone: &zone,
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -3,6 +3,7 @@
 mod output;
 
 use std::{
+    collections::BTreeSet,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -15,7 +16,6 @@
     Balancer, Intent, Key,
     balancer::{self, Action},
 };
-use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
 use tokio::{
     net::UdpSocket,
@@ -42,6 +42,9 @@
 /// Interval between ticks while a search runs or a SYN waits for placement.
 const FAST_TICK: Duration = Duration::from_millis(5);
 
+/// Interval between checks whether a service has no upstream.
+const STARVED_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Interval between ticks otherwise. Bounds how late probes of silent agents are sent.
 const SLOW_TICK: Duration = Duration::from_millis(50);
 
@@ -62,6 +65,9 @@
     fallback: Fallback,
     reload: Reload,
     view: watch::Sender<Arc<View>>,
+    /// Tells the watcher whether a service has no upstream.
+    starved: watch::Sender<bool>,
+    starved_checked_at: Instant,
 }
 
 /// Runs a balancer until the process is killed.
@@ -76,10 +82,11 @@
         mut status_requests,
         pulls,
         view,
-    } = Inputs::start(&settings, &platform, Range::Prefix(String::new())).await?;
+        starved,
+    } = Inputs::start(&settings, &platform).await?;
     let ready = Arc::new(AtomicBool::new(false));
     serve_ready(&settings, &platform, &ready).await?;
-    let mut process = Process::start(settings, platform, ready, pulls, view)?;
+    let mut process = Process::start(settings, platform, ready, pulls, view, starved)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -133,6 +140,7 @@
         ready: Arc<AtomicBool>,
         pulls: mpsc::Sender<Pull>,
         view: watch::Sender<Arc<View>>,
+        starved: watch::Sender<bool>,
     ) -> anyhow::Result<Self> {
         let now = Instant::now();
         let core = Balancer::new(
@@ -154,6 +162,8 @@
             fallback: Fallback::new(now, pulls, true, settings.peers.clone()),
             reload: Reload::new(now),
             view,
+            starved,
+            starved_checked_at: now,
             settings,
             platform,
             ready,
@@ -236,6 +246,7 @@
                 self.core.add_members(now, members.collect());
             }
             Event::PullFailed(..)
+            | Event::AgentSource(_)
             | Event::StoreReachable
             | Event::StoreRestored { .. }
             | Event::StoreUnreachable(_)
@@ -273,6 +284,26 @@
         }
     }
 
+    /// Tells the watcher whether a service has no upstream in any zone.
+    fn check_starved(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.starved_checked_at) < STARVED_CHECK_INTERVAL {
+            return;
+        }
+        self.starved_checked_at = now;
+        let members = self.core.members();
+        let all_zones = BTreeSet::new();
+        let is_starved = self.core.intent().is_some_and(|intent| {
+            let mut services = intent.policy.services.keys();
+            members.iter().next().is_none()
+                || services.any(|service| members.has_no_upstream(now, service, &all_zones))
+        });
+        self.starved.send_if_modified(|starved| {
+            let differs = *starved != is_starved;
+            *starved = is_starved;
+            differs
+        });
+    }
+
     fn handle_signal(&mut self, command: Command) {
         let now = Instant::now();
         match command {
@@ -305,6 +336,7 @@
         self.core.tick(now, &mut self.actions);
         self.execute_actions(now, None);
         self.update_ready(now);
+        self.check_starved(now);
         metrics::gauge!("sassafrasmast_flows").set(self.core.flow_count() as f64);
         metrics::gauge!("sassafrasmast_openings_waiting").set(self.core.queued_count() as f64);
         metrics::gauge!("sassafrasmast_searches").set(self.core.search_count() as f64);
--- a/crates/forwarder/src/event.rs
+++ b/crates/forwarder/src/event.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::{
+    membership::Source,
     peer::Snapshot,
     position::{position_field, revision_field},
 };
@@ -23,6 +24,8 @@
     Listed(Box<Member>),
     /// An agent's entry was removed.
     Unlisted(SocketAddrV4),
+    /// The list of agents now comes from this source.
+    AgentSource(Source),
     /// The store has become reachable.
     StoreReachable,
     /// The store has come back from an older copy.
@@ -51,6 +54,7 @@
             Self::Members(_) => "members_read",
             Self::Listed(_) => "member_listed",
             Self::Unlisted(_) => "member_unlisted",
+            Self::AgentSource(_) => "members_source",
             Self::StoreReachable => "store_regained",
             Self::StoreRestored { .. } => "store_restored",
             Self::StoreUnreachable(_) => "store_lost",
@@ -86,6 +90,7 @@
                 ("peer", from.to_string().into()),
                 ("reason", reason.as_str().into()),
             ],
+            Self::AgentSource(source) => vec![("source", source.as_str().into())],
             Self::StoreReachable => Vec::new(),
             Self::StoreRestored { from, to } => {
                 vec![("from", position_field(*from)), ("to", position_field(*to))]
--- a/crates/forwarder/src/inputs.rs
+++ b/crates/forwarder/src/inputs.rs
@@ -2,16 +2,17 @@
 
 use std::sync::Arc;
 
-use sassafrasmast_store::Range;
+use rand::Rng;
 use tokio::sync::{mpsc, watch};
 
 use crate::{
     event::Event,
+    membership::Schedule,
     metrics_server,
     peer::{self, View},
     platform::Platform,
     puller::{self, Pull},
-    settings::Settings,
+    settings::{Role, Settings},
     signals::Signals,
     status,
     watcher::Watcher,
@@ -31,10 +32,12 @@
     pub(crate) pulls: mpsc::Sender<Pull>,
     /// Accepts the view from which requests of peers are answered.
     pub(crate) view: watch::Sender<Arc<View>>,
+    /// Accepts whether a service has no upstream, so that agents are learned of sooner.
+    pub(crate) starved: watch::Sender<bool>,
 }
 
 impl Inputs {
-    /// Starts the watcher on the keys of `range` and the servers for peers, metrics and status.
+    /// Starts the watcher and the servers for peers, metrics and status.
     ///
     /// # Errors
     ///
@@ -42,13 +45,20 @@
     pub(crate) async fn start<P: Platform>(
         settings: &Settings,
         platform: &Arc<P>,
-        range: Range,
     ) -> anyhow::Result<Self> {
         let metrics_handle = metrics_server::install()?;
         let signals = Signals::new()?;
         let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
-        let peers = settings.other_peers();
-        let watcher = Watcher::new(Arc::clone(platform), range, peers, sender.clone());
+        let schedule = matches!(settings.role, Role::Balancer)
+            .then(|| Schedule::new(settings.link_bytes_per_s, rand::rng().random()));
+        let (starved, starved_receiver) = watch::channel(false);
+        let watcher = Watcher::new(
+            Arc::clone(platform),
+            settings.peers.clone(),
+            schedule,
+            starved_receiver,
+            sender.clone(),
+        );
         tokio::spawn(watcher.run());
         let pulls = puller::start_puller(sender);
         let (view, view_receiver) = watch::channel(Arc::default());
@@ -60,6 +70,7 @@
             status_requests,
             pulls,
             view,
+            starved,
         })
     }
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! - [`balancer`], [`agent`]: the two roles.
 //! - [`watcher`]: lists the keys of the store and then watches them.
+//! - [`membership`]: decides whether a balancer watches agents' entries or lists them.
 //! - [`registration`]: an agent's entry in the store.
 //! - [`peer`]: exchange of state between processes while the store is unreachable or lags behind.
 //! - [`http_server`]: HTTP server for readiness, announcements, status and metrics.
@@ -22,6 +23,7 @@
 pub mod http_server;
 mod inputs;
 pub mod log;
+pub mod membership;
 pub mod metrics_server;
 pub mod peer;
 pub mod platform;
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -1,19 +1,26 @@
-//! Keeps a process up to date with the store: lists all keys of a range, then watches them.
+//! Keeps a process up to date with the store: lists keys, then watches them. A balancer watches
+//! agents' keys or reads stale listings of them, as its [`Schedule`] says.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
+    pin::Pin,
     sync::Arc,
     time::Duration,
 };
 
 use rand::Rng;
 use sassafrasmast_core::flow::{Intent, ZoneName};
-use sassafrasmast_store::{Entry, Error, Position, Range, Revision, Update};
-use tokio::{sync::mpsc, task::JoinSet, time::Instant};
+use sassafrasmast_store::{Entry, Error, Listing, Position, Range, Revision, Update};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinSet,
+    time::Instant,
+};
 
 use crate::{
     event::Event,
+    membership::{AgentList, Change, Schedule, Source},
     peer::{self, View},
     platform::{OperatorChange, Platform},
     position::position,
@@ -36,15 +43,28 @@
 /// take traffic within a second of the store's first answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Lists and watches a range of keys in the store.
+/// Bytes of an entry in a listing besides its key and value, which is in base64.
+const ENTRY_OVERHEAD_BYTES: u64 = 110;
+
+/// A read of agents' entries that is due later.
+type StaleListing = Pin<Box<dyn Future<Output = Result<Listing, Error>> + Send>>;
+
+/// Lists and watches keys of the store.
 #[derive(Debug)]
 pub struct Watcher<P> {
     platform: Arc<P>,
-    range: Range,
     /// Peers that a starting process asks for their intent.
     peers: Vec<SocketAddrV4>,
     intent: Intent,
     events: mpsc::Sender<Event>,
+    /// Decides how agents are learned of; `None` in an agent's process, which does not learn of them.
+    schedule: Option<Schedule>,
+    /// Whether a service has no upstream, as the balancer sees it.
+    starved: watch::Receiver<bool>,
+    /// The agents' entries.
+    agents: AgentList,
+    /// Whether the pending watch covers the agents' keys.
+    watches_agents: bool,
     /// Consecutive failures.
     failures: u32,
     /// Whether the last call succeeded.
@@ -54,19 +74,24 @@
 }
 
 impl<P: Platform> Watcher<P> {
-    /// A watcher on the keys of `range` that sends its events to `events`.
+    /// A watcher that sends its events to `events`: on operators' keys, and with a schedule also on
+    /// agents' keys. `starved` tells whether a service has no upstream.
     pub fn new(
         platform: Arc<P>,
-        range: Range,
         peers: Vec<SocketAddrV4>,
+        schedule: Option<Schedule>,
+        starved: watch::Receiver<bool>,
         events: mpsc::Sender<Event>,
     ) -> Self {
         Self {
             platform,
-            range,
             peers,
             intent: Intent::default(),
             events,
+            schedule,
+            starved,
+            agents: AgentList::default(),
+            watches_agents: false,
             failures: 0,
             is_reachable: false,
             zones_kept: None,
@@ -77,6 +102,10 @@
     pub async fn run(mut self) {
         let mut watch_after = None;
         while !self.events.is_closed() {
+            if self.update_source().await {
+                // Changes since the last stale listing are not known.
+                watch_after = None;
+            }
             let result = match watch_after {
                 None => self.list().await,
                 Some(revision) => self.watch(revision).await,
@@ -84,45 +113,77 @@
             match result {
                 Ok(revision) => watch_after = Some(revision),
                 Err(error) => {
-                    if needs_listing(&error) {
-                        watch_after = None;
-                    }
-                    // The store answers, so it need not be spared.
-                    if !matches!(error, Error::Restored { .. }) {
-                        self.back_off(&error).await;
-                    }
+                    watch_after = None;
+                    self.handle_failure(&error).await;
+                }
+            }
+        }
+    }
+
+    /// Updates whether agents are watched. Returns whether they are from now on.
+    async fn update_source(&mut self) -> bool {
+        let is_starved = *self.starved.borrow_and_update();
+        let Some(schedule) = &mut self.schedule else {
+            return false;
+        };
+        let now = Instant::now().into_std();
+        schedule.set_starved(now, is_starved);
+        let source = schedule.source(now);
+        let watches_agents = source == Source::Watch;
+        if watches_agents == self.watches_agents {
+            return false;
+        }
+        self.watches_agents = watches_agents;
+        self.send(Event::AgentSource(source)).await;
+        watches_agents
+    }
+
+    /// The keys that are listed and watched.
+    fn range(&self) -> Range {
+        Range::Prefix(if self.watches_agents {
+            String::new()
+        } else {
+            self.platform.operator_prefix().to_owned()
+        })
+    }
+
+    /// Handles a failed listing or watch; a listing follows.
+    async fn handle_failure(&mut self, error: &Error) {
+        match error {
+            // The store answers, so it need not be spared.
+            Error::Restored { .. } => {
+                if let Some(schedule) = &mut self.schedule {
+                    schedule.regain_store(Instant::now().into_std());
                 }
             }
+            Error::Compacted { .. } => tokio::time::sleep(RETRY_DELAY_MIN).await,
+            _ => self.back_off(error).await,
         }
     }
 
-    /// Lists all keys. Returns the revision after which the watch starts. Without a configuration
-    /// document, or if the store lists an older revision, the intent in force stays.
+    /// Lists the keys to watch. Returns the revision after which the watch starts. Without a
+    /// configuration document, or if the store lists an older revision, the intent in force stays.
     async fn list(&mut self) -> Result<Revision, Error> {
-        let listing = self.platform.store().range(self.range.clone()).await?;
+        let listing = self.platform.store().range(self.range()).await?;
         self.mark_reachable().await;
         let mut intent = Intent {
             revision: u64::try_from(listing.revision).unwrap_or(0),
             ..Intent::default()
         };
         let mut has_policy = false;
-        let mut members = BTreeMap::new();
         for entry in &listing.entries {
-            if let Some(address) = Record::address(&entry.key) {
-                match Record::decode(&entry.value) {
-                    Ok(record) => {
-                        members.insert(address, record.member(address));
-                    }
-                    Err(error) => self.reject(&entry.key, &error).await,
-                }
-            } else if let Some(change) = self.operator_change(&entry.key, Some(&entry.value)).await
-            {
+            if let Some(change) = self.operator_change(&entry.key, Some(&entry.value)).await {
                 has_policy |= matches!(change, OperatorChange::Policy(_));
                 apply(&mut intent, change);
             }
         }
-        let members = members.into_values().collect();
-        self.send(Event::Members(members)).await;
+        if self.watches_agents {
+            let records = self.records(&listing.entries).await;
+            let members = records.iter();
+            let members = members.map(|(address, record)| record.member(*address));
+            self.send(Event::Members(members.collect())).await;
+            self.agents.replace(listing.revision, records);
+        }
         let is_first = self.intent.revision == 0;
         if is_first && position(&intent).era > 0 {
             self.ask_peers(&intent).await;
@@ -202,42 +263,107 @@
         }
     }
 
-    /// Waits until zones are no longer kept out that the store does not list.
-    async fn zones_settled(zones_kept: Option<Instant>) {
-        match zones_kept {
-            Some(until) => tokio::time::sleep_until(until).await,
-            None => std::future::pending().await,
+    /// The agents' entries among these by address.
+    async fn records(&self, entries: &[Entry]) -> BTreeMap<SocketAddrV4, Record> {
+        let mut records = BTreeMap::new();
+        for entry in entries {
+            let Some(address) = Record::address(&entry.key) else {
+                continue;
+            };
+            match Record::decode(&entry.value) {
+                Ok(record) => {
+                    records.insert(address, record);
+                }
+                Err(error) => self.reject(&entry.key, &error).await,
+            }
         }
+        records
     }
 
-    /// Watches for changes after `revision`. Returns the last revision seen when the watch is to be
-    /// opened again, or an error after which the keys may have to be listed again.
+    /// Watches for changes after `revision`, and reads stale listings of agents' keys unless the watch
+    /// covers them. Returns the last revision seen when the watch is to be opened again, or an error
+    /// after which the keys have to be listed again.
     async fn watch(&mut self, revision: Revision) -> Result<Revision, Error> {
         let mut updates = self
             .platform
             .store()
-            .watch(self.range.clone(), revision + 1)
+            .watch(self.range(), revision + 1)
             .await?;
         let mut seen = revision;
         let settled_at = self.zones_kept.as_ref().map(|(_, until)| *until);
+        let mut stale_listing = self.next_stale_listing();
         loop {
-            let update = tokio::select! {
-                update = updates.recv() => update,
-                () = Self::zones_settled(settled_at) => return self.list().await,
-            };
-            match update {
-                Some(Ok(update)) => {
-                    self.mark_reachable().await;
-                    seen = self.handle_update(update).await;
+            let source_ends_at = self.schedule.as_ref().and_then(Schedule::watch_ends_at);
+            let source_ends_at = source_ends_at.filter(|_| self.watches_agents);
+            tokio::select! {
+                update = updates.recv() => match update {
+                    Some(Ok(update)) => seen = self.handle_update(update).await,
+                    Some(Err(error)) => return Err(error),
+                    None => return Ok(seen),
+                },
+                listing = &mut stale_listing => {
+                    self.handle_stale_listing(listing).await?;
+                    stale_listing = self.next_stale_listing();
                 }
-                Some(Err(error)) if needs_listing(&error) => return Err(error),
-                Some(Err(error)) => {
-                    self.back_off(&error).await;
-                    return Ok(seen);
-                }
-                None => return Ok(seen),
+                () = at(settled_at) => return self.list().await,
+                // The source of the list of agents may have changed.
+                () = at(source_ends_at.map(Instant::from_std)) => return Ok(seen),
+                Ok(()) = self.starved.changed(), if self.schedule.is_some() => return Ok(seen),
+            }
+        }
+    }
+
+    /// The next stale listing of agents' keys when it is due. Never ends while the watch covers them.
+    fn next_stale_listing(&self) -> StaleListing {
+        let Some(schedule) = self.schedule.as_ref().filter(|_| !self.watches_agents) else {
+            return Box::pin(std::future::pending());
+        };
+        let due_at = schedule.listing_due_at().map(Instant::from_std);
+        let store = self.platform.store();
+        Box::pin(async move {
+            tokio::time::sleep_until(due_at.unwrap_or_else(Instant::now)).await;
+            store.range_stale(Record::range()).await
+        })
+    }
+
+    /// Handles the result of a stale listing.
+    ///
+    /// # Errors
+    ///
+    /// When the store is lost or has come back from an older copy.
+    async fn handle_stale_listing(&mut self, result: Result<Listing, Error>) -> Result<(), Error> {
+        let Some(schedule) = &mut self.schedule else {
+            return Ok(());
+        };
+        let now = Instant::now().into_std();
+        let listing = match result {
+            Ok(listing) => listing,
+            Err(error) => {
+                metrics::counter!("sassafrasmast_stale_listings", "result" => "failed")
+                    .increment(1);
+                let is_lost = schedule.record_failure(now);
+                return if is_lost || matches!(error, Error::Restored { .. }) {
+                    Err(error)
+                } else {
+                    Ok(())
+                };
             }
+        };
+        schedule.record_listing(now, bytes(&listing));
+        let records = self.records(&listing.entries).await;
+        let Some(changes) = self.agents.apply_stale(listing.revision, records) else {
+            metrics::counter!("sassafrasmast_stale_listings", "result" => "older").increment(1);
+            return Ok(());
+        };
+        metrics::counter!("sassafrasmast_stale_listings", "result" => "applied").increment(1);
+        for change in changes {
+            let event = match change {
+                Change::Listed(address, record) => Event::Listed(Box::new(record.member(address))),
+                Change::Unlisted(address) => Event::Unlisted(address),
+            };
+            self.send(event).await;
         }
+        Ok(())
     }
 
     /// Handles one update of the watch. Returns its revision.
@@ -256,9 +382,13 @@
                 Some(Ok(record)) => {
                     self.send(Event::Listed(Box::new(record.member(address))))
                         .await;
+                    self.agents.put(revision, address, record);
                 }
                 Some(Err(error)) => self.reject(key, &error).await,
-                None => self.send(Event::Unlisted(address)).await,
+                None => {
+                    self.agents.remove(revision, address);
+                    self.send(Event::Unlisted(address)).await;
+                }
             }
         } else if let Some(change) = self.operator_change(key, value).await {
             let before = self.intent.clone();
@@ -299,6 +429,9 @@
         self.failures = 0;
         if !self.is_reachable {
             self.is_reachable = true;
+            if let Some(schedule) = &mut self.schedule {
+                schedule.regain_store(Instant::now().into_std());
+            }
             self.send(Event::StoreReachable).await;
         }
     }
@@ -307,6 +440,9 @@
     async fn back_off(&mut self, error: &Error) {
         if self.is_reachable || self.failures == 0 {
             self.is_reachable = false;
+            if let Some(schedule) = &mut self.schedule {
+                schedule.lose_store();
+            }
             self.send(Event::StoreUnreachable(error.to_string())).await;
         }
         self.failures = self.failures.saturating_add(1);
@@ -322,12 +458,22 @@
     }
 }
 
-/// Whether the keys have to be listed anew after an error of a watch.
-fn needs_listing(error: &Error) -> bool {
-    matches!(
-        error,
-        Error::Compacted { .. } | Error::Restored { .. } | Error::Malformed(_)
-    )
+/// Waits until the given time, forever if there is none.
+async fn at(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Size of a listing on the link, estimated.
+fn bytes(listing: &Listing) -> u64 {
+    let entries = listing.entries.iter();
+    let sizes = entries.map(|entry| {
+        let text = entry.key.len() + entry.value.len().div_ceil(3) * 4;
+        text as u64 + ENTRY_OVERHEAD_BYTES
+    });
+    sizes.sum()
 }
 
 /// Applies the change of one document to the intent.
