--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -18,7 +18,6 @@
     Agent, State,
     agent::{self, Action, Change, Delivery},
 };
-use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES, Question};
 use tokio::{
     net::UdpSocket,
@@ -27,18 +26,20 @@
 
 use self::announcements::UpstreamCall;
 use crate::{
+    event::Event,
     fallback::Fallback,
     inputs::{self, Inputs},
     log::{Log, unix_time_ms},
-    peer::{Pull, View},
+    peer::View,
     platform::Platform,
+    position::{position_of, revision_field},
+    puller::Pull,
     registration::{Record, Registration},
     reload::Reload,
     settings::{Settings, Upstream},
     signals::Command,
     status::{self, Status},
     udp,
-    watcher::{self, Event},
 };
 
 /// Interval between ticks while a SYN waits for the upstream's answer, or balancers wait for room.
@@ -74,6 +75,7 @@
     view: watch::Sender<Arc<View>>,
     /// Whether the store matches `record`, according to the last call of the registration.
     registered: Arc<AtomicBool>,
+    started_at: Instant,
     /// When balancers were last sent [`Body::Hello`].
     hello_sent_at: Instant,
 }
@@ -88,14 +90,14 @@
     upstream: Upstream,
     platform: Arc<P>,
 ) -> anyhow::Result<()> {
-    let operators = Range::Prefix(platform.operator_prefix().to_owned());
     let Inputs {
         mut signals,
         mut events,
         mut status_requests,
         pulls,
         view,
-    } = Inputs::start(&settings, &platform, operators).await?;
+        ..
+    } = Inputs::start(&settings, &platform).await?;
     let (sender, mut upstream_calls) = mpsc::channel(inputs::EVENT_QUEUE_CAPACITY);
     announcements::serve(upstream.announcements, &platform, sender.clone()).await?;
     if settings.ready != upstream.announcements {
@@ -178,6 +180,7 @@
             reload: Reload::new(now),
             view,
             registered,
+            started_at: now,
             hello_sent_at: now,
             settings,
             upstream,
@@ -229,7 +232,9 @@
                 continue;
             };
             let now = Instant::now();
-            self.balancers.insert(from, now);
+            if self.balancers.insert(from, now).is_none() {
+                self.greet(now, from);
+            }
             let own = self.core.revision();
             self.fallback
                 .observe_revision(now, from, frame.revision, own);
@@ -351,7 +356,7 @@
             let revision = intent.revision;
             if !self.core.set_intent(intent) {
                 self.log.line(now, "intent_stale", || {
-                    [("revision", watcher::revision_field(revision))]
+                    [("revision", revision_field(revision))]
                 });
             }
         }
@@ -401,7 +406,7 @@
         let report = self.core.report(now);
         metrics::gauge!("sassafrasmast_flows").set(f64::from(report.flows));
         metrics::gauge!("sassafrasmast_busy").set(f64::from(report.busy));
-        let position = watcher::position_of(self.core.revision());
+        let position = position_of(self.core.revision());
         metrics::gauge!("sassafrasmast_revision").set(position.number as f64);
         metrics::gauge!("sassafrasmast_store_era").set(position.era as f64);
     }
@@ -422,9 +427,10 @@
         let mut status = Status {
             flows: report.flows.into(),
             upstreams: vec![own],
-            ..Status::new(now, &self.settings, intent, &self.fallback)
+            ..Status::new(&self.settings, intent, self.fallback.store_status(now))
         };
         let balancers = self.balancers.iter();
+        status.peers = self.fallback.peer_statuses(now);
         status
             .peers
             .extend(balancers.map(|(address, at)| status::Peer {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -38,6 +38,12 @@
     /// Reads one key, or all keys with a prefix, ordered by key.
     async fn range(&self, range: Range) -> Result<Listing, Error>;
 
+    /// Reads like [`Self::range`], but the result may be some seconds old: its revision may be lower
+    /// than that of an earlier read. Cheaper where the store has such reads; otherwise a normal read.
+    async fn range_stale(&self, range: Range) -> Result<Listing, Error> {
+        self.range(range).await
+    }
+
     /// Applies the writes of `txn` atomically if all its comparisons hold, otherwise none of them.
     async fn txn(&self, txn: Txn) -> Result<TxnResult, Error>;
 
@@ -53,7 +59,8 @@
         std::future::pending().await
     }
 
-    /// Revokes a lease and deletes its keys.
+    /// Revokes a lease and deletes its keys. For stores that come back from older copies this never
+    /// ends a lease of another holder that got the same id.
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error>;
 
     /// Watches `range` for changes from revision `from` on, inclusive. The watch ends with an error
