fix(forwarder): balancers confirm the list of agents before a flow counts as lost

Stale listings, which are seconds old, would make it worse.

Change: Action::List makes the watcher list the agents' keys afresh; MembersConfirmed carries when the store was asked. Each fresh listing confirms. While the store is unreachable the known list has to do, as before. Lost flows of 150 ms share one listing.

--- a/crates/core/src/flow/balancer/listing.rs
+++ b/crates/core/src/flow/balancer/listing.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-/// Interval at which the store is asked for the list again while searches wait for it: a few replies
-/// of the store, and one call for all searches that ended meanwhile.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the store is asked for the list again while searches wait for it: one call for
+/// all searches that ended meanwhile, and less than a client's first pause before it sends a packet
+/// again.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Time after which the list that is known is used although the store has not confirmed it. A slow
 /// store answers within 300 ms; a client's next retransmission comes after 400 ms.
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -19,7 +19,7 @@
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
 };
 
 use crate::{
@@ -68,6 +68,8 @@
     /// Tells the watcher whether a service has no upstream.
     starved: watch::Sender<bool>,
     starved_checked_at: Instant,
+    /// Asks the watcher to confirm the list of agents.
+    list_requests: Arc<Notify>,
 }
 
 /// Runs a balancer until the process is killed.
@@ -83,10 +85,19 @@
         pulls,
         view,
         starved,
+        list_requests,
     } = Inputs::start(&settings, &platform).await?;
     let ready = Arc::new(AtomicBool::new(false));
     serve_ready(&settings, &platform, &ready).await?;
-    let mut process = Process::start(settings, platform, ready, pulls, view, starved)?;
+    let mut process = Process::start(
+        settings,
+        platform,
+        ready,
+        pulls,
+        view,
+        starved,
+        list_requests,
+    )?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -141,6 +152,7 @@
         pulls: mpsc::Sender<Pull>,
         view: watch::Sender<Arc<View>>,
         starved: watch::Sender<bool>,
+        list_requests: Arc<Notify>,
     ) -> anyhow::Result<Self> {
         let now = Instant::now();
         let core = Balancer::new(
@@ -164,6 +176,7 @@
             view,
             starved,
             starved_checked_at: now,
+            list_requests,
             settings,
             platform,
             ready,
@@ -234,6 +247,10 @@
         match event {
             Event::Intent(intent) => self.install_intent(now, intent),
             Event::Members(members) => self.core.set_members(now, members),
+            Event::MembersConfirmed(at) => {
+                self.core.confirm_members(now, at, &mut self.actions);
+                self.execute_actions(now, None);
+            }
             Event::Listed(member) => self.core.add_listed_member(*member),
             Event::Unlisted(address) => self.core.unlist_member(now, address),
             Event::Snapshot(_, snapshot) => {
@@ -249,8 +266,8 @@
             | Event::AgentSource(_)
             | Event::StoreReachable
             | Event::StoreRestored { .. }
-            | Event::StoreUnreachable(_)
             | Event::ValueRejected(_) => {}
+            Event::StoreUnreachable(_) => self.core.lose_store(),
         }
         self.update_ready(now);
         self.update_view();
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -99,7 +99,7 @@
                     let sent = self.core.members().probe_timestamp(now);
                     self.send(to, Body::Probe { sent });
                 }
-                Action::List => {}
+                Action::List => self.list_requests.notify_one(),
                 Action::Demand { to, waiting } => self.send(to, Body::Demand { waiting }),
                 Action::Reset {
                     flow,
--- a/crates/forwarder/src/event.rs
+++ b/crates/forwarder/src/event.rs
@@ -1,7 +1,7 @@
 //! Events that the event loop of a process handles: what the store's watcher and pulls from peers
 //! bring.
 
-use std::{net::SocketAddrV4, sync::Arc};
+use std::{net::SocketAddrV4, sync::Arc, time::Instant};
 
 use sassafrasmast_core::flow::{Intent, Member};
 use sassafrasmast_store::Position;
@@ -20,6 +20,8 @@
     Intent(Arc<Intent>),
     /// The complete list of agents.
     Members(Vec<Member>),
+    /// The agents that the events so far name are all that were listed at this time.
+    MembersConfirmed(Instant),
     /// An agent's entry was written.
     Listed(Box<Member>),
     /// An agent's entry was removed.
@@ -52,6 +54,7 @@
         match self {
             Self::Intent(_) => "intent_read",
             Self::Members(_) => "members_read",
+            Self::MembersConfirmed(_) => "members_confirmed",
             Self::Listed(_) => "member_listed",
             Self::Unlisted(_) => "member_unlisted",
             Self::AgentSource(_) => "members_source",
@@ -91,7 +94,7 @@
                 ("reason", reason.as_str().into()),
             ],
             Self::AgentSource(source) => vec![("source", source.as_str().into())],
-            Self::StoreReachable => Vec::new(),
+            Self::MembersConfirmed(_) | Self::StoreReachable => Vec::new(),
             Self::StoreRestored { from, to } => {
                 vec![("from", position_field(*from)), ("to", position_field(*to))]
             }
--- a/crates/forwarder/src/inputs.rs
+++ b/crates/forwarder/src/inputs.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use rand::Rng;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
     event::Event,
@@ -34,6 +34,8 @@
     pub(crate) view: watch::Sender<Arc<View>>,
     /// Accepts whether a service has no upstream, so that agents are learned of sooner.
     pub(crate) starved: watch::Sender<bool>,
+    /// Asks the watcher to confirm the list of agents.
+    pub(crate) list_requests: Arc<Notify>,
 }
 
 impl Inputs {
@@ -52,11 +54,13 @@
         let schedule = matches!(settings.role, Role::Balancer)
             .then(|| Schedule::new(settings.link_bytes_per_s, rand::rng().random()));
         let (starved, starved_receiver) = watch::channel(false);
+        let list_requests = Arc::new(Notify::new());
         let watcher = Watcher::new(
             Arc::clone(platform),
             settings.peers.clone(),
             schedule,
             starved_receiver,
+            Arc::clone(&list_requests),
             sender.clone(),
         );
         tokio::spawn(watcher.run());
@@ -71,6 +75,7 @@
             pulls,
             view,
             starved,
+            list_requests,
         })
     }
 }
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -13,7 +13,7 @@
 use sassafrasmast_core::flow::{Intent, ZoneName};
 use sassafrasmast_store::{Entry, Error, Listing, Position, Range, Revision, Update};
 use tokio::{
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     task::JoinSet,
     time::Instant,
 };
@@ -61,6 +61,8 @@
     schedule: Option<Schedule>,
     /// Whether a service has no upstream, as the balancer sees it.
     starved: watch::Receiver<bool>,
+    /// Notified when the balancer needs a list of agents that is complete at present.
+    list_requests: Arc<Notify>,
     /// The agents' entries.
     agents: AgentList,
     /// Whether the pending watch covers the agents' keys.
@@ -75,12 +77,14 @@
 
 impl<P: Platform> Watcher<P> {
     /// A watcher that sends its events to `events`: on operators' keys, and with a schedule also on
-    /// agents' keys. `starved` tells whether a service has no upstream.
+    /// agents' keys. `starved` tells whether a service has no upstream, `list_requests` that the list
+    /// of agents is to be confirmed.
     pub fn new(
         platform: Arc<P>,
         peers: Vec<SocketAddrV4>,
         schedule: Option<Schedule>,
         starved: watch::Receiver<bool>,
+        list_requests: Arc<Notify>,
         events: mpsc::Sender<Event>,
     ) -> Self {
         Self {
@@ -90,6 +94,7 @@
             events,
             schedule,
             starved,
+            list_requests,
             agents: AgentList::default(),
             watches_agents: false,
             failures: 0,
@@ -164,6 +169,7 @@
     /// Lists the keys to watch. Returns the revision after which the watch starts. Without a
     /// configuration document, or if the store lists an older revision, the intent in force stays.
     async fn list(&mut self) -> Result<Revision, Error> {
+        let asked_at = Instant::now();
         let listing = self.platform.store().range(self.range()).await?;
         self.mark_reachable().await;
         let mut intent = Intent {
@@ -178,11 +184,7 @@
             }
         }
         if self.watches_agents {
-            let records = self.records(&listing.entries).await;
-            let members = records.iter();
-            let members = members.map(|(address, record)| record.member(*address));
-            self.send(Event::Members(members.collect())).await;
-            self.agents.replace(listing.revision, records);
+            self.replace_agents(asked_at, &listing).await;
         }
         let is_first = self.intent.revision == 0;
         if is_first && position(&intent).era > 0 {
@@ -204,6 +206,44 @@
         Ok(listing.revision)
     }
 
+    /// Replaces the list of agents by a listing that is not stale, for which the store was asked at
+    /// `asked_at`.
+    async fn replace_agents(&mut self, asked_at: Instant, listing: &Listing) {
+        let records = self.records(&listing.entries).await;
+        let members = records.iter();
+        let members = members.map(|(address, record)| record.member(*address));
+        self.send(Event::Members(members.collect())).await;
+        self.agents.replace(listing.revision, records);
+        self.send(Event::MembersConfirmed(asked_at.into_std()))
+            .await;
+    }
+
+    /// Lists the agents' keys, since the balancer needs to know all agents of the present.
+    ///
+    /// # Errors
+    ///
+    /// When the store has come back from an older copy. The balancer does without other replies that
+    /// are missing.
+    async fn confirm_agents(&mut self) -> Result<(), Error> {
+        let asked_at = Instant::now();
+        match self.platform.store().range(Record::range()).await {
+            Ok(listing) => {
+                metrics::counter!("sassafrasmast_listings_confirmed", "result" => "confirmed")
+                    .increment(1);
+                self.replace_agents(asked_at, &listing).await;
+                Ok(())
+            }
+            Err(error) => {
+                metrics::counter!("sassafrasmast_listings_confirmed", "result" => "failed")
+                    .increment(1);
+                match error {
+                    Error::Restored { .. } => Err(error),
+                    _ => Ok(()),
+                }
+            }
+        }
+    }
+
     /// Asks all peers for their intent, since the first listing may show an older copy that operators
     /// have not written to again. Ends with the first intent, when all peers have answered, or after
     /// `PEER_TIMEOUT`. Zones of the peer's intent that are not out in `listed` are kept out.
@@ -292,6 +332,7 @@
         let mut seen = revision;
         let settled_at = self.zones_kept.as_ref().map(|(_, until)| *until);
         let mut stale_listing = self.next_stale_listing();
+        let list_requests = Arc::clone(&self.list_requests);
         loop {
             let source_ends_at = self.schedule.as_ref().and_then(Schedule::watch_ends_at);
             let source_ends_at = source_ends_at.filter(|_| self.watches_agents);
@@ -305,6 +346,7 @@
                     self.handle_stale_listing(listing).await?;
                     stale_listing = self.next_stale_listing();
                 }
+                () = list_requests.notified() => self.confirm_agents().await?,
                 () = at(settled_at) => return self.list().await,
                 // The source of the list of agents may have changed.
                 () = at(source_ends_at.map(Instant::from_std)) => return Ok(seen),
