--- a/crates/core/src/flow/balancer/listing.rs
+++ b/crates/core/src/flow/balancer/listing.rs
@@ -7,9 +7,9 @@
 /// again.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Time after which the list that is known is used although the store has not confirmed it. A slow
-/// store answers within 300 ms; a client's next retransmission comes after 400 ms.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which the list that is known is used although the store has not confirmed it: the time
+/// for a watch to catch up and for a reply of a slow store.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// How current the list of agents is.
 ///
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -49,6 +49,9 @@
 /// A read of agents' entries that is due later.
 type StaleListing = Pin<Box<dyn Future<Output = Result<Listing, Error>> + Send>>;
 
+/// Whether the watch has delivered all changes made before a point in time, once that is known.
+type CatchUp = Pin<Box<dyn Future<Output = (Instant, bool)> + Send>>;
+
 /// Lists and watches keys of the store.
 #[derive(Debug)]
 pub struct Watcher<P> {
@@ -218,6 +221,14 @@
             .await;
     }
 
+    /// Waits until the pending watch has delivered all present agents, if it covers their keys.
+    fn begin_catch_up(&self) -> CatchUp {
+        let store = self.platform.store();
+        let watches_agents = self.watches_agents;
+        let asked_at = Instant::now();
+        Box::pin(async move { (asked_at, watches_agents && store.watch_caught_up().await) })
+    }
+
     /// Lists the agents' keys, since the balancer needs to know all agents of the present.
     ///
     /// # Errors
@@ -333,6 +344,7 @@
         let settled_at = self.zones_kept.as_ref().map(|(_, until)| *until);
         let mut stale_listing = self.next_stale_listing();
         let list_requests = Arc::clone(&self.list_requests);
+        let mut catch_up: CatchUp = Box::pin(std::future::pending());
         loop {
             let source_ends_at = self.schedule.as_ref().and_then(Schedule::watch_ends_at);
             let source_ends_at = source_ends_at.filter(|_| self.watches_agents);
@@ -346,7 +358,18 @@
                     self.handle_stale_listing(listing).await?;
                     stale_listing = self.next_stale_listing();
                 }
-                () = list_requests.notified() => self.confirm_agents().await?,
+                () = list_requests.notified() => catch_up = self.begin_catch_up(),
+                (asked_at, is_done) = &mut catch_up => {
+                    catch_up = Box::pin(std::future::pending());
+                    if !is_done {
+                        self.confirm_agents().await?;
+                        continue;
+                    }
+                    while let Ok(update) = updates.try_recv() {
+                        seen = self.handle_update(update?).await;
+                    }
+                    self.send(Event::MembersConfirmed(asked_at.into_std())).await;
+                }
                 () = at(settled_at) => return self.list().await,
                 // The source of the list of agents may have changed.
                 () = at(source_ends_at.map(Instant::from_std)) => return Ok(seen),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -67,4 +67,11 @@
     /// when the connection breaks or receives nothing for too long; the caller then reads again
     /// and watches from the revision of that read.
     async fn watch(&self, range: Range, from: Revision) -> Result<Watch, Error>;
+
+    /// Waits until the watch that was opened last has delivered all changes made before this call.
+    /// Returns false if that does not happen within some hundred milliseconds, or if it cannot be
+    /// told. Costs no call to the store while nothing changes.
+    async fn watch_caught_up(&self) -> bool {
+        false
+    }
 }
