fix(forwarder): a store that refuses watches is not listed without pause

Cause: since a fresh listing follows a failed watch, a listing that succeeds reset the backoff, so a store that answers listings and refuses watches was listed at the shortest delay.

Change: the backoff begins anew only after a watch has lasted for 5 s.

Result: a_store_that_refuses_watches_is_not_listed_without_pause fails without it.

--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -33,6 +33,10 @@
 /// Longest backoff: a process reconnects within a second after the store has recovered.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 
+/// Time after which a watch counts as stable, so that the backoff begins anew. A store that answers
+/// listings and refuses watches is not listed without end at the shortest delay.
+const STABLE_AFTER: Duration = Duration::from_secs(5);
+
 /// Time after the store has come back from an older copy in which operators' documents are written
 /// again. Until then a zone stays out that was out before, whether or not the copy says so. With the
 /// time until a process notices, up to 1.6 s, it stays below the 5 s in which a zone that was taken
@@ -106,10 +110,14 @@
                 // Changes since the last stale listing are not known.
                 watch_after = None;
             }
+            let started_at = Instant::now();
             let result = match watch_after {
                 None => self.list().await,
                 Some(revision) => self.watch(revision).await,
             };
+            if started_at.elapsed() >= STABLE_AFTER {
+                self.failures = 0;
+            }
             match result {
                 Ok(revision) => watch_after = Some(revision),
                 Err(error) => {
@@ -426,7 +434,6 @@
     }
 
     async fn mark_reachable(&mut self) {
-        self.failures = 0;
         if !self.is_reachable {
             self.is_reachable = true;
             if let Some(schedule) = &mut self.schedule {
