--- a/crates/core/src/flow/balancer/listing.rs
+++ b/crates/core/src/flow/balancer/listing.rs
@@ -2,10 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-/// Interval at which the store is asked for the list again while searches wait for it: one call for
-/// all searches that ended meanwhile, and less than a client's first pause before it sends a packet
-/// again.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval at which the list is requested again while searches wait for it: one request for all
+/// searches that ended meanwhile, and short beside a client's pauses between retransmissions.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time after which the list that is known is used although the store has not confirmed it: the time
 /// for a watch to catch up and for a reply of a slow store.
--- a/crates/forwarder/src/membership/schedule.rs
+++ b/crates/forwarder/src/membership/schedule.rs
@@ -3,9 +3,9 @@
 use std::time::{Duration, Instant};
 
 /// Time for which agents are watched after the store's first answer, after it answers again or has
-/// come back from an older copy: agents write lost entries again within two seconds, and replies may
-/// be some seconds old.
-pub const SETTLE_TIME: Duration = Duration::from_secs(10);
+/// come back from an older copy, and after the balancer needed a list that is complete at present:
+/// agents write lost entries again within two seconds, and stale replies may be three seconds old.
+pub const SETTLE_TIME: Duration = Duration::from_secs(5);
 
 /// Interval between stale listings. An upstream that was started has to be in use within seconds.
 pub const LISTING_INTERVAL: Duration = Duration::from_secs(2);
@@ -17,6 +17,10 @@
 /// routed to a service long before they start its upstreams.
 pub const MAX_STARVED_TIME: Duration = Duration::from_secs(60);
 
+/// Requests for a complete list within [`SETTLE_TIME`] from which on agents are watched instead of
+/// listed for each: a lost flow or two cost less by listings, those of a lost zone by a watch.
+pub const WATCHED_REQUESTS: u32 = 3;
+
 /// Delay before a failed stale listing is repeated.
 pub const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -64,6 +68,9 @@
     due_at: Option<Instant>,
     /// Listings that failed in a row.
     failures: u32,
+    /// When a complete list was last requested, and how often since the last pause of
+    /// [`SETTLE_TIME`].
+    last_request: Option<(Instant, u32)>,
 }
 
 impl Schedule {
@@ -78,6 +85,7 @@
             starved_since: None,
             due_at: None,
             failures: 0,
+            last_request: None,
         }
     }
 
@@ -105,6 +113,18 @@
         }
     }
 
+    /// Records that the balancer needs a list of agents that is complete at present.
+    pub fn record_request(&mut self, now: Instant) {
+        let before = self
+            .last_request
+            .filter(|(at, _)| now.saturating_duration_since(*at) < SETTLE_TIME);
+        let count = before.map_or(0, |(_, count)| count) + 1;
+        self.last_request = Some((now, count));
+        if count >= WATCHED_REQUESTS {
+            self.settle(now);
+        }
+    }
+
     fn settle(&mut self, now: Instant) {
         self.settled_at = Some(now + SETTLE_TIME);
     }
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -229,15 +229,19 @@
             .await;
     }
 
-    /// Waits until the pending watch has delivered all present agents, if it covers their keys.
-    fn begin_catch_up(&self) -> CatchUp {
-        let store = self.platform.store();
-        let watches_agents = self.watches_agents;
-        let asked_at = Instant::now();
-        Box::pin(async move { (asked_at, watches_agents && store.watch_caught_up().await) })
+    /// Records that the balancer needs to know all present agents. Returns the source that is due.
+    fn record_list_request(&mut self) -> Source {
+        let now = Instant::now().into_std();
+        match &mut self.schedule {
+            Some(schedule) => {
+                schedule.record_request(now);
+                schedule.source(now)
+            }
+            None => Source::Watch,
+        }
     }
 
-    /// Lists the agents' keys, since the balancer needs to know all agents of the present.
+    /// Lists the agents' keys afresh.
     ///
     /// # Errors
     ///
@@ -249,6 +253,9 @@
             Ok(listing) => {
                 metrics::counter!("sassafrasmast_listings_confirmed", "result" => "confirmed")
                     .increment(1);
+                if let Some(schedule) = &mut self.schedule {
+                    schedule.record_listing(asked_at.into_std(), bytes(&listing));
+                }
                 self.replace_agents(asked_at, &listing).await;
                 Ok(())
             }
@@ -263,6 +270,13 @@
         }
     }
 
+    /// Waits until the pending watch has delivered all present agents.
+    fn begin_catch_up(&self) -> CatchUp {
+        let store = self.platform.store();
+        let asked_at = Instant::now();
+        Box::pin(async move { (asked_at, store.watch_caught_up().await) })
+    }
+
     /// Asks all peers for their intent, since the first listing may show an older copy that operators
     /// have not written to again. Ends with the first intent, when all peers have answered, or after
     /// `PEER_TIMEOUT`. Zones of the peer's intent that are not out in `listed` are kept out.
@@ -366,12 +380,19 @@
                     self.handle_stale_listing(listing).await?;
                     stale_listing = self.next_stale_listing();
                 }
-                () = list_requests.notified() => catch_up = self.begin_catch_up(),
+                () = list_requests.notified() => match self.record_list_request() {
+                    Source::Watch if self.watches_agents => catch_up = self.begin_catch_up(),
+                    // A listing and a watch of all keys follow.
+                    Source::Watch => return Ok(seen),
+                    Source::StaleListings => {
+                        self.confirm_agents().await?;
+                        stale_listing = self.next_stale_listing();
+                    }
+                },
                 (asked_at, is_done) = &mut catch_up => {
                     catch_up = Box::pin(std::future::pending());
                     if !is_done {
-                        self.confirm_agents().await?;
-                        continue;
+                        return self.list().await;
                     }
                     while let Ok(update) = updates.try_recv() {
                         seen = self.handle_update(update?).await;
