perf(forwarder): lost flows wait less for a confirmed list of agents

Cause: after a loss of power feeds were reset up to 0.2 s later than without confirmation: a search was looked at again only each 100 ms, and a confirmation ended only searches without any silent agent left.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -152,7 +152,7 @@
     /// that it said since is known here.
     pub fn confirm_members(&mut self, now: Instant, at: Instant, actions: &mut Vec<Action>) {
         self.listing.confirm(at);
-        self.finish_exhausted_searches(now, actions);
+        self.finish_visited_searches(now, actions);
     }
 
     /// Records that the store is unreachable, so that it cannot confirm the list of agents.
@@ -363,6 +363,7 @@
     /// Continues searches, places queued SYNs, sends probes and removes expired state.
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.continue_searches(now, actions);
+        self.request_list(now, actions);
         self.place_queued(now, actions);
         self.members.probe(now, actions);
         self.members.check_path(now, actions);
--- a/crates/core/src/flow/balancer/listing.rs
+++ b/crates/core/src/flow/balancer/listing.rs
@@ -4,7 +4,7 @@
 
 /// Interval at which the list is requested again while searches wait for it: one request for all
 /// searches that ended meanwhile, and short beside a client's pauses between retransmissions.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Time after which the list that is known is used although the store has not confirmed it: the time
 /// for a watch to catch up and for a reply of a slow store.
@@ -23,6 +23,8 @@
     /// When the list was first requested since it was last confirmed.
     requested_since: Option<Instant>,
     last_request_at: Option<Instant>,
+    /// Whether a search waits for a list for which no request was made since.
+    is_wanted: bool,
 }
 
 impl Listing {
@@ -56,15 +58,22 @@
         is_overdue || self.confirmed_at.is_none_or(|confirmed| confirmed >= at)
     }
 
-    /// Whether the store is to be asked for the list now.
-    pub fn request(&mut self, now: Instant) -> bool {
+    /// Records that a search waits for the list.
+    pub fn want(&mut self, now: Instant) {
         self.requested_since.get_or_insert(now);
+        self.is_wanted = true;
+    }
+
+    /// Whether the store is to be asked for the list now.
+    pub fn take_request(&mut self, now: Instant) -> bool {
         let is_due = self
             .last_request_at
             .is_none_or(|at| now.saturating_duration_since(at) >= REQUEST_INTERVAL);
-        if is_due {
+        let is_taken = is_due && self.is_wanted;
+        if is_taken {
             self.last_request_at = Some(now);
+            self.is_wanted = false;
         }
-        is_due
+        is_taken
     }
 }
--- a/crates/core/src/flow/balancer/searches.rs
+++ b/crates/core/src/flow/balancer/searches.rs
@@ -165,14 +165,21 @@
         }
     }
 
+    /// Asks the store for the list of agents if a search waits for it.
+    pub(super) fn request_list(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.listing.take_request(now) {
+            actions.push(Action::List);
+        }
+    }
+
     /// Ends the searches that waited for the list of agents.
-    pub(super) fn finish_exhausted_searches(&mut self, now: Instant, actions: &mut Vec<Action>) {
+    pub(super) fn finish_visited_searches(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let searches = self.searches.iter();
-        let exhausted: Vec<Key> = searches
-            .filter(|(_, search)| search.is_exhausted())
+        let visited: Vec<Key> = searches
+            .filter(|(_, search)| search.has_visited_all())
             .map(|(flow, _)| *flow)
             .collect();
-        for flow in exhausted {
+        for flow in visited {
             self.finish_search(now, flow, actions);
         }
     }
@@ -188,9 +195,8 @@
             Status::Running => {}
             // Another balancer may have opened the flow at an agent that is not known here yet.
             Status::Lost if !self.listing.covers(now, search.started_at()) => {
-                if self.listing.request(now) {
-                    actions.push(Action::List);
-                }
+                self.listing.want(now);
+                self.request_list(now, actions);
             }
             Status::Lost => {
                 let sequence = search.acknowledgement();
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -366,7 +366,8 @@
         let settled_at = self.zones_kept.as_ref().map(|(_, until)| *until);
         let mut stale_listing = self.next_stale_listing();
         let list_requests = Arc::clone(&self.list_requests);
-        let mut catch_up: CatchUp = Box::pin(std::future::pending());
+        let mut catch_up = self.begin_catch_up();
+        let mut is_catching_up = false;
         loop {
             let source_ends_at = self.schedule.as_ref().and_then(Schedule::watch_ends_at);
             let source_ends_at = source_ends_at.filter(|_| self.watches_agents);
@@ -380,8 +381,12 @@
                     self.handle_stale_listing(listing).await?;
                     stale_listing = self.next_stale_listing();
                 }
-                () = list_requests.notified() => match self.record_list_request() {
-                    Source::Watch if self.watches_agents => catch_up = self.begin_catch_up(),
+                // A request that comes while the watch catches up is handled after that.
+                () = list_requests.notified(), if !is_catching_up => match self.record_list_request() {
+                    Source::Watch if self.watches_agents => {
+                        catch_up = self.begin_catch_up();
+                        is_catching_up = true;
+                    }
                     // A listing and a watch of all keys follow.
                     Source::Watch => return Ok(seen),
                     Source::StaleListings => {
@@ -389,8 +394,8 @@
                         stale_listing = self.next_stale_listing();
                     }
                 },
-                (asked_at, is_done) = &mut catch_up => {
-                    catch_up = Box::pin(std::future::pending());
+                (asked_at, is_done) = &mut catch_up, if is_catching_up => {
+                    is_catching_up = false;
                     if !is_done {
                         return self.list().await;
                     }
