--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -25,7 +25,7 @@
     effect::Effect,
     error::Error,
     outcome::Outcome,
-    plan::Plan,
+    plan::{MAX_CHANGES, Plan},
     record::Record,
     registration::Registration,
     secret::Secrets,
