feat(forwarder): the intent in force is shown to operators

`status` shows its version only, so nobody could compare a document with what a process has in force. `GET /intent` on the metrics address returns it as JSON, from the view that also answers peers.

--- a/crates/forwarder/src/inputs.rs
+++ b/crates/forwarder/src/inputs.rs
@@ -48,8 +48,9 @@
         tokio::spawn(Watcher::new(Arc::clone(platform), range, sender.clone()).run());
         let pulls = peer::start_puller(sender);
         let (view, view_receiver) = watch::channel(Arc::default());
-        peer::serve(settings.frames, view_receiver).await?;
-        let status_requests = metrics_server::serve(settings.metrics, metrics_handle).await?;
+        peer::serve(settings.frames, view_receiver.clone()).await?;
+        let status_requests =
+            metrics_server::serve(settings.metrics, metrics_handle, view_receiver).await?;
         Ok(Self {
             signals,
             events,
--- a/crates/forwarder/src/metrics_server.rs
+++ b/crates/forwarder/src/metrics_server.rs
@@ -1,16 +1,21 @@
-//! Metrics of the process in Prometheus text format, served at the same address as its status.
+//! Metrics of the process in Prometheus text format, served at the same address as its status and the
+//! intent in force.
 
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, sync::Arc};
 
 use ::http::StatusCode;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
     http_server::{self, Answer},
+    peer::View,
     status,
 };
 
+/// Path of the intent in force.
+pub const INTENT_PATH: &str = "/intent";
+
 /// Status requests that may wait. Operators send them by hand, so few are enough.
 const STATUS_QUEUE_CAPACITY: usize = 4;
 
@@ -31,8 +36,8 @@
     Ok(handle)
 }
 
-/// Serves metrics and the status if an address is set. The returned channel yields the status
-/// requests, which the event loop has to answer.
+/// Serves metrics, the status and the intent of `view` if an address is set. The returned channel
+/// yields the status requests, which the event loop has to answer.
 ///
 /// # Errors
 ///
@@ -40,17 +45,19 @@
 pub async fn serve(
     address: Option<SocketAddrV4>,
     handle: PrometheusHandle,
+    view: watch::Receiver<Arc<View>>,
 ) -> anyhow::Result<mpsc::Receiver<status::Request>> {
     let (sender, requests) = mpsc::channel(STATUS_QUEUE_CAPACITY);
     if let Some(address) = address {
         http_server::serve(address, move |received| {
             let sender = sender.clone();
             let handle = handle.clone();
+            let view = Arc::clone(&view.borrow());
             async move {
-                if received.path == status::PATH {
-                    fetch_status(&sender).await
-                } else {
-                    Answer::new(StatusCode::OK, handle.render())
+                match received.path.as_str() {
+                    status::PATH => fetch_status(&sender).await,
+                    INTENT_PATH => intent(&view),
+                    _ => Answer::new(StatusCode::OK, handle.render()),
                 }
             }
         })
@@ -59,6 +66,17 @@
     Ok(requests)
 }
 
+/// The intent in force.
+fn intent(view: &View) -> Answer {
+    let Some(intent) = view.intent() else {
+        return Answer::new(StatusCode::SERVICE_UNAVAILABLE, "no intent is in force");
+    };
+    match serde_json::to_string(&**intent) {
+        Ok(text) => Answer::new(StatusCode::OK, text),
+        Err(error) => Answer::new(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
 /// Requests the status from the event loop.
 async fn fetch_status(requests: &mpsc::Sender<status::Request>) -> Answer {
     let (sender, answer) = oneshot::channel();
--- a/crates/forwarder/src/peer/view.rs
+++ b/crates/forwarder/src/peer/view.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// The intent, if there is one.
+    pub fn intent(&self) -> Option<&Arc<Intent>> {
+        self.intent.as_ref()
+    }
+
     /// Revision of the intent, 0 if there is none.
     pub fn revision(&self) -> Revision {
         self.intent.as_ref().map_or(0, |intent| intent.revision)
