--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -60,6 +60,29 @@
     }
 }
 
+/// Settings of the daemon were taken for settings of the platform, since both have a key `listen`.
+#[test]
+fn samples_of_settings_are_valid_but_for_files_that_they_name() {
+    for deployment in ["reciclumen", "refugios"] {
+        let files = fs::read_dir(repository().join("samples").join(deployment)).expect("samples");
+        let files = files.map(|entry| entry.expect("a file").path());
+        let settings: Vec<_> = files
+            .filter(|file| {
+                file.extension()
+                    .is_some_and(|extension| extension == "toml")
+            })
+            .collect();
+        assert_eq!(settings.len(), 3, "{deployment}");
+        for file in settings {
+            let problems = check::check(&file).err().map(|error| format!("{error:#}"));
+            for problem in problems.iter().flat_map(|text| text.lines()) {
+                // The files that agents' samples name exist on VMs only.
+                assert!(problem.contains("/etc/sassafrasmast/"), "{problem}");
+            }
+        }
+    }
+}
+
 #[test]
 fn errors_in_deploy_files_name_key_and_reason() {
     let change = |from: &str, to: &str| check_text("system.toml", &SYSTEM.replace(from, to));
