feat(cli): config check takes documents of routes, services and limits, and lists of changes

An error in a document was seen only when processes rejected it. A list of changes is decoded by the decoder in use, one member after the other, to find all errors.

--- a/crates/check/src/difference.rs
+++ b/crates/check/src/difference.rs
@@ -78,7 +78,7 @@
 
 /// What differs between two policies. The version is not compared, see [`check_version`].
 pub fn between_policies(old: &Policy, new: &Policy) -> Vec<Difference> {
-    let mut differences = between(&outline(old), &outline(new));
+    let mut differences = between(&outline(old, new), &outline(new, old));
     for difference in &mut differences {
         if difference.key == IDLE_TIMEOUT && new.idle_timeout < old.idle_timeout {
             difference.flows = Flows::IdleRemoved;
@@ -98,7 +98,11 @@
                 key: object.clone(),
                 old: old.map(summary),
                 new: new.map(summary),
-                flows: flows_after(object, new),
+                flows: match (old, new) {
+                    (_, None) if object.starts_with("routes[") => Flows::NewReset,
+                    (None, Some(new)) if is_end(new) => Flows::Ended,
+                    _ => Flows::Unaffected,
+                },
             }),
         }
     }
@@ -124,27 +128,21 @@
                 key,
                 old: before.cloned(),
                 new: after.cloned(),
-                flows: if object.starts_with("services[") && field == "address" {
+                flows: if is_end(new) || field == "address" {
                     Flows::Ended
                 } else {
-                    flows_after(object, Some(new))
+                    Flows::Kept
                 },
             });
         }
     }
 }
 
-/// What becomes of open flows when an object is added, changed or removed.
-fn flows_after(object: &str, new: Option<&BTreeMap<String, String>>) -> Flows {
-    let state = new.and_then(|new| new.get("state")).map(String::as_str);
-    match object.split('[').next().unwrap_or_default() {
-        "routes" if new.is_none() => Flows::NewReset,
-        "zones" | "agents" | "services" | "keys" if matches!(state, Some("out" | "removed")) => {
-            Flows::Ended
-        }
-        "routes" | "zones" | "agents" | "services" | "upstreams" => Flows::Kept,
-        _ => Flows::Unaffected,
-    }
+/// Whether open flows end when an object gets these fields. Flows also end when the address of a
+/// service changes.
+fn is_end(fields: &BTreeMap<String, String>) -> bool {
+    let state = fields.get("state").map(String::as_str);
+    matches!(state, Some("out" | "removed"))
 }
 
 fn summary(fields: &BTreeMap<String, String>) -> String {
@@ -158,11 +156,14 @@
     fields.collect::<Vec<_>>().join(", ")
 }
 
-/// The policy without its version.
-fn outline(policy: &Policy) -> Outline {
+/// The policy without its version and what `other` has alike: texts of all routes would take longer
+/// than decoding them.
+fn outline(policy: &Policy, other: &Policy) -> Outline {
     let routes = policy.routes.iter();
+    let routes = routes.filter(|&(address, route)| other.routes.get(address) != Some(route));
     let routes = routes.map(|(address, route)| (format!("routes[{address}]"), route_fields(route)));
     let services = policy.services.iter();
+    let services = services.filter(|&(name, service)| other.services.get(name) != Some(service));
     let services =
         services.map(|(name, service)| (format!("services[{name}]"), service_fields(service)));
     let idle = BTreeMap::from([(String::new(), millis(policy.idle_timeout))]);
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -8,11 +8,17 @@
 use pico_args::Arguments;
 
 pub use self::intent::Intent;
-use crate::help;
+use crate::{
+    check::{self, Against},
+    help,
+};
 
 /// Environment variable with the default API addresses, separated by commas.
 const API_VARIABLE: &str = "SASSAFRASMAST_API";
 
+/// What `--against` names instead of a file for the configuration in force.
+const IN_FORCE: &str = "in-force";
+
 /// Time to wait for a confirmed configuration to be in force everywhere.
 const DEFAULT_WAIT: Duration = Duration::from_secs(15);
 
@@ -82,8 +88,8 @@
         /// Log files of the processes.
         files: Vec<PathBuf>,
     },
-    /// Check settings files.
-    Check(Vec<PathBuf>),
+    /// Check files before they are used.
+    Check(check::Request),
     /// Generate a certificate.
     Certificate {
         /// Host names and IP addresses.
@@ -210,9 +216,30 @@
             subcommand.as_deref() == Some("check"),
             "config has one command, check; see --help"
         );
+        let json = arguments.opt_value_from_fn("--format", is_json)?;
+        let strict = arguments.contains("--strict");
+        let against: Option<String> = arguments.opt_value_from_str("--against")?;
+        let processes: Vec<SocketAddr> = arguments.values_from_str("--process")?;
+        let api = addresses(arguments)?;
         let files: Vec<PathBuf> = positional(arguments)?;
         ensure!(!files.is_empty(), "a settings file is missing, see --help");
-        Ok(Self::Check(files))
+        ensure!(
+            against.is_none() || files.len() == 1,
+            "--against takes one file to check"
+        );
+        ensure!(
+            processes.is_empty() || against.as_deref() == Some(IN_FORCE),
+            "--process is for --against {IN_FORCE}"
+        );
+        Ok(Self::Check(check::Request {
+            files,
+            against: against.map(|against| match against.as_str() {
+                IN_FORCE => Against::InForce { processes, api },
+                file => Against::File(file.into()),
+            }),
+            json: json.unwrap_or_default(),
+            strict,
+        }))
     }
 
     fn certificate(arguments: &mut Arguments) -> anyhow::Result<Self> {
@@ -225,15 +252,7 @@
 
 impl Common {
     fn parse(arguments: &mut Arguments) -> anyhow::Result<Self> {
-        let mut api: Vec<SocketAddr> = arguments.values_from_str("--api")?;
-        if api.is_empty() {
-            let listed = env::var(API_VARIABLE).unwrap_or_default();
-            let texts = listed.split(',').map(str::trim).filter(|t| !t.is_empty());
-            for text in texts {
-                let address = text.parse();
-                api.push(address.with_context(|| format!("{API_VARIABLE}: {text:?}"))?);
-            }
-        }
+        let api = addresses(arguments)?;
         ensure!(
             !api.is_empty(),
             "no balancer is named: give --api or set {API_VARIABLE}"
@@ -243,6 +262,29 @@
     }
 }
 
+/// Whether `format` is JSON.
+fn is_json(format: &str) -> Result<bool, &'static str> {
+    match format {
+        "text" => Ok(false),
+        "json" => Ok(true),
+        _ => Err("text or json is expected"),
+    }
+}
+
+/// Addresses of balancers' APIs.
+fn addresses(arguments: &mut Arguments) -> anyhow::Result<Vec<SocketAddr>> {
+    let mut api: Vec<SocketAddr> = arguments.values_from_str("--api")?;
+    if api.is_empty() {
+        let listed = env::var(API_VARIABLE).unwrap_or_default();
+        let texts = listed.split(',').map(str::trim).filter(|t| !t.is_empty());
+        for text in texts {
+            let address = text.parse();
+            api.push(address.with_context(|| format!("{API_VARIABLE}: {text:?}"))?);
+        }
+    }
+    Ok(api)
+}
+
 /// The next positional argument as a path; `what` names it in the error.
 fn file(arguments: &mut Arguments, what: &str) -> anyhow::Result<PathBuf> {
     arguments
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -14,7 +14,7 @@
     timeline      shows the events of all processes in one order
     replay        replays a recorded timeline through the decision logic
     explain       shows the history of one flow from logs
-    config check  checks settings files and the files of deploy/
+    config check  checks files of settings, routes and changes before they are used
     certificate   makes a certificate for development
 
 OPTIONS:
@@ -131,15 +131,37 @@
 
 /// Help of `config`.
 pub const CONFIG: &str = "\
-sassafrasmast config check: checks settings files
+sassafrasmast config check: checks files before they are used
 
 USAGE:
-    sassafrasmast config check FILE...
+    sassafrasmast config check FILE... [--format text|json] [--strict]
+    sassafrasmast config check FILE --against OTHER [--format text|json] [--strict]
+    sassafrasmast config check FILE --against in-force --process ADDR...
+    sassafrasmast config check FILE --against in-force --api ADDR...
 
 A FILE holds settings of the daemon, settings that the users' platform gives a process of flow
 forwarding, or is one of the deploy/ directory: system.toml, or a day file in days/ (plan and
-faults of one day). What it is follows from its contents. Errors name the file, the key and the
-reason.
+faults of one day). Or it is the platform's document of routes, services and limits, or a list of
+changes for `sassafrasmast plan changes`, both JSON. What it is follows from its contents. Errors
+name the file, the key and the reason; those in JSON files also line and column, and all of them are
+reported.
+
+OPTIONS:
+    --against OTHER   shows what differs from another file of the same kind, and what becomes of
+                      open flows
+    --against in-force
+                      compares with the configuration in force: a document with that of the first
+                      process that answers, a list of changes by planning it
+    --process ADDR    a process of flow forwarding, by its metrics address
+    --api ADDR        a balancer's API (default: the list in SASSAFRASMAST_API)
+    --format json     prints one JSON object for each file
+    --strict          exits with 1 if there are warnings
+
+EXIT CODES:
+    0  no errors
+    1  warnings, with --strict
+    2  bad arguments, or errors in a file
+    4  no process answers for --against in-force; everything else was checked
 ";
 
 /// Help of `certificate`.
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -46,7 +46,7 @@
         } => timeline::run(&Client::new(common.api), processes, out, common.json).await,
         Command::Replay { file, json } => replay::run(&file, json),
         Command::Explain { flow, files } => explain::run(&flow, &files),
-        Command::Check(files) => Ok(check::run(&files)),
+        Command::Check(request) => check::run(&request).await,
         Command::Certificate { hosts, out } => certificate::run(hosts, &out),
     }
 }
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -115,6 +115,9 @@
         "confirm --api 127.0.0.1:7002",
         "config",
         "config check",
+        "config check a.json b.json --against c.json",
+        "config check a.json --process 127.0.0.1:9464",
+        "config check a.json --format xml",
         "certificate --out here",
         "replay",
     ];
@@ -130,6 +133,9 @@
         a plan file is missing, see --help: free-standing argument is missing
         config has one command, check; see --help
         a settings file is missing, see --help
+        --against takes one file to check
+        --process is for --against in-force
+        failed to parse 'xml': text or json is expected
         --host is missing, see --help
         a recorded timeline is missing, see --help: free-standing argument is missing
     "#]]
