--- a/crates/check/tests/changes.rs
+++ b/crates/check/tests/changes.rs
@@ -95,7 +95,8 @@
     let list = vec![one; MAX_CHANGES + 1].join(",");
     expect![[r#"
         error: the plan has 257 changes, at most 256 are allowed
-    "#]].assert_eq(&findings(&format!("[{list}]")));
+    "#]]
+    .assert_eq(&findings(&format!("[{list}]")));
 }
 
 #[test]
