test(experiments): a soak test over the real processes with seeded faults

Nothing tested combinations of faults on the real processes of flow forwarding. `soak` runs three balancers and five agents before the stand-in store with eight clients, draws kills, suspensions, SIGTERM, restarts, drains and store faults from a seed, and checks what clients and upstreams see.

--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod report;
 pub mod sampler;
 pub mod scenario;
+pub mod soak;
 pub mod trial;
 
 use self::{arguments::Arguments, scenario::Scenario};
