--- a/crates/cli/tests/documents.rs
+++ b/crates/cli/tests/documents.rs
@@ -1,6 +1,11 @@
 //! What `config check` finds in documents of routes, services and limits and in lists of changes, and
 //! how it compares them.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a failed step in a helper must fail the test"
+)]
+
 use std::{
     collections::BTreeSet,
     fs,
@@ -72,14 +77,18 @@
     address
 }
 
-#[test]
-fn samples_show_each_finding_with_its_place_key_and_reason() {
-    let reports = [
+/// The reports of all samples.
+fn samples() -> [Report; 4] {
+    [
         report(&sample("document.json"), None),
         report(&sample("changes.json"), None),
         report(&sample("syntax.json"), None),
         report(&sample("after.json"), against_file("before.json").as_ref()),
-    ];
+    ]
+}
+
+#[test]
+fn sample_of_a_document_shows_findings_with_place_key_and_reason() {
     expect![[r#"
         document.json:4:5: warning: routes[0]: is shadowed by routes[1], which has the same address and port
         document.json:6:30: error: routes[1].host: 198.18.0.1:8443 is already used by routes[0]
@@ -97,6 +106,12 @@
         document.json:19:14: error: services[2].name: "booking" is already used by services[0].name
         document.json:21:31: warning: limits.idleTimeoutMs: 90000 ms is above 60000 ms, for which a flow is kept
         document.json: document of routes, services and limits is invalid, errors: 9, warnings: 6
+    "#]].assert_eq(&text(&samples()[..1]));
+}
+
+#[test]
+fn sample_of_changes_shows_findings_with_place_key_and_reason() {
+    expect![[r#"
         changes.json:3:3: error: [1]: zone zona-norte exists already
         changes.json:4:3: warning: [2].service.deadline_ms: 20 ms is below 50 ms: no attempt can meet it
         changes.json:4:3: warning: [2].service.feeds[1]: "/feed/new" is shadowed by the prefix "/feed"
@@ -114,6 +129,12 @@
         changes.json: list of changes is invalid, errors: 12, warnings: 2
         syntax.json:4:1: error: trailing comma
         syntax.json: document of routes, services and limits is invalid, errors: 1, warnings: 0
+    "#]].assert_eq(&text(&samples()[1..3]));
+}
+
+#[test]
+fn samples_to_compare_show_differences_and_what_becomes_of_open_flows() {
+    expect![[r#"
         after.json:2:14: warning: version: 7 is lower than 8: processes that have the higher one ignore the document
         after.json: document of routes, services and limits is valid, warnings: 1
         after.json: differences from before.json, version 8: 9
@@ -126,7 +147,13 @@
           added   routes[198.18.0.4:8443]: backends[claims].weight 1 of 1, kind at most once, latency_objective none, priority 255, time_limit none; open flows are not affected
           changed services[booking].cold_rate: 12/s -> 20/s; open flows stay with their upstreams, new flows follow the change
           added   services[claims]: cold_for 0 ms, cold_rate 0/s; open flows are not affected
-    "#]].assert_eq(&text(&reports));
+    "#]].assert_eq(&text(&samples()[3..]));
+}
+
+/// All rules but `reused-version`, which excludes `lower-version`.
+#[test]
+fn samples_have_a_finding_of_each_rule() {
+    let reports = samples();
     let findings = reports.iter().flat_map(|report| &report.findings);
     let rules: BTreeSet<_> = findings
         .map(|finding| serde_json::to_string(&finding.rule).unwrap())
