refactor(core): the agent is split by what it decides

Change: admission (room, offers, cold limit, reasons to return), delivery, reports and recovery of flows are modules of their own; a pure move.

--- /dev/null
+++ b/crates/core/src/flow/agent/admission.rs
@@ -0,0 +1,208 @@
+//! Admission of SYNs: the upstream's room, offers of it to balancers, the cold limit, and the reasons
+//! for which a SYN is returned.
+
+use std::{collections::BTreeSet, net::SocketAddrV4, time::Instant};
+
+use super::{Action, Agent, Delivery, Flow, Phase, REQUEST_TIMEOUT};
+use crate::flow::{Key, Reason, State, limiter};
+
+/// Flows with a request in progress at an upstream that has not announced its slots, for the one
+/// heartbeat that this takes. Few enough for a small upstream, whose bounces show its limit.
+const UNANNOUNCED_LIMIT: usize = 8;
+
+impl Agent {
+    /// Handles a balancer's message that `waiting` SYNs for this service are queued there.
+    pub fn handle_demand(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        waiting: u16,
+        actions: &mut Vec<Action>,
+    ) {
+        self.offers.record_demand(now, from, waiting.into());
+        if !self.make_offers(now, actions).contains(&from) {
+            actions.push(Action::Report { to: from });
+        }
+    }
+
+    /// Offers the upstream's room to balancers with queued SYNs, and returns those that got some.
+    pub(super) fn make_offers(
+        &mut self,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> BTreeSet<SocketAddrV4> {
+        let mut recipients = BTreeSet::new();
+        if self.offers.is_empty() || !self.upstream.state(now).accepts_flows() {
+            return recipients;
+        }
+        self.offers.expire(now);
+        let room = self.room(now);
+        while self.offers.offered() < room
+            && let Some(to) = self.offers.offer(now)
+        {
+            recipients.insert(to);
+        }
+        let reports = recipients.iter().map(|&to| Action::Report { to });
+        actions.extend(reports);
+        recipients
+    }
+
+    /// New flows that the upstream can take now.
+    pub(super) fn room(&mut self, now: Instant) -> usize {
+        if self.upstream.is_shedding(now) {
+            return 0;
+        }
+        let busy = self.busy(now);
+        let by_work = match self.upstream.slots() {
+            0 => UNANNOUNCED_LIMIT.saturating_sub(busy),
+            slots => self.work.room(slots, self.latency_objective, busy),
+        };
+        match self.upstream.state(now) {
+            State::Cold | State::Unknown => by_work.min(self.headroom(now)),
+            State::Ready | State::Silent | State::Draining | State::Gone => by_work,
+        }
+    }
+
+    /// Whether the upstream has as many requests in progress as it can answer in time, or the rest
+    /// is kept for other balancers. A balancer that was offered room has it, even if requests have
+    /// come faster than expected since.
+    fn is_full(&mut self, now: Instant, from: SocketAddrV4) -> bool {
+        self.offers.expire(now);
+        self.offers.offered_to(from) == 0 && self.room(now) <= self.offers.offered()
+    }
+
+    /// Changes the parameters of the cold limit.
+    pub fn set_cold_bounds(&mut self, coverage: f64, slack: f64) {
+        self.settings.cold_coverage = coverage;
+        self.settings.cold_slack = slack;
+    }
+
+    /// Limit of new flows per second to a cold upstream. `None` if operators configured no cold
+    /// rate: cold upstreams of the service are slower but need no limit. Without an intent only the
+    /// slack is allowed.
+    pub fn cold_limit(&self) -> Option<usize> {
+        let rate = match &self.intent {
+            Some(intent) => intent.policy.cold_rate(&self.settings.service)?,
+            None => 0.0,
+        };
+        let bound = rate * self.settings.cold_coverage + self.settings.cold_slack;
+        let preferred = (bound * self.settings.cold_utilization).floor();
+        // Never negative, and far below the range of the type.
+        Some(preferred.max(1.0) as usize)
+    }
+
+    /// New flows that the cold limit still allows now, `usize::MAX` if there is no cold limit.
+    fn headroom(&mut self, now: Instant) -> usize {
+        let Some(limit) = self.cold_limit() else {
+            return usize::MAX;
+        };
+        // Flows that an earlier process of this agent admitted are not counted here, so none is
+        // admitted for one window.
+        let is_new_process = now.saturating_duration_since(self.started_at) < limiter::WINDOW;
+        if is_new_process && !self.is_observed_from_start() {
+            return 0;
+        }
+        self.cold_limiter.headroom(now, limit)
+    }
+
+    /// Handles a SYN.
+    pub(super) fn open(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        flow: Key,
+        delivery: &Delivery<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(known) = self.flows.get_mut(&flow)
+            && !matches!(known.phase(), Phase::Unconfirmed | Phase::Bounced)
+        {
+            known.set_syn_sender(from);
+            actions.push(Action::ToUpstream);
+            return;
+        }
+        let reason = self.return_reason(now, from, &flow, delivery);
+        if let Some(took) = self.offers.use_offer(now, from) {
+            self.work.record_offer(took);
+        }
+        if let Some(reason) = reason {
+            actions.push(Action::Return { to: from, reason });
+            return;
+        }
+        self.cold_limiter.admit(now);
+        self.upstream.syn_sent(now);
+        self.flows
+            .insert(flow, Flow::opening(now, from, delivery.packet));
+        self.pending_syns.push(flow);
+        actions.push(Action::ToUpstream);
+    }
+
+    /// Why a SYN is not passed to the upstream; `None` if it is.
+    fn return_reason(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        flow: &Key,
+        delivery: &Delivery<'_>,
+    ) -> Option<Reason> {
+        if delivery.service != &*self.settings.service {
+            return Some(Reason::WrongService);
+        }
+        let own = self.intent.as_ref();
+        if let Some(intent) = own.filter(|intent| intent.revision >= delivery.sender_revision) {
+            let route = intent.policy.routes.get(&flow.route);
+            if !route.is_some_and(|route| route.routes_to(&self.settings.service)) {
+                return Some(Reason::WrongService);
+            }
+        }
+        if self.flows.len() >= self.settings.max_flows {
+            return Some(Reason::Busy);
+        }
+        if own.is_some_and(|intent| intent.is_zone_out(&self.settings.zone)) {
+            return Some(Reason::ZoneOut);
+        }
+        match self.upstream.state(now) {
+            State::Ready | State::Unknown | State::Cold if self.upstream.is_shedding(now) => {
+                Some(Reason::Shed)
+            }
+            State::Unknown | State::Cold if self.headroom(now) == 0 => Some(Reason::Cold),
+            State::Ready | State::Unknown | State::Cold => {
+                self.is_full(now, from).then_some(Reason::Busy)
+            }
+            State::Draining | State::Gone => Some(Reason::Leaving),
+            State::Silent if self.upstream.may_retry(now) => None,
+            State::Silent => Some(Reason::Silent),
+        }
+    }
+
+    /// Flows with a request in progress or about to arrive.
+    pub(super) fn busy(&self, now: Instant) -> usize {
+        let is_busy = |key: &&Key| self.is_busy(now, key);
+        self.busy_flows.iter().filter(is_busy).count()
+    }
+
+    /// Whether a flow has a request in progress or about to arrive.
+    fn is_busy(&self, now: Instant, key: &Key) -> bool {
+        self.flows
+            .get(key)
+            .is_some_and(|flow| flow.is_busy(now, REQUEST_TIMEOUT))
+    }
+
+    /// Updates the set of busy flows after a packet of `key`.
+    pub(super) fn update_busy(&mut self, now: Instant, key: Key) {
+        if self.is_busy(now, &key) {
+            self.busy_flows.insert(key);
+        } else {
+            self.busy_flows.remove(&key);
+        }
+    }
+
+    /// Requests that the upstream has not answered yet.
+    pub(super) fn requests_in_progress(&self, now: Instant) -> usize {
+        let has_request = |key: &&Key| {
+            let flow = self.flows.get(key);
+            flow.is_some_and(|flow| flow.has_request(now, REQUEST_TIMEOUT))
+        };
+        self.busy_flows.iter().filter(has_request).count()
+    }
+}
