feat(core): offers and room by class at the agent

Cause: open flows send requests past every queue, while a critical request has to open a flow and waits behind them.

Change: free places go to the balancer with the most critical SYN (ClassDemand), every twentieth to the next lower class that waits. For a SYN, less critical flows count half; what this adds stays within the upstream's slots and queue, twice the slots until a bounce shows less. A cold limit that is used up leaves demands waiting. The model plays flows of several requests.

Agents of services without classes repeat the recorded decisions of before.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -7,6 +7,7 @@
 mod action;
 mod admission;
 mod announcement;
+mod classes;
 mod delivery;
 mod flow;
 mod offers;
@@ -27,6 +28,7 @@
 pub use self::{
     action::Action,
     announcement::Announcement,
+    classes::{Classes, Counts},
     delivery::Delivery,
     flow::{Flow, Phase},
     offers::Offers,
@@ -56,6 +58,7 @@
     cold_limiter: Limiter,
     work: Work,
     offers: Offers,
+    classes: Classes,
     /// The shortest latency objective of the routes that lead to this agent's service.
     latency_objective: Option<Duration>,
     flows: HashMap<Key, Flow>,
@@ -83,6 +86,7 @@
             cold_limiter: Limiter::default(),
             work: Work::default(),
             offers: Offers::default(),
+            classes: Classes::default(),
             latency_objective: None,
             flows: HashMap::new(),
             pending_syns: Vec::new(),
@@ -115,6 +119,7 @@
         let is_newer = Intent::replace_if_newer(&mut self.intent, intent);
         if is_newer && let Some(intent) = &self.intent {
             self.latency_objective = intent.policy.latency_objective(&self.settings.service);
+            self.classes.set_intent(intent, &self.settings.service);
         }
         is_newer
     }
--- a/crates/core/src/flow/agent/admission.rs
+++ b/crates/core/src/flow/agent/admission.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeSet, net::SocketAddrV4, time::Instant};
 
 use super::{Action, Agent, Delivery, Flow, Phase, REQUEST_TIMEOUT};
-use crate::flow::{Key, Reason, State, limiter};
+use crate::flow::{Key, Priority, Reason, State, limiter};
 
 /// Flows with a request in progress at an upstream that has not announced its slots, for the one
 /// heartbeat that this takes. Few enough for a small upstream, whose bounces show its limit.
@@ -19,56 +19,129 @@
         waiting: u16,
         actions: &mut Vec<Action>,
     ) {
-        self.offers.record_demand(now, from, waiting.into());
+        // A balancer of an earlier build does not state classes, and gets no fewer places for that.
+        self.handle_class_demand(now, from, &[(Priority::MIN, waiting)], actions);
+    }
+
+    /// As [`Self::handle_demand`], with the number of SYNs by priority.
+    pub fn handle_class_demand(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        waiting: &[(Priority, u16)],
+        actions: &mut Vec<Action>,
+    ) {
+        self.offers.record_demand(now, from, waiting);
         if !self.make_offers(now, actions).contains(&from) {
             actions.push(Action::Report { to: from });
         }
     }
 
-    /// Offers the upstream's room to balancers with queued SYNs, and returns those that got some.
+    /// Gives the upstream's room to balancers with queued SYNs, as offers, and returns those
+    /// that were offered some.
     pub(super) fn make_offers(
         &mut self,
         now: Instant,
         actions: &mut Vec<Action>,
     ) -> BTreeSet<SocketAddrV4> {
         let mut recipients = BTreeSet::new();
-        if self.offers.is_empty() || !self.upstream.state(now).accepts_flows() {
+        let may_offer = !self.offers.is_empty() && self.upstream.state(now).accepts_flows();
+        if !may_offer {
             return recipients;
         }
         self.offers.expire(now);
-        let room = self.room(now);
-        while self.offers.offered() < room
-            && let Some(to) = self.offers.offer(now)
-        {
-            recipients.insert(to);
+        loop {
+            let offered = self.offers.offered();
+            let mut waiting = BTreeSet::new();
+            if self.takes_flows(now, offered) {
+                waiting.extend(self.offers.classes());
+            }
+            let Some(&critical) = waiting.first() else {
+                break;
+            };
+            if self.room_for(now, critical) <= offered {
+                break;
+            }
+            let lower_share = self.settings.lower_class_share;
+            let Some(class) = self.classes.next(&waiting, lower_share) else {
+                break;
+            };
+            if let Some(to) = self.offers.offer(now, class) {
+                self.classes.count(class, |counts| counts.offered += 1);
+                recipients.insert(to);
+            }
         }
         let reports = recipients.iter().map(|&to| Action::Report { to });
         actions.extend(reports);
         recipients
     }
 
-    /// New flows that the upstream can take now.
-    pub(super) fn room(&mut self, now: Instant) -> usize {
+    /// Whether a SYN can be admitted beside those that `offered` places are kept for, if there is
+    /// room.
+    fn takes_flows(&mut self, now: Instant, offered: usize) -> bool {
+        match self.upstream.state(now) {
+            State::Cold | State::Unknown => self.headroom(now) > offered,
+            State::Ready => true,
+            State::Silent | State::Draining | State::Gone => false,
+        }
+    }
+
+    /// Flows or requests of a class that the upstream can take now, apart from the cold limit.
+    ///
+    /// Less critical flows count half, so that a critical SYN is admitted to an upstream that is
+    /// full of them and waits there behind a few requests. What this adds to the room of any class
+    /// stays within what the upstream bears.
+    pub(super) fn room_for(&mut self, now: Instant, class: Priority) -> usize {
         if self.upstream.is_shedding(now) {
             return 0;
         }
         let busy = self.busy(now);
-        let by_work = match self.upstream.slots() {
+        let for_any = self.room_beside(busy);
+        if self.classes.is_empty() {
+            return for_any;
+        }
+        let less_critical = self.busy_below(now, class);
+        let counted = busy - less_critical + less_critical.div_ceil(2);
+        let bearable = self.upstream.bearable().saturating_sub(busy);
+        for_any.max(self.room_beside(counted).min(bearable))
+    }
+
+    /// Busy flows that are less critical than a class.
+    fn busy_below(&self, now: Instant, class: Priority) -> usize {
+        let intent = self.intent.as_deref();
+        let is_below = |key: &&Key| self.is_busy(now, key) && self.classes.of(intent, key) > class;
+        self.busy_flows.iter().filter(is_below).count()
+    }
+
+    /// Flows that the upstream can take beside `busy` ones.
+    fn room_beside(&self, busy: usize) -> usize {
+        match self.upstream.slots() {
             0 => UNANNOUNCED_LIMIT.saturating_sub(busy),
             slots => self.work.room(slots, self.latency_objective, busy),
-        };
+        }
+    }
+
+    /// New flows that the upstream can take now, whatever their class.
+    pub(super) fn room(&mut self, now: Instant) -> usize {
+        if self.upstream.is_shedding(now) {
+            return 0;
+        }
+        let busy = self.busy(now);
+        let by_work = self.room_beside(busy);
         match self.upstream.state(now) {
             State::Cold | State::Unknown => by_work.min(self.headroom(now)),
             State::Ready | State::Silent | State::Draining | State::Gone => by_work,
         }
     }
 
-    /// Whether the upstream has as many requests in progress as it can answer in time, or the rest
-    /// is kept for other balancers. A balancer that was offered room has it, even if requests have
+    /// Whether the upstream has as many requests in progress as it can answer in time, as far as a
+    /// SYN of a class counts them, or the rest is kept for other balancers. A balancer that was offered room has it, even if requests have
     /// come faster than expected since.
-    fn is_full(&mut self, now: Instant, from: SocketAddrV4) -> bool {
+    fn is_full(&mut self, now: Instant, from: SocketAddrV4, class: Priority) -> bool {
         self.offers.expire(now);
-        self.offers.offered_to(from) == 0 && self.room(now) <= self.offers.offered()
+        let offered = self.offers.offered();
+        let has_room = self.room_for(now, class) > offered && self.takes_flows(now, offered);
+        self.offers.offered_to(from) == 0 && !has_room
     }
 
     /// Changes the parameters of the cold limit.
@@ -121,14 +194,17 @@
             actions.push(Action::ToUpstream);
             return;
         }
-        let reason = self.return_reason(now, from, &flow, delivery);
+        let class = self.classes.of(self.intent.as_deref(), &flow);
+        let reason = self.return_reason(now, from, &flow, class, delivery);
         if let Some(took) = self.offers.use_offer(now, from) {
             self.work.record_offer(took);
         }
         if let Some(reason) = reason {
+            self.classes.count(class, |counts| counts.returned += 1);
             actions.push(Action::Return { to: from, reason });
             return;
         }
+        self.classes.count(class, |counts| counts.admitted += 1);
         self.cold_limiter.admit(now);
         self.upstream.syn_sent(now);
         self.flows
@@ -143,6 +219,7 @@
         now: Instant,
         from: SocketAddrV4,
         flow: &Key,
+        class: Priority,
         delivery: &Delivery<'_>,
     ) -> Option<Reason> {
         if delivery.service != &*self.settings.service {
@@ -167,7 +244,7 @@
             }
             State::Unknown | State::Cold if self.headroom(now) == 0 => Some(Reason::Cold),
             State::Ready | State::Unknown | State::Cold => {
-                self.is_full(now, from).then_some(Reason::Busy)
+                self.is_full(now, from, class).then_some(Reason::Busy)
             }
             State::Draining | State::Gone => Some(Reason::Leaving),
             State::Silent if self.upstream.may_retry(now) => None,
--- a/crates/core/src/flow/agent/delivery.rs
+++ b/crates/core/src/flow/agent/delivery.rs
@@ -160,6 +160,8 @@
                 actions.push(Action::Return { to, reason });
             }
             known.record_bounce(now);
+            let busy = self.busy(now);
+            self.upstream.record_full(busy);
             self.upstream.record_bounce(now);
             self.pending_syns.retain(|key| *key != flow);
             return;
--- a/crates/core/src/flow/agent/flow.rs
+++ b/crates/core/src/flow/agent/flow.rs
@@ -18,6 +18,11 @@
 /// about to arrive: two round trips.
 const MAX_FIRST_REQUEST_DELAY: Duration = Duration::from_millis(100);
 
+/// Sequence number after a packet's data.
+fn data_end(head: &Head) -> u32 {
+    head.sequence.wrapping_add(u32::from(head.data_len))
+}
+
 /// Phase of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -184,24 +189,38 @@
         head: &Head,
         in_progress: usize,
     ) {
+        self.record_arrival(now, from, head);
+        self.record_delivery(now, head, in_progress);
+    }
+
+    /// Records that a packet of the client has arrived at the agent.
+    pub fn record_arrival(&mut self, now: Instant, from: SocketAddrV4, head: &Head) {
         self.last_packet_at = now;
         self.last_sender = Some(from);
         self.acknowledgement = head.acknowledgement;
         if self.phase == Phase::Accepted {
             self.phase = Phase::Open;
         }
-        let end = head.sequence.wrapping_add(u32::from(head.data_len));
-        let is_new = self
-            .client_data_end
-            .is_none_or(|known| end.wrapping_sub(known) < HALF_SEQUENCE_SPACE && end != known);
-        if head.data_len > 0 && is_new {
+        self.client_closed |= head.flags.fin || head.flags.rst;
+    }
+
+    /// Records that a packet of the client is passed to the upstream. If it brings a request,
+    /// `in_progress` others are in progress.
+    pub fn record_delivery(&mut self, now: Instant, head: &Head, in_progress: usize) {
+        if head.data_len > 0 && self.is_new(head) {
             self.request = Some(Request {
                 at: now,
                 in_progress: in_progress + 1,
             });
-            self.client_data_end = Some(end);
+            self.client_data_end = Some(data_end(head));
         }
-        self.client_closed |= head.flags.fin || head.flags.rst;
+    }
+
+    /// Whether a packet's data ends after those that were passed to the upstream.
+    fn is_new(&self, head: &Head) -> bool {
+        let end = data_end(head);
+        self.client_data_end
+            .is_none_or(|known| end.wrapping_sub(known) < HALF_SEQUENCE_SPACE && end != known)
     }
 
     /// Time from the SYN until now if the client's packet that is about to be recorded brings the
--- a/crates/core/src/flow/agent/offers.rs
+++ b/crates/core/src/flow/agent/offers.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use crate::flow::Priority;
+
 /// Time for which room is kept for a balancer: two delays between zones and a scheduling delay.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -16,13 +18,44 @@
 /// What a balancer with queued SYNs asks for and was offered.
 #[derive(Debug)]
 struct Demand {
-    /// SYNs that wait at the balancer.
-    waiting: usize,
+    /// SYNs that wait at the balancer by priority, the most critical ones first.
+    waiting: Vec<(Priority, usize)>,
     received_at: Instant,
     /// When each offer was made that the balancer has not used yet.
     offered_at: VecDeque<Instant>,
 }
 
+impl Demand {
+    /// SYNs of a class that have no offer. The balancer uses offers for its most critical SYNs.
+    fn without_offer(&self, class: Priority) -> usize {
+        let mut offers = self.offered_at.len();
+        for &(priority, count) in &self.waiting {
+            if priority == class {
+                return count.saturating_sub(offers);
+            }
+            offers = offers.saturating_sub(count);
+        }
+        0
+    }
+
+    /// Forgets `count` SYNs, the most critical ones first.
+    fn forget_first(&mut self, mut count: usize) {
+        for (_, waiting) in &mut self.waiting {
+            let forgotten = count.min(*waiting);
+            *waiting -= forgotten;
+            count -= forgotten;
+        }
+    }
+
+    /// Forgets SYNs, the least critical ones first, until `count` are left.
+    fn keep_first(&mut self, mut count: usize) {
+        for (_, waiting) in &mut self.waiting {
+            *waiting = count.min(*waiting);
+            count -= *waiting;
+        }
+    }
+}
+
 /// Room that is kept for balancers with queued SYNs.
 ///
 /// Load answered: many balancers wait for the same upstream. If each saw its free place, all would
@@ -34,14 +67,23 @@
 }
 
 impl Offers {
-    /// Records that `waiting` SYNs wait at a balancer.
-    pub fn record_demand(&mut self, now: Instant, balancer: SocketAddrV4, waiting: usize) {
+    /// Records how many SYNs of each priority wait at a balancer.
+    pub fn record_demand(
+        &mut self,
+        now: Instant,
+        balancer: SocketAddrV4,
+        waiting: &[(Priority, u16)],
+    ) {
         let demand = self.demands.entry(balancer).or_insert_with(|| Demand {
-            waiting,
+            waiting: Vec::new(),
             received_at: now,
             offered_at: VecDeque::new(),
         });
-        demand.waiting = waiting;
+        demand.waiting = waiting
+            .iter()
+            .map(|&(priority, count)| (priority, count.into()))
+            .collect();
+        demand.waiting.sort_unstable();
         demand.received_at = now;
     }
 
@@ -50,7 +92,7 @@
     pub fn use_offer(&mut self, now: Instant, balancer: SocketAddrV4) -> Option<Duration> {
         let demand = self.demands.get_mut(&balancer)?;
         let offered_at = demand.offered_at.pop_front()?;
-        demand.waiting = demand.waiting.saturating_sub(1);
+        demand.forget_first(1);
         Some(now.saturating_duration_since(offered_at))
     }
 
@@ -67,26 +109,37 @@
         offered.sum()
     }
 
-    /// Makes an offer to the balancer with the most SYNs for which it has none, and returns it.
+    /// Classes of which a balancer has SYNs without an offer.
+    pub fn classes(&self) -> impl Iterator<Item = Priority> {
+        let of_demand = |demand: &Demand| -> Vec<Priority> {
+            let classes = demand.waiting.iter().map(|(class, _)| *class);
+            classes
+                .filter(|&class| demand.without_offer(class) > 0)
+                .collect()
+        };
+        self.demands.values().flat_map(of_demand)
+    }
+
+    /// Makes an offer to the balancer with the most SYNs of a class for which it has none, and
+    /// returns it.
     ///
     /// ```
     /// use std::time::Instant;
     /// use sassafrasmast_core::flow::agent::Offers;
     /// let (now, balancer) = (Instant::now(), "10.0.0.1:7000".parse().unwrap());
     /// let mut offers = Offers::default();
-    /// assert_eq!(offers.offer(now), None);
-    /// offers.record_demand(now, balancer, 1);
-    /// assert_eq!(offers.offer(now), Some(balancer));
-    /// assert_eq!(offers.offer(now), None);
+    /// assert_eq!(offers.offer(now, 2), None);
+    /// offers.record_demand(now, balancer, &[(2, 1)]);
+    /// assert_eq!(offers.offer(now, 1), None);
+    /// assert_eq!(offers.offer(now, 2), Some(balancer));
+    /// assert_eq!(offers.offer(now, 2), None);
     /// ```
-    pub fn offer(&mut self, now: Instant) -> Option<SocketAddrV4> {
-        let without_offer =
-            |demand: &Demand| demand.waiting.saturating_sub(demand.offered_at.len());
+    pub fn offer(&mut self, now: Instant, class: Priority) -> Option<SocketAddrV4> {
         let (balancer, demand) = self
             .demands
             .iter_mut()
-            .max_by_key(|(_, demand)| without_offer(demand))
-            .filter(|(_, demand)| without_offer(demand) > 0)?;
+            .max_by_key(|(_, demand)| demand.without_offer(class))
+            .filter(|(_, demand)| demand.without_offer(class) > 0)?;
         demand.offered_at.push_back(now);
         Some(*balancer)
     }
@@ -99,7 +152,7 @@
             demand.offered_at.retain(|&at| is_within(at, OFFER_TIMEOUT));
             if demand.offered_at.len() < made {
                 // The balancer has no use for more until it asks again.
-                demand.waiting = demand.offered_at.len();
+                demand.keep_first(demand.offered_at.len());
             }
             is_within(demand.received_at, DEMAND_TIMEOUT)
         });
--- a/crates/core/src/flow/agent/settings.rs
+++ b/crates/core/src/flow/agent/settings.rs
@@ -24,6 +24,9 @@
     /// Fraction of that bound that is used as the cold limit; the rest covers packets that queue on
     /// their way.
     pub cold_utilization: f64,
+    /// Share of the free places that goes to the class below the most critical one that waits, so
+    /// that none starves.
+    pub lower_class_share: f64,
     /// Limit of flows in the table: far more than an upstream holds, about 200 bytes each.
     pub max_flows: usize,
     /// Flows that were idle for longer are removed, until an intent sets another timeout.
@@ -39,6 +42,7 @@
             cold_coverage: 1.0,
             cold_slack: 0.0,
             cold_utilization: 0.8,
+            lower_class_share: 0.05,
             max_flows: 20_000,
             idle_timeout: Duration::from_secs(15),
         }
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -29,6 +29,9 @@
 /// Longest time without SYNs after a bounce: an upstream that has started is found soon.
 const MAX_SHED_PAUSE: Duration = Duration::from_millis(640);
 
+/// Requests per slot that an upstream is taken to queue until a bounce shows its queue.
+const INITIAL_QUEUE_PER_SLOT: usize = 2;
+
 /// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -62,6 +65,8 @@
     /// SYNs that were bounced since the upstream last accepted one.
     consecutive_bounces: u32,
     bounced_at: Option<Instant>,
+    /// Requests that the upstream queues beside those in its slots, as far as its bounces show.
+    queue: Option<usize>,
     last_contact_at: Option<Instant>,
     announced_at: Option<Instant>,
     /// Time between the last two announcements.
@@ -130,6 +135,7 @@
         if first || restarted {
             self.consecutive_bounces = 0;
             self.bounced_at = None;
+            self.queue = None;
             self.announced_from_start = restarted || announcement.sequence <= 1;
             self.gone = false;
             self.draining = false;
@@ -182,6 +188,22 @@
         }
     }
 
+    /// Records that the upstream bounced a SYN while `busy` other flows were busy. A bounce by an
+    /// upstream with a free slot has another reason than its queue.
+    pub fn record_full(&mut self, busy: usize) {
+        let slots = usize::from(self.slots);
+        if slots > 0 && busy >= slots {
+            let shown = busy - slots;
+            self.queue = Some(self.queue.map_or(shown, |queue| queue.min(shown)));
+        }
+    }
+
+    /// Busy flows that the upstream bears: those in its slots and its queue.
+    pub fn bearable(&self) -> usize {
+        let slots = usize::from(self.slots);
+        slots + self.queue.unwrap_or(slots * INITIAL_QUEUE_PER_SLOT)
+    }
+
     /// Records that the upstream accepted a SYN.
     pub fn record_acceptance(&mut self) {
         self.consecutive_bounces = 0;
--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use crate::flow::{Key, Purpose, ServiceName};
+use crate::flow::{Key, Priority, Purpose, ServiceName};
 
 /// An action that the caller carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,6 +45,13 @@
         /// Number of SYNs that wait.
         waiting: u16,
     },
+    /// As [`Self::Demand`], for a service with classes.
+    ClassDemand {
+        /// The agent.
+        to: SocketAddrV4,
+        /// Number of SYNs that wait by priority.
+        waiting: Vec<(Priority, u16)>,
+    },
     /// Reset a flow towards its client.
     Reset {
         /// The flow.
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -2,13 +2,14 @@
 
 use std::{
     net::SocketAddrV4,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use super::{
     Action, Balancer, DropCause, Flow, ResetCause, Timeliness, queue::QueuedSyn, timeliness::Ages,
 };
-use crate::flow::{Key, Purpose, Reason, ServiceName};
+use crate::flow::{Intent, Key, Purpose, Reason, ServiceName};
 
 /// Interval at which an overdue SYN is checked again that cannot be refused yet.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -190,6 +191,7 @@
     /// Queues a SYN until an upstream has capacity.
     fn enqueue(&mut self, now: Instant, flow: Key, packet: Box<[u8]>) {
         let ages = self.ages(&flow);
+        let priority = self.route(&flow).map_or(0, |route| route.priority);
         // Without an intent the service is not known yet.
         let service = self.service(&flow).unwrap_or_default();
         let Some(flow_state) = self.flows.get_mut(&flow) else {
@@ -205,6 +207,7 @@
             QueuedSyn {
                 flow,
                 packet,
+                priority,
                 late_at: at_age(ages.late.unwrap_or(ages.expired)),
                 check_at: overdue_at.max(now + RECHECK_INTERVAL).min(expires_at),
             },
@@ -266,8 +269,21 @@
     /// Asks agents for room while SYNs for their service are queued.
     fn demand_room(&mut self, now: Instant, service: &str, actions: &mut Vec<Action>) {
         let waiting = self.queue.waiting_for(service);
-        if waiting > 0 {
-            self.members.demand_room(now, service, waiting, actions);
+        if waiting == 0 {
+            return;
+        }
+        let before = actions.len();
+        self.members.demand_room(now, service, waiting, actions);
+        let has_classes = |intent: &Arc<Intent>| intent.policy.priorities(service).len() > 1;
+        if !self.intent.as_ref().is_some_and(has_classes) {
+            return;
+        }
+        let waiting = self.queue.waiting_by_priority(service);
+        for action in actions.iter_mut().skip(before) {
+            if let Action::Demand { to, .. } = *action {
+                let waiting = waiting.clone();
+                *action = Action::ClassDemand { to, waiting };
+            }
         }
     }
 
--- a/crates/core/src/flow/balancer/queue.rs
+++ b/crates/core/src/flow/balancer/queue.rs
@@ -5,7 +5,7 @@
     time::Instant,
 };
 
-use crate::flow::{Key, ServiceName};
+use crate::flow::{Key, Priority, ServiceName};
 
 /// A queued SYN.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -14,14 +14,19 @@
     pub flow: Key,
     /// The packet.
     pub packet: Box<[u8]>,
+    /// Priority of its route.
+    pub priority: Priority,
     /// When it becomes late.
     pub late_at: Instant,
     /// When it is to be checked whether it still may be placed.
     pub check_at: Instant,
 }
 
-/// Place of a SYN in the queue: a time, and a number that tells SYNs of the same time apart.
-type Place = (Instant, u64);
+/// A time, and a number that tells SYNs of the same time apart.
+type Time = (Instant, u64);
+
+/// Place of a SYN in the queue: its priority, and when it becomes late.
+type Place = (Priority, Time);
 
 /// Queued SYNs by service.
 ///
@@ -33,7 +38,7 @@
 pub struct Queue {
     services: HashMap<ServiceName, BTreeMap<Place, QueuedSyn>>,
     /// Where the SYNs are, by the time of their next check.
-    checks: BTreeMap<Place, (ServiceName, Place)>,
+    checks: BTreeMap<Time, (ServiceName, Place)>,
     pushed: u64,
 }
 
@@ -53,6 +58,21 @@
         self.services.get(service).map_or(0, BTreeMap::len)
     }
 
+    /// Number of queued SYNs for a service by priority.
+    pub fn waiting_by_priority(&self, service: &str) -> Vec<(Priority, u16)> {
+        let mut waiting: BTreeMap<Priority, u16> = BTreeMap::new();
+        for (priority, _) in self
+            .services
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::keys)
+        {
+            let count = waiting.entry(*priority).or_default();
+            *count = count.saturating_add(1);
+        }
+        waiting.into_iter().collect()
+    }
+
     /// Services with queued SYNs.
     pub fn services(&self) -> Vec<ServiceName> {
         self.services.keys().cloned().collect()
@@ -61,7 +81,7 @@
     /// Queues a SYN for a service.
     pub fn push(&mut self, service: ServiceName, syn: QueuedSyn) {
         self.pushed += 1;
-        let place = (syn.late_at, self.pushed);
+        let place = (syn.priority, (syn.late_at, self.pushed));
         let check = (syn.check_at, self.pushed);
         self.checks.insert(check, (service.clone(), place));
         self.services.entry(service).or_default().insert(place, syn);
@@ -70,9 +90,13 @@
     /// Takes out the SYN for a service that is to be placed next.
     pub fn pop(&mut self, now: Instant, service: &str) -> Option<QueuedSyn> {
         let waiting = self.services.get(service)?;
-        let on_time = waiting.range((now, 0)..).next();
-        let next = on_time.or_else(|| waiting.last_key_value());
-        let place = *next?.0;
+        let (priority, _) = *waiting.first_key_value()?.0;
+        let mut on_time = waiting.range((priority, (now, 0))..);
+        let mut of_class = waiting.keys().rev().skip_while(|place| place.0 != priority);
+        let place = match on_time.next().filter(|(place, _)| place.0 == priority) {
+            Some((place, _)) => *place,
+            None => *of_class.next()?,
+        };
         self.remove(service, place)
     }
 
@@ -89,7 +113,7 @@
     fn remove(&mut self, service: &str, place: Place) -> Option<QueuedSyn> {
         let waiting = self.services.get_mut(service)?;
         let syn = waiting.remove(&place)?;
-        self.checks.remove(&(syn.check_at, place.1));
+        self.checks.remove(&(syn.check_at, place.1.1));
         if waiting.is_empty() {
             self.services.remove(service);
         }
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -28,7 +28,7 @@
 
 use self::{
     client::{Attempt, Client},
-    upstream::{Phase, Upstream},
+    upstream::Upstream,
 };
 pub use self::{
     outcome::Outcome,
@@ -44,6 +44,12 @@
 /// Time after its first SYN at which a client gives up an attempt that has no SYN-ACK.
 const ATTEMPT_TIME: Duration = ms(1_400);
 
+/// Times after which a client sends a request again that has no answer, on flows of several requests.
+const REQUEST_COPIES: [Duration; 2] = [ms(200), ms(600)];
+
+/// Bytes of a request.
+const REQUEST_BYTES: u32 = 500;
+
 /// Interval between ticks of balancers and agents.
 const TICK: Duration = ms(5);
 
@@ -65,9 +71,18 @@
         attempt: AttemptId,
         upstream: usize,
     },
-    /// The client's request arrives at a balancer.
+    /// The client's request, by its number on the flow, arrives at a balancer.
     Request {
         attempt: AttemptId,
+        number: u32,
+    },
+    /// The client of a flow of several requests sends the next one.
+    Next {
+        attempt: AttemptId,
+    },
+    /// The client of a flow of several requests gives up one of them.
+    Deadline {
+        client: usize,
     },
     /// The upstream has finished a request. Void if the upstream has restarted since.
     Finish {
@@ -200,6 +215,7 @@
     let mut bytes = attempt_of(&head.client_flow()).to_be_bytes().to_vec();
     bytes.extend(head.acknowledgement.to_be_bytes());
     bytes.push(u8::from(head.flags.syn) | u8::from(head.flags.fin) << 1);
+    bytes.extend(head.sequence.to_be_bytes());
     bytes
 }
 
@@ -213,6 +229,7 @@
     };
     Head {
         acknowledgement,
+        sequence: number(9),
         ..head
     }
 }
@@ -405,14 +422,12 @@
             Event::SynAck { attempt, upstream } => {
                 if self.is_waiting(attempt) {
                     self.attempts[number(attempt)].upstream = Some(upstream);
-                    self.schedule(self.scenario.client_delay, Event::Request { attempt });
+                    self.send_request(attempt);
                 }
             }
-            Event::Request { attempt } => {
-                let upstream = self.attempts[number(attempt)].upstream.unwrap();
-                let head = data(key(attempt), sequence_of(upstream) + 1);
-                self.send_to_balancer(attempt, &head);
-            }
+            Event::Request { attempt, number } => self.request_at_balancer(attempt, number),
+            Event::Next { attempt } => self.send_next(attempt),
+            Event::Deadline { client } => self.give_up(client),
             Event::Finish {
                 upstream,
                 start,
@@ -424,8 +439,9 @@
             }
             Event::Answer { attempt } => self.record_answer(attempt),
             Event::Close { attempt } => {
-                let upstream = self.attempts[number(attempt)].upstream.unwrap();
-                self.send_to_balancer(attempt, &fin(attempt, upstream));
+                if let Some(upstream) = self.attempts[number(attempt)].upstream {
+                    self.send_to_balancer(attempt, &fin(attempt, upstream));
+                }
             }
             Event::Reset { attempt } => self.end_attempt(attempt),
             Event::GiveUp { attempt } => {
@@ -514,15 +530,9 @@
 
     fn arrive(&mut self) {
         let class = self.scenario.draw_class(&mut self.rng);
-        let client = Client {
-            class,
-            arrived_at: self.now,
-            attempts_left: client::ATTEMPTS,
-        };
-        let period = self.scenario.period(self.now);
-        self.outcome.record_arrival(period, class);
-        self.clients.push(client);
-        self.begin_attempt(self.clients.len() - 1);
+        let to_follow = self.scenario.classes[class].requests - 1;
+        let client = self.add_client(class, to_follow);
+        self.begin_attempt(client);
         let surge = match self.scenario.disturbance {
             Disturbance::Burst { factor } if self.is_disturbed => factor,
             _ => 1.0,
@@ -532,6 +542,92 @@
         self.schedule(Duration::from_secs_f64(pause), Event::Arrival);
     }
 
+    /// Adds a request of a class, which `to_follow` others follow on its flow.
+    fn add_client(&mut self, class: usize, to_follow: u32) -> usize {
+        let period = self.scenario.period(self.now);
+        self.outcome.record_arrival(period, class);
+        let client = self.clients.len();
+        self.clients.push(Client {
+            class,
+            arrived_at: self.now,
+            attempts_left: client::ATTEMPTS,
+            to_follow,
+            is_answered: false,
+        });
+        if self.has_long_flows(class) {
+            let after = self.scenario.classes[class].time_limit;
+            self.schedule(after, Event::Deadline { client });
+        }
+        client
+    }
+
+    fn has_long_flows(&self, class: usize) -> bool {
+        self.scenario.classes[class].requests > 1
+    }
+
+    /// Sends the current request of a flow that is open.
+    fn send_request(&mut self, attempt: AttemptId) {
+        let event = Event::Request {
+            attempt,
+            number: self.attempts[number(attempt)].sent,
+        };
+        self.schedule(self.scenario.client_delay, event);
+        if self.has_long_flows(class_of(attempt)) {
+            for after in REQUEST_COPIES {
+                self.schedule(self.scenario.client_delay + after, event);
+            }
+        }
+    }
+
+    /// A request of an open flow, or a copy of it, arrives at a balancer.
+    fn request_at_balancer(&mut self, attempt: AttemptId, request: u32) {
+        let state = &self.attempts[number(attempt)];
+        let upstream = state.upstream.unwrap();
+        let is_current = state.sent == request && !self.is_over(attempt);
+        if is_current || !self.has_long_flows(class_of(attempt)) {
+            let first = data(key(attempt), sequence_of(upstream) + 1);
+            let sequence = first.sequence + REQUEST_BYTES * request;
+            self.send_to_balancer(attempt, &Head { sequence, ..first });
+        }
+    }
+
+    /// Sends the next request on a flow whose last one was answered.
+    fn send_next(&mut self, attempt: AttemptId) {
+        let before = self.attempts[number(attempt)].client;
+        let to_follow = self.clients[before].to_follow - 1;
+        let client = self.add_client(class_of(attempt), to_follow);
+        let state = &mut self.attempts[number(attempt)];
+        state.client = client;
+        state.sent += 1;
+        state.is_over = false;
+        self.send_request(attempt);
+    }
+
+    /// Gives up a request on a flow of several ones and goes on with the next one on a new flow.
+    fn give_up(&mut self, client: usize) {
+        let Client {
+            class,
+            to_follow,
+            is_answered,
+            ..
+        } = self.clients[client];
+        if is_answered {
+            return;
+        }
+        let id = |index| AttemptId::try_from(index).unwrap();
+        let class_bits = id(class) << CLASS_SHIFT;
+        let open = |attempt: &Attempt| attempt.client == client && attempt.upstream.is_some();
+        if let Some(index) = self.attempts.iter().rposition(open) {
+            let attempt = id(index) | class_bits;
+            self.attempts[index].is_over = true;
+            self.schedule(self.scenario.client_delay, Event::Close { attempt });
+        }
+        if to_follow > 0 {
+            let client = self.add_client(class, to_follow - 1);
+            self.begin_attempt(client);
+        }
+    }
+
     fn begin_attempt(&mut self, client: usize) {
         let deadline = self.deadline(client);
         let state = &mut self.clients[client];
@@ -545,6 +641,7 @@
             client,
             balancer: self.scenario.draw_balancer(&mut self.rng),
             upstream: None,
+            sent: 0,
             is_over: false,
         });
         for (copy, after) in COPIES.into_iter().enumerate() {
@@ -586,9 +683,20 @@
         }
         let state = &mut self.attempts[number(attempt)];
         state.is_over = true;
+        let client = &mut self.clients[state.client];
+        client.is_answered = true;
         let Client {
-            class, arrived_at, ..
-        } = self.clients[state.client];
+            class,
+            arrived_at,
+            to_follow,
+            ..
+        } = *client;
+        if to_follow > 0 {
+            let pause = self.scenario.classes[class].pause;
+            self.schedule(pause, Event::Next { attempt });
+        } else if self.has_long_flows(class) {
+            self.schedule(self.scenario.client_delay, Event::Close { attempt });
+        }
         let period = self.scenario.period(arrived_at);
         let is_in_time = self.now - arrived_at < self.scenario.classes[class].objective;
         self.outcome.record_answer(period, class, is_in_time);
@@ -645,6 +753,9 @@
                 Action::Demand { to, waiting } => {
                     self.frame_to_agent(from, to, Body::Demand { waiting });
                 }
+                Action::ClassDemand { to, waiting } => {
+                    self.frame_to_agent(from, to, Body::ClassDemand { waiting });
+                }
                 Action::Reset { flow, .. } => {
                     let attempt = attempt_of(&flow);
                     let period = self.period_of(attempt);
@@ -759,6 +870,10 @@
                 self.agents[agent].handle_demand(now, from, waiting, &mut actions);
                 self.agent_actions(agent, actions, &syn_copy(0, 0));
             }
+            Body::ClassDemand { waiting } => {
+                self.agents[agent].handle_class_demand(now, from, &waiting, &mut actions);
+                self.agent_actions(agent, actions, &syn_copy(0, 0));
+            }
             other => panic!("unexpected frame to an agent: {other:?}"),
         }
     }
@@ -817,7 +932,7 @@
                 self.send_from_upstream(upstream, &bounced(*head));
                 return;
             }
-            state.flows.insert(attempt, Phase::Accepted);
+            state.flows.insert(attempt, 0);
             if self.is_over(attempt) {
                 self.outcome.opened_too_late += 1;
             }
@@ -830,11 +945,16 @@
             state.flows.remove(&attempt);
             return;
         }
+        let request = (head.sequence - data(key(attempt), 0).sequence) / REQUEST_BYTES;
         match state.flows.get_mut(&attempt) {
-            None => self.send_from_upstream(upstream, &bounced(*head)),
-            Some(Phase::Requested) => {}
-            Some(phase @ Phase::Accepted) => {
-                *phase = Phase::Requested;
+            None => {
+                self.outcome.out_of_order += usize::from(!self.is_over(attempt));
+                self.send_from_upstream(upstream, &bounced(*head));
+            }
+            Some(arrived) if *arrived > request => {}
+            Some(arrived) => {
+                self.outcome.out_of_order += usize::from(*arrived < request);
+                *arrived = request + 1;
                 if state.running < self.scenario.slots {
                     self.begin_request(upstream, attempt);
                 } else {
@@ -870,7 +990,9 @@
         state.running -= 1;
         let next = state.waiting.pop_front();
         self.schedule(self.scenario.client_delay, Event::Answer { attempt });
-        self.schedule(self.scenario.client_delay * 2, Event::Close { attempt });
+        if !self.has_long_flows(class_of(attempt)) {
+            self.schedule(self.scenario.client_delay * 2, Event::Close { attempt });
+        }
         let ack = Flags {
             ack: true,
             ..Flags::default()
--- a/crates/core/tests/flow/load/client.rs
+++ b/crates/core/tests/flow/load/client.rs
@@ -12,6 +12,9 @@
     pub class: usize,
     pub arrived_at: Duration,
     pub attempts_left: u32,
+    /// Requests that follow this one on its flow.
+    pub to_follow: u32,
+    pub is_answered: bool,
 }
 
 /// An attempt, which has a flow of its own.
@@ -21,5 +24,7 @@
     pub balancer: usize,
     /// The upstream whose SYN-ACK the client acknowledges.
     pub upstream: Option<usize>,
+    /// Requests that were sent on the flow before the current one.
+    pub sent: u32,
     pub is_over: bool,
 }
--- a/crates/core/tests/flow/load/outcome.rs
+++ b/crates/core/tests/flow/load/outcome.rs
@@ -63,6 +63,8 @@
     pub shed: usize,
     /// SYNs that reached an upstream after their client's attempt was over.
     pub opened_too_late: usize,
+    /// Requests that reached an upstream before an earlier one of their flow, or after its end.
+    pub out_of_order: usize,
 }
 
 impl Outcome {
--- a/crates/core/tests/flow/load/scenario.rs
+++ b/crates/core/tests/flow/load/scenario.rs
@@ -53,6 +53,9 @@
     pub priority: Priority,
     /// Share of the requests.
     pub share: f64,
+    /// Requests that a client sends on a flow, and the time between an answer and the next request.
+    pub requests: u32,
+    pub pause: Duration,
     /// Time limit and latency objective of a request.
     pub time_limit: Duration,
     pub objective: Duration,
@@ -63,12 +66,21 @@
         Self {
             priority: 0,
             share: 1.0,
+            requests: 1,
+            pause: ms(150),
             time_limit: ms(1_500),
             objective: ms(150),
         }
     }
 }
 
+impl Class {
+    /// Share of the flows that are opened, relative to other classes.
+    fn flow_share(&self) -> f64 {
+        self.share / f64::from(self.requests)
+    }
+}
+
 /// Requests that take longer than others.
 #[derive(Debug, Clone, Copy)]
 pub struct Tail {
@@ -196,10 +208,9 @@
         limits.max().unwrap_or_default()
     }
 
-    /// The class of a request, by its number.
+    /// The class of a new flow, by its number.
     pub fn draw_class(&self, rng: &mut StdRng) -> usize {
-        let shares = self.classes.iter().map(|class| class.share);
-        draw(shares, rng)
+        draw(self.classes.iter().map(Class::flow_share), rng)
     }
 
     /// The balancer that the router selects for an attempt.
@@ -222,9 +233,10 @@
         work.mul_f64(self.speed(upstream) * tail)
     }
 
-    /// Requests a second that clients send.
+    /// Flows a second that clients open.
     pub fn rate(&self) -> f64 {
-        self.load * self.capacity()
+        let flow_shares = self.classes.iter().map(Class::flow_share);
+        self.load * self.capacity() * flow_shares.sum::<f64>()
     }
 
     /// Length of the period after the disturbance in which requests count.
--- a/crates/core/tests/flow/load/upstream.rs
+++ b/crates/core/tests/flow/load/upstream.rs
@@ -5,13 +5,6 @@
     time::Duration,
 };
 
-/// Phase of a flow at its upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    Accepted,
-    Requested,
-}
-
 #[derive(Debug, Clone)]
 pub struct Upstream {
     /// Number of the upstream's start.
@@ -22,7 +15,8 @@
     pub slowdown: f64,
     pub running: usize,
     pub waiting: VecDeque<u32>,
-    pub flows: HashMap<u32, Phase>,
+    /// Requests that have arrived on each open flow.
+    pub flows: HashMap<u32, u32>,
 }
 
 impl Default for Upstream {
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod balancer;
 mod classes;
+mod classless;
 mod fixture;
 mod load;
 mod overload;
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -395,6 +395,7 @@
                     Body::Demand { waiting: *waiting },
                     client_head(flow(0), Flags::default(), 0, 0),
                 ),
+                Action::ClassDemand { .. } => panic!("the service has no classes"),
                 Action::Reset { flow, .. } => {
                     self.reset(*flow, &format!("balancer {from}: {action:?}"));
                     continue;
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -253,17 +253,7 @@
                     self.core.deliver(now, from, &delivery, &mut self.actions);
                     self.execute_actions(now, packet);
                 }
-                Body::Locate { questions } => {
-                    for Question {
-                        flow,
-                        acknowledgement,
-                    } in questions
-                    {
-                        self.core
-                            .locate(from, flow, acknowledgement, &mut self.actions);
-                    }
-                    self.execute_actions(now, &[]);
-                }
+                Body::Locate { questions } => self.locate(now, from, questions),
                 Body::Probe { sent } => {
                     let report = self.core.report_to(now, from);
                     self.send(from, Body::Answer { sent, report });
@@ -273,11 +263,29 @@
                         .handle_demand(now, from, waiting, &mut self.actions);
                     self.execute_actions(now, &[]);
                 }
+                Body::ClassDemand { waiting } => {
+                    self.core
+                        .handle_class_demand(now, from, &waiting, &mut self.actions);
+                    self.execute_actions(now, &[]);
+                }
                 _ => metrics::counter!("sassafrasmast_frames_unexpected").increment(1),
             }
         }
     }
 
+    /// Answers a balancer's questions for the owners of flows.
+    fn locate(&mut self, now: Instant, from: SocketAddrV4, questions: Vec<Question>) {
+        for question in questions {
+            self.core.locate(
+                from,
+                question.flow,
+                question.acknowledgement,
+                &mut self.actions,
+            );
+        }
+        self.execute_actions(now, &[]);
+    }
+
     /// Handles an announcement or deregistration of the upstream.
     fn handle_upstream_call(&mut self, call: UpstreamCall) {
         let now = Instant::now();
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -100,6 +100,9 @@
                     self.send(to, Body::Probe { sent });
                 }
                 Action::Demand { to, waiting } => self.send(to, Body::Demand { waiting }),
+                Action::ClassDemand { to, waiting } => {
+                    self.send(to, Body::ClassDemand { waiting });
+                }
                 Action::Reset {
                     flow,
                     sequence,
