feat(core): requests of less critical classes on open flows are held

A place is used by the class that it was offered for, or by a lower one that has room itself or is the one of twenty. Counts by class as metrics, log lines when holding begins and ends.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -10,6 +10,8 @@
 mod classes;
 mod delivery;
 mod flow;
+mod held;
+mod holding;
 mod offers;
 mod recovery;
 mod reports;
@@ -31,6 +33,7 @@
     classes::{Classes, Counts},
     delivery::Delivery,
     flow::{Flow, Phase},
+    held::{Held, HeldPacket},
     offers::Offers,
     settings::Settings,
     upstream::{Change, Upstream},
@@ -59,6 +62,9 @@
     work: Work,
     offers: Offers,
     classes: Classes,
+    held: Held,
+    /// When a request was last held.
+    last_held_at: Option<Instant>,
     /// The shortest latency objective of the routes that lead to this agent's service.
     latency_objective: Option<Duration>,
     flows: HashMap<Key, Flow>,
@@ -87,6 +93,8 @@
             work: Work::default(),
             offers: Offers::default(),
             classes: Classes::default(),
+            held: Held::default(),
+            last_held_at: None,
             latency_objective: None,
             flows: HashMap::new(),
             pending_syns: Vec::new(),
@@ -201,10 +209,10 @@
         }
     }
 
-    /// Whether a SYN waits for the upstream's answer or a balancer for room, so that ticks must come
-    /// often.
+    /// Whether a SYN waits for the upstream's answer or a balancer or a held request for room, so
+    /// that ticks must come often.
     pub fn has_pending_work(&self) -> bool {
-        !self.pending_syns.is_empty() || !self.offers.is_empty()
+        !self.pending_syns.is_empty() || !self.offers.is_empty() || !self.held.is_empty()
     }
 
     /// The intent's revision, 0 if none.
--- a/crates/core/src/flow/agent/action.rs
+++ b/crates/core/src/flow/agent/action.rs
@@ -9,6 +9,11 @@
 pub enum Action {
     /// Pass the packet to the upstream.
     ToUpstream,
+    /// Pass a held packet to the upstream.
+    HeldToUpstream {
+        /// The held packet.
+        packet: Box<[u8]>,
+    },
     /// Send the packet to its client.
     ToClient,
     /// Return the SYN to a balancer.
@@ -96,7 +101,10 @@
     /// The balancer that a frame is to be sent to, if the action sends one.
     pub fn recipient(&self) -> Option<SocketAddrV4> {
         match self {
-            Self::ToUpstream | Self::ToClient | Self::Reset { .. } => None,
+            Self::ToUpstream
+            | Self::HeldToUpstream { .. }
+            | Self::ToClient
+            | Self::Reset { .. } => None,
             Self::Return { to, .. }
             | Self::ReturnBuffered { to, .. }
             | Self::Accepted { to, .. }
--- a/crates/core/src/flow/agent/admission.rs
+++ b/crates/core/src/flow/agent/admission.rs
@@ -37,22 +37,23 @@
         }
     }
 
-    /// Gives the upstream's room to balancers with queued SYNs, as offers, and returns those
-    /// that were offered some.
+    /// Gives the upstream's room to balancers with queued SYNs, as offers, and to held requests, and
+    /// returns the balancers that were offered some.
     pub(super) fn make_offers(
         &mut self,
         now: Instant,
         actions: &mut Vec<Action>,
     ) -> BTreeSet<SocketAddrV4> {
         let mut recipients = BTreeSet::new();
+        self.deliver_due(now, actions);
         let may_offer = !self.offers.is_empty() && self.upstream.state(now).accepts_flows();
-        if !may_offer {
+        if !may_offer && self.held.is_empty() {
             return recipients;
         }
         self.offers.expire(now);
         loop {
             let offered = self.offers.offered();
-            let mut waiting = BTreeSet::new();
+            let mut waiting: BTreeSet<Priority> = self.held.classes().collect();
             if self.takes_flows(now, offered) {
                 waiting.extend(self.offers.classes());
             }
@@ -66,7 +67,9 @@
             let Some(class) = self.classes.next(&waiting, lower_share) else {
                 break;
             };
-            if let Some(to) = self.offers.offer(now, class) {
+            if let Some(flow) = self.held.first_of(class) {
+                self.deliver_held(now, &flow, actions);
+            } else if let Some(to) = self.offers.offer(now, class) {
                 self.classes.count(class, |counts| counts.offered += 1);
                 recipients.insert(to);
             }
@@ -139,9 +142,20 @@
     /// come faster than expected since.
     fn is_full(&mut self, now: Instant, from: SocketAddrV4, class: Priority) -> bool {
         self.offers.expire(now);
-        let offered = self.offers.offered();
-        let has_room = self.room_for(now, class) > offered && self.takes_flows(now, offered);
-        self.offers.offered_to(from) == 0 && !has_room
+        let offered_for = self.offers.class_of_next(from);
+        let has_offer = offered_for.is_some();
+        let offered = match offered_for {
+            Some(offered_for) if class <= offered_for || self.classes.is_empty() => return false,
+            // A place that was offered for a more critical SYN, which has gone elsewhere.
+            Some(_) => self.offers.offered() - 1,
+            None => self.offers.offered(),
+        };
+        if !self.takes_flows(now, offered) {
+            return true;
+        }
+        let lower_share = self.settings.lower_class_share;
+        self.room_for(now, class) <= offered
+            && !(has_offer && self.classes.use_lower_turn(lower_share))
     }
 
     /// Changes the parameters of the cold limit.
@@ -204,7 +218,7 @@
             actions.push(Action::Return { to: from, reason });
             return;
         }
-        self.classes.count(class, |counts| counts.admitted += 1);
+        self.classes.record_admission(class);
         self.cold_limiter.admit(now);
         self.upstream.syn_sent(now);
         self.flows
--- a/crates/core/src/flow/agent/classes.rs
+++ b/crates/core/src/flow/agent/classes.rs
@@ -11,6 +11,10 @@
     pub offered: u64,
     /// SYNs that were passed to the upstream.
     pub admitted: u64,
+    /// Requests on open flows that were held.
+    pub held: u64,
+    /// Held requests that were delivered.
+    pub passed: u64,
     /// SYNs that were returned.
     pub returned: u64,
 }
@@ -24,6 +28,8 @@
     priorities: BTreeSet<Priority>,
     /// Places that went to the most critical class since a lower one got a place.
     since_lower: u32,
+    /// The same for SYNs of a lower class that were admitted without room for their class.
+    admitted_since_lower: u32,
     counts: BTreeMap<Priority, Counts>,
 }
 
@@ -73,7 +79,7 @@
         let Some(lower) = in_order.next() else {
             return Some(critical);
         };
-        self.since_lower += 1;
+        self.since_lower = self.since_lower.saturating_add(1);
         if f64::from(self.since_lower) * lower_share < 1.0 {
             return Some(critical);
         }
@@ -81,6 +87,24 @@
         Some(lower)
     }
 
+    /// Records that a SYN of a class was admitted.
+    pub fn record_admission(&mut self, class: Priority) {
+        if self.is_most_critical(class) {
+            self.admitted_since_lower = self.admitted_since_lower.saturating_add(1);
+        }
+        self.count(class, |counts| counts.admitted += 1);
+    }
+
+    /// Whether a SYN that is not of the most critical class may use a place that was offered for
+    /// a more critical one, as `lower_share` of the admitted SYNs may. Ends the turn if so.
+    pub fn use_lower_turn(&mut self, lower_share: f64) -> bool {
+        let is_due = f64::from(self.admitted_since_lower) * lower_share >= 1.0;
+        if is_due {
+            self.admitted_since_lower = 0;
+        }
+        is_due
+    }
+
     /// Counts an event of a class, if the service has classes.
     pub fn count(&mut self, class: Priority, apply: impl FnOnce(&mut Counts)) {
         if !self.priorities.is_empty() {
--- a/crates/core/src/flow/agent/delivery.rs
+++ b/crates/core/src/flow/agent/delivery.rs
@@ -48,6 +48,9 @@
         delivery: &Delivery<'_>,
         actions: &mut Vec<Action>,
     ) {
+        if self.hold(now, from, flow, delivery, actions) {
+            return;
+        }
         let knows_all_flows = self.knows_all_flows();
         let has_room = self.flows.len() < self.settings.max_flows;
         // Counted for packets that may bring a request, not for acknowledgements.
--- a/crates/core/src/flow/agent/flow.rs
+++ b/crates/core/src/flow/agent/flow.rs
@@ -223,6 +223,14 @@
             .is_none_or(|known| end.wrapping_sub(known) < HALF_SEQUENCE_SPACE && end != known)
     }
 
+    /// Whether the client's packet begins a further request of an open flow, while no earlier one
+    /// is in progress.
+    pub fn begins_further_request(&self, head: &Head) -> bool {
+        let is_idle = self.request.is_none() && !self.is_closing();
+        let had_request = self.phase == Phase::Open && self.client_data_end.is_some();
+        is_idle && had_request && head.data_len > 0 && self.is_new(head)
+    }
+
     /// Time from the SYN until now if the client's packet that is about to be recorded brings the
     /// first request of a flow whose opening was observed.
     pub fn opening_time(&self, now: Instant, head: &Head) -> Option<Duration> {
--- a/crates/core/src/flow/agent/offers.rs
+++ b/crates/core/src/flow/agent/offers.rs
@@ -21,8 +21,8 @@
     /// SYNs that wait at the balancer by priority, the most critical ones first.
     waiting: Vec<(Priority, usize)>,
     received_at: Instant,
-    /// When each offer was made that the balancer has not used yet.
-    offered_at: VecDeque<Instant>,
+    /// When and for which class each offer was made that the balancer has not used yet.
+    offered_at: VecDeque<(Instant, Priority)>,
 }
 
 impl Demand {
@@ -60,7 +60,7 @@
 ///
 /// Load answered: many balancers wait for the same upstream. If each saw its free place, all would
 /// send a SYN and all but one would get it back. So each place is offered to one balancer, the one
-/// with the most SYNs waiting.
+/// with the most SYNs of a class waiting.
 #[derive(Debug, Default)]
 pub struct Offers {
     demands: BTreeMap<SocketAddrV4, Demand>,
@@ -91,7 +91,7 @@
     /// was made.
     pub fn use_offer(&mut self, now: Instant, balancer: SocketAddrV4) -> Option<Duration> {
         let demand = self.demands.get_mut(&balancer)?;
-        let offered_at = demand.offered_at.pop_front()?;
+        let (offered_at, _) = demand.offered_at.pop_front()?;
         demand.forget_first(1);
         Some(now.saturating_duration_since(offered_at))
     }
@@ -103,6 +103,12 @@
             .map_or(0, |demand| demand.offered_at.len())
     }
 
+    /// The class of the offer that a balancer's next SYN uses.
+    pub fn class_of_next(&self, balancer: SocketAddrV4) -> Option<Priority> {
+        let offered = &self.demands.get(&balancer)?.offered_at;
+        offered.front().map(|(_, class)| *class)
+    }
+
     /// Number of offers that were not used.
     pub fn offered(&self) -> usize {
         let offered = self.demands.values().map(|demand| demand.offered_at.len());
@@ -111,13 +117,10 @@
 
     /// Classes of which a balancer has SYNs without an offer.
     pub fn classes(&self) -> impl Iterator<Item = Priority> {
-        let of_demand = |demand: &Demand| -> Vec<Priority> {
+        self.demands.values().flat_map(|demand| {
             let classes = demand.waiting.iter().map(|(class, _)| *class);
-            classes
-                .filter(|&class| demand.without_offer(class) > 0)
-                .collect()
-        };
-        self.demands.values().flat_map(of_demand)
+            classes.filter(|&class| demand.without_offer(class) > 0)
+        })
     }
 
     /// Makes an offer to the balancer with the most SYNs of a class for which it has none, and
@@ -140,7 +143,7 @@
             .iter_mut()
             .max_by_key(|(_, demand)| demand.without_offer(class))
             .filter(|(_, demand)| demand.without_offer(class) > 0)?;
-        demand.offered_at.push_back(now);
+        demand.offered_at.push_back((now, class));
         Some(*balancer)
     }
 
@@ -149,7 +152,9 @@
         let is_within = |at: Instant, timeout| now.saturating_duration_since(at) < timeout;
         self.demands.retain(|_, demand| {
             let made = demand.offered_at.len();
-            demand.offered_at.retain(|&at| is_within(at, OFFER_TIMEOUT));
+            demand
+                .offered_at
+                .retain(|&(at, _)| is_within(at, OFFER_TIMEOUT));
             if demand.offered_at.len() < made {
                 // The balancer has no use for more until it asks again.
                 demand.keep_first(demand.offered_at.len());
--- a/crates/core/src/flow/agent/recovery.rs
+++ b/crates/core/src/flow/agent/recovery.rs
@@ -111,5 +111,6 @@
         });
         let flows = &self.flows;
         self.pending_syns.retain(|key| flows.contains_key(key));
+        self.held.retain(|key| flows.contains_key(key));
     }
 }
--- a/crates/core/src/flow/balancer/queue.rs
+++ b/crates/core/src/flow/balancer/queue.rs
@@ -7,6 +7,9 @@
 
 use crate::flow::{Key, Priority, ServiceName};
 
+/// One of so many places goes to the class below the most critical one, so that none starves.
+const PLACES_FOR_LOWER: u32 = 20;
+
 /// A queued SYN.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QueuedSyn {
@@ -40,6 +43,8 @@
     /// Where the SYNs are, by the time of their next check.
     checks: BTreeMap<Time, (ServiceName, Place)>,
     pushed: u64,
+    /// SYNs of the most critical class taken out since one of a lower class was.
+    since_lower: u32,
 }
 
 impl Queue {
@@ -90,7 +95,16 @@
     /// Takes out the SYN for a service that is to be placed next.
     pub fn pop(&mut self, now: Instant, service: &str) -> Option<QueuedSyn> {
         let waiting = self.services.get(service)?;
-        let (priority, _) = *waiting.first_key_value()?.0;
+        let (critical, _) = *waiting.first_key_value()?.0;
+        self.since_lower += 1;
+        let mut lower = waiting.keys().filter(|place| place.0 > critical);
+        let lower = lower
+            .next()
+            .filter(|_| self.since_lower >= PLACES_FOR_LOWER);
+        let priority = lower.map_or(critical, |place| place.0);
+        if priority > critical {
+            self.since_lower = 0;
+        }
         let mut on_time = waiting.range((priority, (now, 0))..);
         let mut of_class = waiting.keys().rev().skip_while(|place| place.0 != priority);
         let place = match on_time.next().filter(|(place, _)| place.0 == priority) {
--- a/crates/core/tests/flow/classes.rs
+++ b/crates/core/tests/flow/classes.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     fixture::ms,
-    load::{Class, Model, Scenario, Tail},
+    load::{Class, Disturbance, Model, Scenario, Tail},
 };
 
 /// Load at which all classes are served: below what the slowest upstream bears of its share.
@@ -86,6 +86,7 @@
     let mut classes = scenario.classes.clone();
     classes.truncate(1);
     let load = scenario.load * classes[0].share;
+    classes[0].share = 1.0;
     Scenario {
         load,
         classes,
@@ -145,3 +146,53 @@
         }
     }
 }
+
+/// Long flows that are open when all upstreams become slower.
+fn slow_upstreams(factor: f64) -> Scenario {
+    let mut scenario = Scenario {
+        disturbance: Disturbance::Slow { share: 1.0, factor },
+        begin: ms(6_000),
+        end: ms(10_000),
+        length: ms(15_000),
+        ..long_flows(0.8)
+    };
+    scenario.classes[2].requests = 40;
+    scenario
+}
+
+/// Guards against open flows that take the upstreams from critical requests when they become slower.
+#[test]
+fn critical_requests_are_served_as_if_alone_while_upstreams_are_slow() {
+    for seed in 0..3 {
+        let scenario = slow_upstreams(2.0);
+        let alone = Model::new(seed, alone(&scenario)).run().during;
+        let outcome = Model::new(seed, scenario).run();
+        let critical = outcome.during_of(0);
+        let figures = format!("seed {seed}: alone {alone}; critical {critical}; {outcome}");
+        let in_time = critical.in_time();
+        assert!(in_time >= SHARE_OF_ALONE * alone.in_time(), "{figures}");
+        assert_eq!(outcome.shed, 0, "{figures}");
+        assert_eq!(outcome.out_of_order, 0, "{figures}");
+    }
+}
+
+/// Guards against a less critical class that gets nothing while critical requests alone exceed the
+/// capacity.
+#[test]
+fn less_critical_requests_keep_the_floor() {
+    for seed in 0..3 {
+        let mut scenario = long_flows(1.5);
+        for (class, share) in scenario.classes.iter_mut().zip([0.75, 0.125, 0.125]) {
+            class.share = share;
+        }
+        let borne = scenario.capacity() * scenario.counted_after().as_secs_f64();
+        let outcome = Model::new(seed, scenario).run();
+        let [short, long] = [1, 2].map(|class| outcome.after_of(class));
+        let answered = (short.answered + long.answered) as f64;
+        let figures = format!("seed {seed}: {short}; on long flows {long}; {outcome}");
+        assert!(answered >= FLOOR * borne, "{figures}");
+        let answered = outcome.after.answered as f64;
+        assert!(answered >= GOODPUT * borne, "{figures}");
+        assert_eq!(outcome.shed, 0, "{figures}");
+    }
+}
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -110,6 +110,12 @@
         from: usize,
         frame: u64,
     },
+    /// A packet that an agent has held arrives at its upstream, which has handled its own packet
+    /// that made room for it.
+    HeldToUpstream {
+        agent: usize,
+        packet: u64,
+    },
     /// A frame from an agent to a balancer.
     ToBalancer {
         balancer: usize,
@@ -269,7 +275,10 @@
             report,
         },
         AgentAction::Report { .. } => Body::Report(report),
-        AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => {
+        AgentAction::ToUpstream
+        | AgentAction::HeldToUpstream { .. }
+        | AgentAction::ToClient
+        | AgentAction::Reset { .. } => {
             panic!("{action:?} sends no message")
         }
     }
@@ -449,6 +458,7 @@
                     self.end_attempt(attempt);
                 }
             }
+            Event::HeldToUpstream { agent, packet } => self.held_at_upstream(agent, packet),
             Event::ToAgent { agent, from, frame } => self.frame_at_agent(agent, from, frame),
             Event::ToBalancer {
                 balancer,
@@ -907,6 +917,16 @@
         for action in actions {
             match &action {
                 AgentAction::ToUpstream => self.send_to_upstream(agent, current),
+                AgentAction::HeldToUpstream { packet } => {
+                    self.event_count += 1;
+                    let number = self.event_count;
+                    self.frames.insert(number, packet.to_vec());
+                    let event = Event::HeldToUpstream {
+                        agent,
+                        packet: number,
+                    };
+                    self.schedule(Duration::ZERO, event);
+                }
                 AgentAction::ToClient => {}
                 AgentAction::Reset { flow, .. } => {
                     let attempt = attempt_of(flow);
@@ -922,6 +942,13 @@
         }
     }
 
+    fn held_at_upstream(&mut self, upstream: usize, packet: u64) {
+        let packet = self.frames.remove(&packet);
+        if let Some(packet) = packet.filter(|_| !self.is_down) {
+            self.send_to_upstream(upstream, &decode(&packet));
+        }
+    }
+
     /// The upstream accepts each SYN that it can queue, and runs a request or queues it.
     fn send_to_upstream(&mut self, upstream: usize, head: &Head) {
         let attempt = attempt_of(&head.client_flow());
--- a/crates/core/tests/flow/load/outcome.rs
+++ b/crates/core/tests/flow/load/outcome.rs
@@ -57,7 +57,8 @@
     pub during: Service,
     pub after: Service,
     outside: Service,
-    /// What clients of each class got from the time for recovery on.
+    /// What clients of each class got during the disturbance and from the time for recovery on.
+    during_by_class: BTreeMap<usize, Service>,
     after_by_class: BTreeMap<usize, Service>,
     /// SYNs that upstreams bounced.
     pub shed: usize,
@@ -75,11 +76,21 @@
             Period::After => &mut self.after,
             Period::Outside => &mut self.outside,
         });
-        if period == Period::After {
-            apply(self.after_by_class.entry(class).or_default());
+        match period {
+            Period::During => apply(self.during_by_class.entry(class).or_default()),
+            Period::After => apply(self.after_by_class.entry(class).or_default()),
+            Period::Before | Period::Outside => {}
         }
     }
 
+    /// What clients of a class got that sent their requests during the disturbance.
+    pub fn during_of(&self, class: usize) -> Service {
+        self.during_by_class
+            .get(&class)
+            .cloned()
+            .unwrap_or_default()
+    }
+
     /// What clients of a class got from the time for recovery on.
     pub fn after_of(&self, class: usize) -> Service {
         self.after_by_class.get(&class).cloned().unwrap_or_default()
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -10,6 +10,7 @@
 mod classes;
 mod classless;
 mod fixture;
+mod holding;
 mod load;
 mod overload;
 mod recovery;
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -461,6 +461,7 @@
                 AgentAction::ToUpstream => {
                     self.schedule(ms(0), Event::ToUpstream(index, current));
                 }
+                AgentAction::HeldToUpstream { .. } => panic!("the service has no classes"),
                 AgentAction::ToClient => self.schedule(DELAY, Event::ToClient(current)),
                 AgentAction::Reset { flow, .. } => {
                     self.reset(flow, &format!("agent {index}"));
@@ -505,14 +506,10 @@
                 };
                 (*to, body, None)
             }
-            AgentAction::Found { to, flow } => (
-                *to,
-                Body::Found {
-                    flow: *flow,
-                    report,
-                },
-                None,
-            ),
+            AgentAction::Found { to, flow } => {
+                let flow = *flow;
+                (*to, Body::Found { flow, report }, None)
+            }
             AgentAction::Absent { to, flow } => (
                 *to,
                 Body::Absent {
@@ -529,7 +526,10 @@
                 },
                 None,
             ),
-            AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => return,
+            AgentAction::ToUpstream
+            | AgentAction::HeldToUpstream { .. }
+            | AgentAction::ToClient
+            | AgentAction::Reset { .. } => return,
         };
         self.send_to_balancer(index, to, &body, packet);
     }
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -2,6 +2,7 @@
 //! packets directly to clients.
 
 mod announcements;
+mod classes;
 mod output;
 
 use std::{
@@ -25,7 +26,7 @@
     sync::{mpsc, watch},
 };
 
-use self::announcements::UpstreamCall;
+use self::{announcements::UpstreamCall, classes::Holding};
 use crate::{
     fallback::Fallback,
     inputs::{self, Inputs},
@@ -76,6 +77,10 @@
     registered: Arc<AtomicBool>,
     /// When balancers were last sent [`Body::Hello`].
     hello_sent_at: Instant,
+    /// Since when requests on open flows are held, if they are.
+    holding: Option<Holding>,
+    /// Requests that had been held at the last tick.
+    held_before: u64,
 }
 
 /// Runs an agent until the process is killed.
@@ -179,6 +184,8 @@
             view,
             registered,
             hello_sent_at: now,
+            holding: None,
+            held_before: 0,
             settings,
             upstream,
             platform,
@@ -404,6 +411,7 @@
             now.saturating_duration_since(*last_frame_at) < BALANCER_EXPIRY
         });
         self.report_changes(now);
+        self.report_classes(now);
         self.send_hello(now);
         self.fallback.tick(now, &self.view.borrow());
         let report = self.core.report(now);
--- a/crates/forwarder/src/agent/output.rs
+++ b/crates/forwarder/src/agent/output.rs
@@ -47,6 +47,9 @@
                 Action::ToUpstream => {
                     udp::send(&self.outbound, packet, self.upstream.address);
                 }
+                Action::HeldToUpstream { packet } => {
+                    udp::send(&self.outbound, &packet, self.upstream.address);
+                }
                 Action::ToClient => self.send_to_client(packet),
                 Action::Return { to, reason } => self.return_syn(now, to, reason, packet),
                 Action::ReturnBuffered { to, reason, packet } => {
