fix(core): a demand without classes gets the room of before

Cause: the SYNs of a balancer of an earlier build counted as the most critical, so less critical flows counted half for them: they got offers that their SYNs were then refused.

Change: such SYNs go first, get the room of a service without classes, and may be of any class.

--- a/crates/core/src/flow/agent/admission.rs
+++ b/crates/core/src/flow/agent/admission.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddrV4, time::Instant};
 
-use super::{Action, Agent, Delivery, Flow, Phase, REQUEST_TIMEOUT};
+use super::{Action, Agent, Delivery, Flow, Phase, REQUEST_TIMEOUT, offers::Class};
 use crate::flow::{Key, Priority, Reason, State, limiter};
 
 /// Flows with a request in progress at an upstream that has not announced its slots, for the one
@@ -19,8 +19,9 @@
         waiting: u16,
         actions: &mut Vec<Action>,
     ) {
-        // A balancer of an earlier build does not state classes, and gets no fewer places for that.
-        self.handle_class_demand(now, from, &[(Priority::MIN, waiting)], actions);
+        let waiting = [(None, waiting)];
+        self.offers.record_demand(now, from, waiting.into_iter());
+        self.answer_demand(now, from, actions);
     }
 
     /// As [`Self::handle_demand`], with the number of SYNs by priority.
@@ -31,7 +32,13 @@
         waiting: &[(Priority, u16)],
         actions: &mut Vec<Action>,
     ) {
-        self.offers.record_demand(now, from, waiting);
+        let by_class = waiting.iter().map(|&(class, count)| (Some(class), count));
+        self.offers.record_demand(now, from, by_class);
+        self.answer_demand(now, from, actions);
+    }
+
+    /// Offers a balancer room that it has asked for, or tells it that there is none.
+    fn answer_demand(&mut self, now: Instant, from: SocketAddrV4, actions: &mut Vec<Action>) {
         if !self.make_offers(now, actions).contains(&from) {
             actions.push(Action::Report { to: from });
         }
@@ -53,24 +60,25 @@
         self.offers.expire(now);
         loop {
             let offered = self.offers.offered();
-            let mut waiting: BTreeSet<Priority> = self.held.classes().collect();
+            let mut waiting: BTreeSet<Class> = self.held.classes().map(Some).collect();
             if self.takes_flows(now, offered) {
                 waiting.extend(self.offers.classes());
             }
-            let Some(&critical) = waiting.first() else {
+            let has_room = |class: &&Class| self.room_for(now, **class) > offered;
+            let Some(critical) = waiting.iter().find(has_room).copied() else {
                 break;
             };
-            if self.room_for(now, critical) <= offered {
-                break;
-            }
+            let waiting = waiting.split_off(&critical);
             let lower_share = self.settings.lower_class_share;
             let Some(class) = self.classes.next(&waiting, lower_share) else {
                 break;
             };
-            if let Some(flow) = self.held.first_of(class) {
+            if let Some(flow) = class.and_then(|class| self.held.first_of(class)) {
                 self.deliver_held(now, &flow, actions);
             } else if let Some(to) = self.offers.offer(now, class) {
-                self.classes.count(class, |counts| counts.offered += 1);
+                if let Some(class) = class {
+                    self.classes.count(class, |counts| counts.offered += 1);
+                }
                 recipients.insert(to);
             }
         }
@@ -94,15 +102,15 @@
     /// Less critical flows count half, so that a critical SYN is admitted to an upstream that is
     /// full of them and waits there behind a few requests. What this adds to the room of any class
     /// stays within what the upstream bears.
-    pub(super) fn room_for(&mut self, now: Instant, class: Priority) -> usize {
+    pub(super) fn room_for(&self, now: Instant, class: Class) -> usize {
         if self.upstream.is_shedding(now) {
             return 0;
         }
         let busy = self.busy(now);
         let for_any = self.room_beside(busy);
-        if self.classes.is_empty() {
+        let Some(class) = class.filter(|_| !self.classes.is_empty()) else {
             return for_any;
-        }
+        };
         let less_critical = self.busy_below(now, class);
         let counted = busy - less_critical + less_critical.div_ceil(2);
         let bearable = self.upstream.bearable().saturating_sub(busy);
@@ -145,7 +153,10 @@
         let offered_for = self.offers.class_of_next(from);
         let has_offer = offered_for.is_some();
         let offered = match offered_for {
-            Some(offered_for) if class <= offered_for || self.classes.is_empty() => return false,
+            Some(offered_for) if offered_for.is_none_or(|offered_for| class <= offered_for) => {
+                return false;
+            }
+            Some(_) if self.classes.is_empty() => return false,
             // A place that was offered for a more critical SYN, which has gone elsewhere.
             Some(_) => self.offers.offered() - 1,
             None => self.offers.offered(),
@@ -154,7 +165,7 @@
             return true;
         }
         let lower_share = self.settings.lower_class_share;
-        self.room_for(now, class) <= offered
+        self.room_for(now, Some(class)) <= offered
             && !(has_offer && self.classes.use_lower_turn(lower_share))
     }
 
--- a/crates/core/src/flow/agent/classes.rs
+++ b/crates/core/src/flow/agent/classes.rs
@@ -73,7 +73,7 @@
     /// let turns = [(); 4].map(|()| classes.next(&waiting, 0.25).unwrap());
     /// assert_eq!(turns, [1, 1, 1, 2]);
     /// ```
-    pub fn next(&mut self, waiting: &BTreeSet<Priority>, lower_share: f64) -> Option<Priority> {
+    pub fn next<C: Copy + Ord>(&mut self, waiting: &BTreeSet<C>, lower_share: f64) -> Option<C> {
         let mut in_order = waiting.iter().copied();
         let critical = in_order.next()?;
         let Some(lower) = in_order.next() else {
--- a/crates/core/src/flow/agent/holding.rs
+++ b/crates/core/src/flow/agent/holding.rs
@@ -92,7 +92,7 @@
         begins_request
             && !self.classes.is_most_critical(class)
             && self.held.has_space(delivery.packet.len())
-            && self.room_for(now, class) <= self.offers.offered()
+            && self.room_for(now, Some(class)) <= self.offers.offered()
     }
 
     /// Delivers requests that were held for the longest time allowed.
--- a/crates/core/src/flow/agent/offers.rs
+++ b/crates/core/src/flow/agent/offers.rs
@@ -15,22 +15,26 @@
 /// its SYNs wait.
 const DEMAND_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Class of SYNs at a balancer, `None` if the balancer does not state it. Such SYNs come first, so that
+/// a balancer of an earlier build does not get fewer places for that.
+pub type Class = Option<Priority>;
+
 /// What a balancer with queued SYNs asks for and was offered.
 #[derive(Debug)]
 struct Demand {
-    /// SYNs that wait at the balancer by priority, the most critical ones first.
-    waiting: Vec<(Priority, usize)>,
+    /// SYNs that wait at the balancer by class, the most critical ones first.
+    waiting: Vec<(Class, usize)>,
     received_at: Instant,
     /// When and for which class each offer was made that the balancer has not used yet.
-    offered_at: VecDeque<(Instant, Priority)>,
+    offered_at: VecDeque<(Instant, Class)>,
 }
 
 impl Demand {
     /// SYNs of a class that have no offer. The balancer uses offers for its most critical SYNs.
-    fn without_offer(&self, class: Priority) -> usize {
+    fn without_offer(&self, class: Class) -> usize {
         let mut offers = self.offered_at.len();
-        for &(priority, count) in &self.waiting {
-            if priority == class {
+        for &(other, count) in &self.waiting {
+            if other == class {
                 return count.saturating_sub(offers);
             }
             offers = offers.saturating_sub(count);
@@ -67,12 +71,12 @@
 }
 
 impl Offers {
-    /// Records how many SYNs of each priority wait at a balancer.
+    /// Records how many SYNs of each class wait at a balancer.
     pub fn record_demand(
         &mut self,
         now: Instant,
         balancer: SocketAddrV4,
-        waiting: &[(Priority, u16)],
+        waiting: impl Iterator<Item = (Class, u16)>,
     ) {
         let demand = self.demands.entry(balancer).or_insert_with(|| Demand {
             waiting: Vec::new(),
@@ -80,8 +84,7 @@
             offered_at: VecDeque::new(),
         });
         demand.waiting = waiting
-            .iter()
-            .map(|&(priority, count)| (priority, count.into()))
+            .map(|(class, count)| (class, count.into()))
             .collect();
         demand.waiting.sort_unstable();
         demand.received_at = now;
@@ -104,7 +107,7 @@
     }
 
     /// The class of the offer that a balancer's next SYN uses.
-    pub fn class_of_next(&self, balancer: SocketAddrV4) -> Option<Priority> {
+    pub fn class_of_next(&self, balancer: SocketAddrV4) -> Option<Class> {
         let offered = &self.demands.get(&balancer)?.offered_at;
         offered.front().map(|(_, class)| *class)
     }
@@ -116,7 +119,7 @@
     }
 
     /// Classes of which a balancer has SYNs without an offer.
-    pub fn classes(&self) -> impl Iterator<Item = Priority> {
+    pub fn classes(&self) -> impl Iterator<Item = Class> {
         self.demands.values().flat_map(|demand| {
             let classes = demand.waiting.iter().map(|(class, _)| *class);
             classes.filter(|&class| demand.without_offer(class) > 0)
@@ -131,13 +134,13 @@
     /// use sassafrasmast_core::flow::agent::Offers;
     /// let (now, balancer) = (Instant::now(), "10.0.0.1:7000".parse().unwrap());
     /// let mut offers = Offers::default();
-    /// assert_eq!(offers.offer(now, 2), None);
-    /// offers.record_demand(now, balancer, &[(2, 1)]);
-    /// assert_eq!(offers.offer(now, 1), None);
-    /// assert_eq!(offers.offer(now, 2), Some(balancer));
-    /// assert_eq!(offers.offer(now, 2), None);
+    /// assert_eq!(offers.offer(now, Some(2)), None);
+    /// offers.record_demand(now, balancer, [(Some(2), 1)].into_iter());
+    /// assert_eq!(offers.offer(now, Some(1)), None);
+    /// assert_eq!(offers.offer(now, Some(2)), Some(balancer));
+    /// assert_eq!(offers.offer(now, Some(2)), None);
     /// ```
-    pub fn offer(&mut self, now: Instant, class: Priority) -> Option<SocketAddrV4> {
+    pub fn offer(&mut self, now: Instant, class: Class) -> Option<SocketAddrV4> {
         let (balancer, demand) = self
             .demands
             .iter_mut()
--- a/crates/core/tests/flow/holding.rs
+++ b/crates/core/tests/flow/holding.rs
@@ -385,6 +385,33 @@
     );
 }
 
+/// Guards against a balancer of an earlier build, which states no classes, that gets more room than
+/// its SYNs may use, or none while others ask for less critical ones.
+#[test]
+fn a_demand_without_classes_gets_the_room_of_a_service_without_classes() {
+    let (old, new) = ("10.0.0.2:7000", "10.0.0.3:7000");
+    let mut rig = rig();
+    for port in 1..=LIMIT {
+        rig.open(bulk(port), 7);
+    }
+    let mut actions = Vec::new();
+    rig.agent
+        .handle_demand(rig.now, address(old), 2, &mut actions);
+    assert_eq!(rig.agent.report_to(rig.now, address(old)).headroom, 0);
+    // There is room for a critical SYN only.
+    demand(&mut rig, new, &[(CRITICAL, 1), (BULK, 1)]);
+    assert_eq!(rig.agent.report_to(rig.now, address(new)).headroom, 1);
+    for port in 1..=2 {
+        rig.handle_upstream_packet(&answer(bulk(port)));
+    }
+    assert_eq!(rig.agent.report_to(rig.now, address(old)).headroom, 1);
+    rig.balancer = address(old);
+    assert_eq!(
+        rig.deliver(Purpose::Open, &syn(bulk(LIMIT + 1))),
+        [Action::ToUpstream]
+    );
+}
+
 #[test]
 fn one_of_twenty_places_goes_to_the_less_critical_class() {
     let (critical_balancer, bulk_balancer) = ("10.0.0.2:7000", "10.0.0.3:7000");
