--- a/crates/core/src/flow/agent/admission.rs
+++ b/crates/core/src/flow/agent/admission.rs
@@ -146,8 +146,8 @@
     }
 
     /// Whether the upstream has as many requests in progress as it can answer in time, as far as a
-    /// SYN of a class counts them, or the rest is kept for other balancers. A balancer that was offered room has it, even if requests have
-    /// come faster than expected since.
+    /// SYN of a class counts them, or the rest is kept for other balancers. A balancer that was
+    /// offered room for the class has it, even if requests have come faster than expected since.
     fn is_full(&mut self, now: Instant, from: SocketAddrV4, class: Priority) -> bool {
         self.offers.expire(now);
         let offered_for = self.offers.class_of_next(from);
--- a/crates/core/src/flow/agent/held.rs
+++ b/crates/core/src/flow/agent/held.rs
@@ -126,7 +126,7 @@
         Some(*flow)
     }
 
-    /// The flow of a request that was held for [`MAX_TIME`].
+    /// The flow of a request that was held for the longest time allowed.
     pub fn first_due(&self, now: Instant) -> Option<Key> {
         let (_, flow) = self.by_arrival.first_key_value()?;
         let request = self.requests.get(flow)?;
