--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -8,7 +8,9 @@
 mod agent;
 mod balancer;
 mod classes;
+mod classless;
 mod fixture;
+mod holding;
 mod intents;
 mod load;
 mod overload;
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -396,6 +396,7 @@
                     Body::Demand { waiting: *waiting },
                     client_head(flow(0), Flags::default(), 0, 0),
                 ),
+                Action::ClassDemand { .. } => panic!("the service has no classes"),
                 Action::Reset { flow, .. } => {
                     self.reset(*flow, &format!("balancer {from}: {action:?}"));
                     continue;
@@ -461,6 +462,7 @@
                 AgentAction::ToUpstream => {
                     self.schedule(ms(0), Event::ToUpstream(index, current));
                 }
+                AgentAction::HeldToUpstream { .. } => panic!("the service has no classes"),
                 AgentAction::ToClient => self.schedule(DELAY, Event::ToClient(current)),
                 AgentAction::Reset { flow, .. } => {
                     self.reset(flow, &format!("agent {index}"));
@@ -505,14 +507,10 @@
                 };
                 (*to, body, None)
             }
-            AgentAction::Found { to, flow } => (
-                *to,
-                Body::Found {
-                    flow: *flow,
-                    report,
-                },
-                None,
-            ),
+            AgentAction::Found { to, flow } => {
+                let flow = *flow;
+                (*to, Body::Found { flow, report }, None)
+            }
             AgentAction::Absent { to, flow } => (
                 *to,
                 Body::Absent {
@@ -529,7 +527,10 @@
                 },
                 None,
             ),
-            AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => return,
+            AgentAction::ToUpstream
+            | AgentAction::HeldToUpstream { .. }
+            | AgentAction::ToClient
+            | AgentAction::Reset { .. } => return,
         };
         self.send_to_balancer(index, to, &body, packet);
     }
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -2,6 +2,7 @@
 //! packets directly to clients.
 
 mod announcements;
+mod classes;
 mod output;
 
 use std::{
@@ -24,7 +25,7 @@
     sync::{mpsc, watch},
 };
 
-use self::announcements::UpstreamCall;
+use self::{announcements::UpstreamCall, classes::Holding};
 use crate::{
     event::Event,
     fallback::Fallback,
@@ -78,6 +79,10 @@
     started_at: Instant,
     /// When balancers were last sent [`Body::Hello`].
     hello_sent_at: Instant,
+    /// Since when requests on open flows are held, if they are.
+    holding: Option<Holding>,
+    /// Requests that had been held at the last tick.
+    held_before: u64,
 }
 
 /// Runs an agent until the process is killed.
@@ -182,6 +187,8 @@
             registered,
             started_at: now,
             hello_sent_at: now,
+            holding: None,
+            held_before: 0,
             settings,
             upstream,
             platform,
@@ -258,17 +265,7 @@
                     self.core.deliver(now, from, &delivery, &mut self.actions);
                     self.execute_actions(now, packet);
                 }
-                Body::Locate { questions } => {
-                    for Question {
-                        flow,
-                        acknowledgement,
-                    } in questions
-                    {
-                        self.core
-                            .locate(from, flow, acknowledgement, &mut self.actions);
-                    }
-                    self.execute_actions(now, &[]);
-                }
+                Body::Locate { questions } => self.locate(now, from, questions),
                 Body::Probe { sent } => {
                     let report = self.core.report_to(now, from);
                     self.send(from, Body::Answer { sent, report });
@@ -278,11 +275,29 @@
                         .handle_demand(now, from, waiting, &mut self.actions);
                     self.execute_actions(now, &[]);
                 }
+                Body::ClassDemand { waiting } => {
+                    self.core
+                        .handle_class_demand(now, from, &waiting, &mut self.actions);
+                    self.execute_actions(now, &[]);
+                }
                 _ => metrics::counter!("sassafrasmast_frames_unexpected").increment(1),
             }
         }
     }
 
+    /// Answers a balancer's questions for the owners of flows.
+    fn locate(&mut self, now: Instant, from: SocketAddrV4, questions: Vec<Question>) {
+        for question in questions {
+            self.core.locate(
+                from,
+                question.flow,
+                question.acknowledgement,
+                &mut self.actions,
+            );
+        }
+        self.execute_actions(now, &[]);
+    }
+
     /// Handles an announcement or deregistration of the upstream.
     fn handle_upstream_call(&mut self, call: UpstreamCall) {
         let now = Instant::now();
@@ -401,6 +416,7 @@
             now.saturating_duration_since(*last_frame_at) < BALANCER_EXPIRY
         });
         self.report_changes(now);
+        self.report_classes(now);
         self.send_hello(now);
         self.fallback.tick(now, &self.view.borrow());
         let report = self.core.report(now);
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -101,6 +101,9 @@
                 }
                 Action::List => self.list_requests.notify_one(),
                 Action::Demand { to, waiting } => self.send(to, Body::Demand { waiting }),
+                Action::ClassDemand { to, waiting } => {
+                    self.send(to, Body::ClassDemand { waiting });
+                }
                 Action::Reset {
                     flow,
                     sequence,
