test(core): decisions of a balancer without classes are recorded

Cause: admission by class must not change decisions for services whose routes have one priority, and the model of load is not deterministic: the order of a hash map reaches its events.

--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -13,3 +13,4 @@
 mod overload;
 mod recovery;
 mod simulation;
+mod trace;
