feat(core): admission by class, early refusals, returning callers

Cause: in an overload critical requests wait behind others; a SYN that cannot be served is refused after half of its time limit; a caller that returns looks like a new one to other balancers, so half of the answers are late.

Change: for services whose routes differ in priority, SYNs are queued by class; each lower class that waits gets one of 20 places; a full queue evicts the least critical class; a first copy is refused at once if the rates of the last second say that it cannot be placed in time and it is certain that it has not run; agents keep the ages of callers' first attempts. Decisions for other services are unchanged: the trace test repeats its digests. Agents add up ClassDemand until they tell classes apart.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod announcement;
+mod attempts;
 mod delivery;
 mod flow;
 mod offers;
@@ -20,11 +21,12 @@
     time::{Duration, Instant},
 };
 
-use sassafrasmast_wire::Incarnation;
+use sassafrasmast_wire::{Incarnation, flow::Attempt};
 
 pub use self::{
     action::Action,
     announcement::Announcement,
+    attempts::Attempts,
     delivery::Delivery,
     flow::{Flow, Phase},
     offers::Offers,
@@ -33,8 +35,8 @@
     work::Work,
 };
 use super::{
-    Head, Intent, Key, Limiter, Purpose, Reason, Report, Revision, State, balancer::ResetCause,
-    limiter,
+    Head, Intent, Key, Limiter, Priority, Purpose, Reason, Report, Revision, State,
+    balancer::ResetCause, limiter,
 };
 
 /// Time in which an upstream accepts a SYN or bounces it. It does so before any other work, so
@@ -74,6 +76,8 @@
     cold_limiter: Limiter,
     work: Work,
     offers: Offers,
+    /// Callers that may try again.
+    attempts: Attempts,
     /// The shortest latency objective of the routes that lead to this agent's service.
     latency_objective: Option<Duration>,
     flows: HashMap<Key, Flow>,
@@ -101,6 +105,7 @@
             cold_limiter: Limiter::default(),
             work: Work::default(),
             offers: Offers::default(),
+            attempts: Attempts::default(),
             latency_objective: None,
             flows: HashMap::new(),
             pending_syns: Vec::new(),
@@ -196,6 +201,45 @@
         }
     }
 
+    /// Handles a balancer's message that SYNs for this service are queued there, by class.
+    pub fn handle_class_demand(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        waiting: &[(Priority, u16)],
+        actions: &mut Vec<Action>,
+    ) {
+        let waiting = waiting.iter().map(|&(_, count)| count);
+        self.handle_demand(now, from, waiting.fold(0, u16::saturating_add), actions);
+    }
+
+    /// Handles a balancer's message that attempts of callers ended without an answer.
+    pub fn handle_ended(&mut self, now: Instant, attempts: &[Attempt]) {
+        let Some(intent) = &self.intent else {
+            return;
+        };
+        for attempt in attempts {
+            let route = intent.policy.routes.get(&attempt.route);
+            if let Some(time_limit) = route.and_then(|route| route.timeout) {
+                self.attempts.record(now, attempt, time_limit);
+            }
+        }
+    }
+
+    /// Handles a balancer's question for earlier attempts of the callers of flows.
+    pub fn handle_inquiry(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        flows: &[Key],
+        actions: &mut Vec<Action>,
+    ) {
+        let flows = self.attempts.answer(now, flows);
+        if !flows.is_empty() {
+            actions.push(Action::Earlier { to: from, flows });
+        }
+    }
+
     /// Offers the upstream's room to balancers with queued SYNs, and returns those that got some.
     fn make_offers(&mut self, now: Instant, actions: &mut Vec<Action>) -> BTreeSet<SocketAddrV4> {
         let mut recipients = BTreeSet::new();
--- a/crates/core/src/flow/agent/action.rs
+++ b/crates/core/src/flow/agent/action.rs
@@ -81,6 +81,13 @@
         /// The balancer.
         to: SocketAddrV4,
     },
+    /// Tell a balancer that callers of flows had earlier attempts.
+    Earlier {
+        /// The balancer.
+        to: SocketAddrV4,
+        /// The flows, each with the age of its caller's first attempt in milliseconds.
+        flows: Vec<(Key, u32)>,
+    },
     /// Reset a flow towards its client.
     Reset {
         /// The flow.
@@ -105,7 +112,8 @@
             | Self::Unconfirmed { to, .. }
             | Self::Missing { to, .. }
             | Self::MissingBuffered { to, .. }
-            | Self::Report { to } => Some(*to),
+            | Self::Report { to }
+            | Self::Earlier { to, .. } => Some(*to),
         }
     }
 }
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -7,18 +7,18 @@
 //! known, the balancer searches for it: agents are asked in growing waves until one reports the
 //! flow.
 
+pub mod admission;
+
 mod action;
 mod candidate;
 mod flow;
 mod members;
 mod path_monitor;
 mod placement;
-mod queue;
 mod response_times;
 mod search;
 mod searches;
 mod settings;
-mod timeliness;
 
 use std::{
     collections::HashMap,
@@ -31,18 +31,17 @@
 
 pub use self::{
     action::{Action, DropCause, ResetCause},
+    admission::{Admission, Ages, Overload, Statistics, Timeliness},
     candidate::Candidate,
     flow::Flow,
     members::Members,
     path_monitor::PathMonitor,
-    queue::Queue,
     response_times::ResponseTimes,
     search::{Search, Status},
     settings::Settings,
-    timeliness::{Ages, Timeliness},
 };
 use super::{
-    Head, Intent, Key, Member, Purpose, Revision,
+    Head, Intent, Key, Member, Purpose, Revision, ServiceName,
     intent::{Kind, Route},
 };
 use crate::balancer::Bucket;
@@ -65,7 +64,9 @@
     question_limiter: Bucket,
     /// When due searches were last continued.
     searches_continued_at: Instant,
-    queue: Queue,
+    admission: Admission,
+    /// Services whose overload has begun or ended since [`Self::take_overload_changes`].
+    overload_changes: Vec<(ServiceName, Overload)>,
     response_times: ResponseTimes,
     /// When a list of agents was first received.
     members_known_since: Option<Instant>,
@@ -79,15 +80,16 @@
         Self {
             members: Members::new(now, settings.zone.clone()),
             question_limiter: Bucket::new(now, rate, rate / QUESTION_BURST_DIVISOR),
-            settings,
             intent: None,
             flows: HashMap::new(),
             searches: HashMap::new(),
             searches_continued_at: now,
-            queue: Queue::default(),
+            admission: Admission::new(settings.lower_class_share),
+            overload_changes: Vec::new(),
             response_times: ResponseTimes::default(),
             members_known_since: None,
             swept_at: now,
+            settings,
         }
     }
 
@@ -120,7 +122,7 @@
 
     /// Number of SYNs that wait for an upstream with capacity.
     pub fn queued_count(&self) -> usize {
-        self.queue.len()
+        self.admission.queue.len()
     }
 
     /// Time since the client of a flow sent its first SYN, if the flow is in the table.
@@ -135,7 +137,26 @@
 
     /// Replaces the intent in force if `intent` is newer, and returns whether it is.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
-        Intent::replace_if_newer(&mut self.intent, intent)
+        let is_newer = Intent::replace_if_newer(&mut self.intent, intent);
+        if is_newer && let Some(intent) = &self.intent {
+            self.admission.set_intent(intent);
+        }
+        is_newer
+    }
+
+    /// Changes the share of the places that each less critical class gets while it waits.
+    pub fn set_lower_class_share(&mut self, share: f64) {
+        self.admission.set_lower_class_share(share);
+    }
+
+    /// What became of SYNs since this balancer started.
+    pub fn admission_statistics(&self) -> &Statistics {
+        &self.admission.statistics
+    }
+
+    /// Takes the services whose overload has begun or ended since the last call.
+    pub fn take_overload_changes(&mut self) -> Vec<(ServiceName, Overload)> {
+        std::mem::take(&mut self.overload_changes)
     }
 
     /// Replaces the list of agents by the store's complete list.
@@ -317,6 +338,7 @@
             Body::Answer { sent, report } => {
                 self.members.record_probe_answer(now, from, *sent, *report)
             }
+            Body::Earlier { flows } => self.handle_earlier(now, flows, actions),
             Body::Report(_)
             | Body::Deliver { .. }
             | Body::Locate { .. }
@@ -325,14 +347,13 @@
             | Body::ClassDemand { .. }
             | Body::Speed { .. }
             | Body::Ended { .. }
-            | Body::Inquire { .. }
-            | Body::Earlier { .. } => {}
+            | Body::Inquire { .. } => {}
         }
     }
 
     /// Places queued SYNs if an agent's upstream has room.
     fn use_room(&mut self, now: Instant, agent: SocketAddrV4, actions: &mut Vec<Action>) {
-        if self.queue.is_empty() {
+        if self.admission.queue.is_empty() {
             return;
         }
         let member = self.members.get(agent);
@@ -348,6 +369,8 @@
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.continue_searches(now, actions);
         self.place_queued(now, actions);
+        self.overload_changes.extend(self.admission.update(now));
+        self.admission.returning.flush(now, actions);
         self.members.probe(now, actions);
         self.members.check_path(now, actions);
         if now.saturating_duration_since(self.swept_at) >= SWEEP_INTERVAL {
@@ -368,10 +391,11 @@
         self.flows
             .retain(|_, flow_state| !flow_state.is_expired(now, idle, oldest));
         self.members.sweep(now);
+        self.admission.sweep(now);
     }
 
-    /// Whether searches or queued SYNs are pending, so that ticks must come often.
+    /// Whether searches, queued SYNs or messages about callers are pending, so that ticks must come often.
     pub fn has_pending_work(&self) -> bool {
-        !self.searches.is_empty() || !self.queue.is_empty()
+        !self.searches.is_empty() || self.admission.has_pending_work()
     }
 }
--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddrV4;
 
-use crate::flow::{Key, Purpose, ServiceName};
+use sassafrasmast_wire::flow::Attempt;
+
+use crate::flow::{Key, Priority, Purpose, ServiceName};
 
 /// An action that the caller carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,6 +47,27 @@
         /// Number of SYNs that wait.
         waiting: u16,
     },
+    /// As [`Self::Demand`], for a service with classes.
+    ClassDemand {
+        /// The agent.
+        to: SocketAddrV4,
+        /// Number of SYNs that wait, by class.
+        waiting: Vec<(Priority, u16)>,
+    },
+    /// Tell an agent which attempts have ended without an answer.
+    Ended {
+        /// The agent.
+        to: SocketAddrV4,
+        /// The attempts.
+        attempts: Vec<Attempt>,
+    },
+    /// Ask an agent for earlier attempts of the callers of these flows.
+    Inquire {
+        /// The agent.
+        to: SocketAddrV4,
+        /// The flows.
+        flows: Vec<Key>,
+    },
     /// Reset a flow towards its client.
     Reset {
         /// The flow.
@@ -68,6 +91,10 @@
     NoUpstream,
     /// No upstream had capacity while the client could still use the flow, or the queue is full.
     Overloaded,
+    /// By the forecast no upstream will have capacity while the client can still use the flow.
+    Unservable,
+    /// The queue is full, and SYNs of a more critical class wait.
+    Evicted,
     /// No upstream holds the flow, except possibly unreachable ones if its requests are idempotent.
     Lost,
     /// The flow's upstream has restarted or deregistered.
@@ -88,6 +115,8 @@
             Self::NoRoute => "no_route",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
+            Self::Unservable => "unservable",
+            Self::Evicted => "evicted",
             Self::Lost => "lost",
             Self::Restarted => "restarted",
             Self::Unreachable => "unreachable",
--- a/crates/core/src/flow/balancer/timeliness.rs
+++ b/crates/core/src/flow/balancer/admission/timeliness.rs
@@ -40,6 +40,8 @@
     pub overdue: Option<Duration>,
     /// From this age on it is expired.
     pub expired: Duration,
+    /// From this age of its client's first attempt on it is expired, if its route has a time limit.
+    pub timed_out: Option<Duration>,
 }
 
 impl Ages {
@@ -73,23 +75,49 @@
                 .max(MIN_OPENING_TIME)
         };
         let attempt = until_placed(ATTEMPT_TIMEOUT, Duration::ZERO);
+        let timed_out =
+            timeout.map(|timeout| until_placed(timeout, response_time.unwrap_or_default()));
         Self {
             late: objective.map(until_late),
             overdue: timeout.map(|timeout| timeout / OVERDUE_DIVISOR),
-            expired: timeout.map_or(attempt, |timeout| {
-                until_placed(timeout, response_time.unwrap_or_default()).min(attempt)
-            }),
+            expired: timed_out.map_or(attempt, |timed_out| timed_out.min(attempt)),
+            timed_out,
         }
     }
 
     /// Timeliness of a SYN whose client sent the first copy `age` ago.
     pub fn timeliness(&self, age: Duration) -> Timeliness {
-        let is_reached = |limit: Option<Duration>| limit.is_some_and(|limit| age >= limit);
-        if age >= self.expired {
+        self.timeliness_of_retry(age, age)
+    }
+
+    /// Timeliness of a SYN whose client sent the first copy `age` ago, and that of its first attempt
+    /// `request_age` ago.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sassafrasmast_core::flow::{balancer::{Ages, Timeliness}, intent::Route};
+    /// let route = Route {
+    ///     timeout: Some(Duration::from_millis(4_000)),
+    ///     latency_objective: Some(Duration::from_millis(800)),
+    ///     ..Route::default()
+    /// };
+    /// let ages = Ages::new(Some(&route), None);
+    /// let retry = |request_age| {
+    ///     let request_age = Duration::from_millis(request_age);
+    ///     ages.timeliness_of_retry(Duration::from_millis(10), request_age)
+    /// };
+    /// assert_eq!(retry(10), Timeliness::OnTime);
+    /// assert_eq!(retry(3_000), Timeliness::Late);
+    /// assert_eq!(retry(3_990), Timeliness::Expired);
+    /// ```
+    pub fn timeliness_of_retry(&self, age: Duration, request_age: Duration) -> Timeliness {
+        let is_reached =
+            |limit: Option<Duration>, age: Duration| limit.is_some_and(|limit| age >= limit);
+        if age >= self.expired || is_reached(self.timed_out, request_age) {
             Timeliness::Expired
-        } else if is_reached(self.overdue) {
+        } else if is_reached(self.overdue, age) {
             Timeliness::Overdue
-        } else if is_reached(self.late) {
+        } else if is_reached(self.late, request_age) {
             Timeliness::Late
         } else {
             Timeliness::OnTime
--- a/crates/core/src/flow/balancer/flow.rs
+++ b/crates/core/src/flow/balancer/flow.rs
@@ -14,6 +14,10 @@
     Duration::from_millis(600),
 ];
 
+/// Time by which a copy of a SYN may be on its way earlier than this balancer's clock tells: the first
+/// copy may have waited in a socket's buffer.
+const COPY_MARGIN: Duration = Duration::from_millis(50);
+
 /// An agent that was sent the SYN.
 #[derive(Debug, Clone, Copy)]
 struct SynRecipient {
@@ -36,6 +40,10 @@
     last_copy: u32,
     /// Which copies of the SYN arrived at this balancer, by number.
     seen_copies: [bool; COPY_TIMES.len()],
+    /// When the client's first attempt began, if that is known to be an earlier one.
+    returning_since: Option<Instant>,
+    /// Whether an agent was asked for the client's earlier attempts.
+    inquired: bool,
     /// Whether the SYN is queued.
     queued: bool,
     /// Whether the client has acknowledged the answer to its first request.
@@ -53,6 +61,8 @@
             first_syn_at: now,
             last_copy: 0,
             seen_copies: [false; COPY_TIMES.len()],
+            returning_since: None,
+            inquired: false,
             queued: false,
             answered: false,
         }
@@ -88,6 +98,36 @@
         self.seen_copies.iter().all(|seen| *seen)
     }
 
+    /// Whether all copies of the SYN arrived here that its client has sent by now, as far as its age
+    /// tells, so that no other balancer can have opened the flow.
+    pub fn has_sent_copies(&self, now: Instant) -> bool {
+        let age = self.syn_age(now) + COPY_MARGIN;
+        let mut copies = COPY_TIMES.iter().zip(self.seen_copies);
+        copies.all(|(&sent_at, seen)| seen || sent_at > age)
+    }
+
+    /// Records that the client's first attempt began `age` ago.
+    pub fn set_request_age(&mut self, now: Instant, age: Duration) {
+        self.returning_since = now.checked_sub(age);
+    }
+
+    /// When the client's first attempt began, as far as known.
+    pub fn first_attempt_at(&self) -> Instant {
+        let returning_since = self.returning_since.unwrap_or(self.first_syn_at);
+        returning_since.min(self.first_syn_at)
+    }
+
+    /// Time since the client's first attempt began, as far as known.
+    pub fn request_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.first_attempt_at())
+    }
+
+    /// Records that an agent is asked for the client's earlier attempts, and returns whether this was
+    /// not done before.
+    pub fn begin_inquiry(&mut self) -> bool {
+        !std::mem::replace(&mut self.inquired, true)
+    }
+
     /// Whether the SYN is queued.
     pub fn is_queued(&self) -> bool {
         self.queued
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{Action, PathMonitor};
-use crate::flow::{Key, Member, Report, State, ZoneName, intent::Route, ranking};
+use crate::flow::{Key, Member, Priority, Report, State, ZoneName, intent::Route, ranking};
 
 /// Cost of a new flow at the best upstream of the own zone up to which other zones are not
 /// considered: requests still find a free slot. Like the penalties below it is a fraction of the
@@ -316,12 +316,14 @@
     }
 
     /// Tells agents of a service that `waiting` SYNs wait for room, unless this was done just now.
+    /// `by_class` has their numbers by class, if the service has classes.
     /// Asks more agents the more SYNs wait, those first that were asked the longest time ago.
     pub fn demand_room(
         &mut self,
         now: Instant,
         service: &str,
         waiting: usize,
+        by_class: Option<&[(Priority, u16)]>,
         actions: &mut Vec<Action>,
     ) {
         let mut due: Vec<&mut Member> = self
@@ -340,13 +342,16 @@
         }
         for member in due.into_iter().take(asked) {
             member.probed_at = Some(now);
-            actions.push(if member.states_room() {
-                Action::Demand {
+            actions.push(match by_class {
+                _ if !member.states_room() => Action::Probe(member.address),
+                Some(by_class) => Action::ClassDemand {
+                    to: member.address,
+                    waiting: by_class.to_vec(),
+                },
+                None => Action::Demand {
                     to: member.address,
                     waiting: u16::try_from(waiting).unwrap_or(u16::MAX),
-                }
-            } else {
-                Action::Probe(member.address)
+                },
             });
         }
     }
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -6,9 +6,10 @@
 };
 
 use super::{
-    Action, Balancer, DropCause, Flow, ResetCause, Timeliness, queue::QueuedSyn, timeliness::Ages,
+    Action, Balancer, DropCause, Flow, ResetCause, Timeliness,
+    admission::{self, Ages, Event, QueuedSyn},
 };
-use crate::flow::{Key, Purpose, Reason, ServiceName};
+use crate::flow::{Key, Priority, Purpose, Reason, ServiceName};
 
 /// Interval at which an overdue SYN is checked again that cannot be refused yet.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -42,6 +43,10 @@
             actions.push(Action::Drop(flow, DropCause::TableFull));
             return;
         }
+        let is_new = !self.flows.contains_key(&flow);
+        if is_new && copy == 0 {
+            self.record_arrival(now, &flow);
+        }
         let flow_state = self.flows.entry(flow).or_insert_with(|| Flow::new(now));
         flow_state.record_syn(now, copy);
         if flow_state.is_queued() {
@@ -50,7 +55,7 @@
         let placement = match flow_state.accepted_by() {
             // The SYN-ACK was lost; the upstream sends it again for a retransmitted SYN.
             Some(to) => self.service(&flow).map(|service| (to, service)),
-            None => self.place(now, flow),
+            None => self.place_in_turn(now, flow),
         };
         match placement {
             Ok((to, service)) => actions.push(Action::Forward {
@@ -72,12 +77,40 @@
             .ok_or(PlacementError::NoRoute)
     }
 
+    /// The service that a new flow goes to, and its class there.
+    fn service_and_class(&self, flow: &Key) -> Option<(ServiceName, Priority)> {
+        let service = self.service(flow).ok()?;
+        let class = self.admission.class_of(&service, self.route(flow));
+        Some((service, class))
+    }
+
+    /// Whether requests of the service that a new flow goes to are told apart by class.
+    fn has_classes(&self, flow: &Key) -> bool {
+        let service = self.service(flow);
+        service.is_ok_and(|service| self.admission.has_classes(&service))
+    }
+
+    /// Records the first SYN of a flow.
+    fn record_arrival(&mut self, now: Instant, flow: &Key) {
+        if let Some((service, class)) = self.service_and_class(flow) {
+            self.admission.record_arrival(now, &service, class);
+        }
+    }
+
+    /// Counts what became of a SYN.
+    fn count(&mut self, flow: &Key, event: Event) {
+        if let Some((service, class)) = self.service_and_class(flow) {
+            self.admission.statistics.record(&service, class, event);
+        }
+    }
+
     /// What the client of a flow that is not open yet can still gain from it.
     fn timeliness(&self, now: Instant, flow: &Key) -> Timeliness {
         let Some(flow_state) = self.flows.get(flow) else {
             return Timeliness::OnTime;
         };
-        self.ages(flow).timeliness(flow_state.syn_age(now))
+        self.ages(flow)
+            .timeliness_of_retry(flow_state.syn_age(now), flow_state.request_age(now))
     }
 
     /// Ages of the SYN of a flow at which its timeliness changes.
@@ -92,11 +125,15 @@
     }
 
     /// Whether it is certain that no upstream has accepted the flow: all copies of its SYN arrived
-    /// here and each agent that was sent one returned it.
-    fn is_unopened(&self, flow: &Key) -> bool {
-        self.flows
-            .get(flow)
-            .is_some_and(|flow| flow.has_all_copies() && flow.all_returned())
+    /// here and each agent that was sent one returned it. Where the service has classes, copies do
+    /// not count that the client has not sent yet.
+    fn is_unopened(&self, now: Instant, flow: &Key) -> bool {
+        let Some(flow_state) = self.flows.get(flow) else {
+            return false;
+        };
+        let has_copies = flow_state.has_all_copies()
+            || (flow_state.has_sent_copies(now) && self.has_classes(flow));
+        has_copies && flow_state.all_returned()
     }
 
     /// Whether the SYN of a flow is not to be placed any more. An overdue one is refused only if
@@ -104,11 +141,29 @@
     fn is_expired(&self, now: Instant, flow: &Key) -> bool {
         match self.timeliness(now, flow) {
             Timeliness::OnTime | Timeliness::Late => false,
-            Timeliness::Overdue => self.is_unopened(flow),
+            Timeliness::Overdue => self.is_unopened(now, flow),
             Timeliness::Expired => true,
         }
     }
 
+    /// As [`Self::place`], unless SYNs of a more critical class wait for the same service.
+    fn place_in_turn(
+        &mut self,
+        now: Instant,
+        flow: Key,
+    ) -> Result<(SocketAddrV4, ServiceName), PlacementError> {
+        let is_passed_over = self
+            .service_and_class(&flow)
+            .is_some_and(|(service, class)| {
+                self.admission.queue.has_more_critical(&service, class)
+            });
+        let all_returned = self.flows.get(&flow).is_none_or(Flow::all_returned);
+        if is_passed_over && all_returned && !self.is_expired(now, &flow) {
+            return Err(PlacementError::NoCapacity);
+        }
+        self.place(now, flow)
+    }
+
     /// Selects an agent that was not sent the flow's SYN yet.
     fn place(
         &mut self,
@@ -129,6 +184,9 @@
             Some(to) => {
                 self.members.record_placement(now, to);
                 flow_state.add_syn_recipient(now, to);
+                let route = intent.policy.routes.get(&flow.route);
+                let class = self.admission.class_of(&service, route);
+                self.admission.record_placed(now, &service, class);
                 Ok((to, service))
             }
             None if settled && self.members.has_no_upstream(now, &service, zones_out) => {
@@ -150,10 +208,7 @@
     ) {
         let copy = self.flows.get(&flow).map_or(0, Flow::last_copy);
         match error {
-            PlacementError::Expired if self.is_unopened(&flow) => {
-                self.reset_unopened(flow, ResetCause::Overloaded, actions);
-            }
-            PlacementError::Expired => actions.push(Action::Drop(flow, DropCause::Unsure)),
+            PlacementError::Expired => self.give_up(now, flow, actions),
             // Earlier SYNs of the flow may have gone through another balancer, which may have
             // opened it.
             PlacementError::NoRoute | PlacementError::NoUpstream if copy > 0 => {
@@ -165,15 +220,165 @@
             }
             // Another agent was sent the SYN and may still accept it.
             PlacementError::Outstanding => actions.push(Action::Drop(flow, DropCause::Outstanding)),
-            PlacementError::NoCapacity
-                if self.queue.len() >= self.settings.max_queued && copy > 0 =>
-            {
+            PlacementError::NoCapacity => self.enqueue_or_refuse(now, flow, bytes, actions),
+        }
+    }
+
+    /// Refuses a SYN that is not to be placed any more if that is certain to be true, else drops it.
+    fn give_up(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
+        let is_overdue = self.timeliness(now, &flow) != Timeliness::Expired;
+        self.count(
+            &flow,
+            if is_overdue {
+                Event::Overdue
+            } else {
+                Event::Expired
+            },
+        );
+        self.report_ended(now, &flow, actions);
+        if self.is_unopened(now, &flow) {
+            self.reset_unopened(flow, ResetCause::Overloaded, actions);
+        } else {
+            actions.push(Action::Drop(flow, DropCause::Unsure));
+        }
+    }
+
+    /// Queues a SYN. Refuses it if it cannot be served, or if the queue is full of SYNs that are at
+    /// least as critical.
+    fn enqueue_or_refuse(
+        &mut self,
+        now: Instant,
+        flow: Key,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        if self.is_unservable(now, &flow) {
+            self.refuse_unservable(now, flow, actions);
+            return;
+        }
+        if self.admission.queue.len() >= self.settings.max_queued
+            && !self.evict(now, &flow, actions)
+        {
+            self.count(&flow, Event::QueueFull);
+            let copy = self.flows.get(&flow).map_or(0, Flow::last_copy);
+            if copy > 0 {
                 actions.push(Action::Drop(flow, DropCause::Unsure));
-            }
-            PlacementError::NoCapacity if self.queue.len() >= self.settings.max_queued => {
+            } else {
                 self.reset_unopened(flow, ResetCause::Overloaded, actions);
             }
-            PlacementError::NoCapacity => self.enqueue(now, flow, bytes.into()),
+            return;
+        }
+        self.count(&flow, Event::Queued);
+        self.enqueue(now, flow, bytes.into());
+        self.inquire(now, &flow, actions);
+    }
+
+    /// Whether a SYN will not be placed before it expires, and it is certain that it has not been
+    /// until now. Only the first copy is refused for that: later ones have waited long enough that
+    /// their place in the order tells more than the forecast.
+    fn is_unservable(&mut self, now: Instant, flow: &Key) -> bool {
+        let Some((service, class)) = self.service_and_class(flow) else {
+            return false;
+        };
+        if !self.admission.has_classes(&service) || !self.is_unopened(now, flow) {
+            return false;
+        }
+        let ages = self.ages(flow);
+        let Some(flow_state) = self.flows.get(flow) else {
+            return false;
+        };
+        if flow_state.last_copy() > 0 {
+            return false;
+        }
+        let (late_at, expires_at) = (late_at(flow_state, &ages), expires_at(flow_state, &ages));
+        self.admission
+            .is_unservable(now, &service, class, late_at, expires_at)
+    }
+
+    /// Refuses a SYN by the forecast.
+    fn refuse_unservable(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
+        self.count(&flow, Event::Unservable);
+        self.report_ended(now, &flow, actions);
+        self.reset_unopened(flow, ResetCause::Unservable, actions);
+    }
+
+    /// Makes room in the full queue for a SYN by evicting one of a less critical class of the same
+    /// service, and returns whether there was one.
+    fn evict(&mut self, now: Instant, flow: &Key, actions: &mut Vec<Action>) -> bool {
+        let Some((service, class)) = self.service_and_class(flow) else {
+            return false;
+        };
+        let Some(evicted) = self.admission.queue.evict(&service, class) else {
+            return false;
+        };
+        let flow = evicted.flow;
+        self.set_queued(&flow, false);
+        self.count(&flow, Event::Evicted);
+        self.report_ended(now, &flow, actions);
+        if self.is_unopened(now, &flow) {
+            self.reset_unopened(flow, ResetCause::Evicted, actions);
+        } else {
+            actions.push(Action::Drop(flow, DropCause::Unsure));
+        }
+        true
+    }
+
+    /// The agent that keeps earlier attempts of the caller of a flow, if the flow's service has classes
+    /// and SYNs wait for it.
+    fn directory(&self, now: Instant, flow: &Key) -> Option<SocketAddrV4> {
+        let service = self.service(flow).ok()?;
+        let admission = &self.admission;
+        if !admission.has_classes(&service) || admission.queue.waiting_for(&service) == 0 {
+            return None;
+        }
+        admission::directory(self.members.iter(), now, &service, flow)
+    }
+
+    /// Records an attempt that ended without an answer, for the caller's next one.
+    fn report_ended(&mut self, now: Instant, flow: &Key, actions: &mut Vec<Action>) {
+        let Some(age) = self.flows.get(flow).map(|flow| flow.request_age(now)) else {
+            return;
+        };
+        if let Some(agent) = self.directory(now, flow) {
+            let returning = &mut self.admission.returning;
+            returning.record_ended(now, agent, flow, age, actions);
+        }
+    }
+
+    /// Asks for earlier attempts of the caller of a flow whose first SYN was queued.
+    fn inquire(&mut self, now: Instant, flow: &Key, actions: &mut Vec<Action>) {
+        let Some(agent) = self.directory(now, flow) else {
+            return;
+        };
+        let Some(flow_state) = self.flows.get_mut(flow) else {
+            return;
+        };
+        if flow_state.last_copy() == 0 && flow_state.begin_inquiry() {
+            self.admission.returning.inquire(now, agent, *flow, actions);
+        }
+    }
+
+    /// Handles an agent's answer that callers of these flows had earlier attempts.
+    pub(super) fn handle_earlier(
+        &mut self,
+        now: Instant,
+        flows: &[(Key, u32)],
+        actions: &mut Vec<Action>,
+    ) {
+        for &(flow, age_ms) in flows {
+            let Some(flow_state) = self.flows.get_mut(&flow).filter(|flow| flow.is_queued()) else {
+                continue;
+            };
+            flow_state.set_request_age(now, Duration::from_millis(age_ms.into()));
+            let Some(syn) = self.admission.queue.remove(&flow) else {
+                continue;
+            };
+            self.count(&flow, Event::Recognized);
+            if self.is_unservable(now, &flow) {
+                self.refuse_unservable(now, flow, actions);
+            } else {
+                self.enqueue(now, flow, syn.packet);
+            }
         }
     }
 
@@ -191,29 +396,27 @@
     fn enqueue(&mut self, now: Instant, flow: Key, packet: Box<[u8]>) {
         let ages = self.ages(&flow);
         // Without an intent the service is not known yet.
-        let service = self.service(&flow).unwrap_or_default();
+        let (service, class) = self.service_and_class(&flow).unwrap_or_default();
         let Some(flow_state) = self.flows.get_mut(&flow) else {
             return;
         };
         flow_state.set_queued(true);
-        let at_age = |age| flow_state.first_syn_at() + age;
         // An overdue SYN may be refused as soon as its last copy has arrived here.
-        let overdue_at = at_age(ages.overdue.unwrap_or(ages.expired));
-        let expires_at = at_age(ages.expired);
-        self.queue.push(
-            service,
-            QueuedSyn {
-                flow,
-                packet,
-                late_at: at_age(ages.late.unwrap_or(ages.expired)),
-                check_at: overdue_at.max(now + RECHECK_INTERVAL).min(expires_at),
-            },
-        );
+        let overdue_at = flow_state.first_syn_at() + ages.overdue.unwrap_or(ages.expired);
+        let expires_at = expires_at(flow_state, &ages);
+        let syn = QueuedSyn {
+            flow,
+            class,
+            packet,
+            late_at: late_at(flow_state, &ages),
+            check_at: overdue_at.max(now + RECHECK_INTERVAL).min(expires_at),
+        };
+        self.admission.push(now, service, syn);
     }
 
     /// Refuses or drops queued SYNs that need not wait any longer, and tries to place the others.
     pub(super) fn place_queued(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        while let Some(syn) = self.queue.pop_due(now) {
+        while let Some(syn) = self.admission.queue.pop_due(now) {
             let flow = syn.flow;
             if self.is_expired(now, &flow) {
                 self.set_queued(&flow, false);
@@ -222,7 +425,7 @@
                 self.enqueue(now, flow, syn.packet);
             }
         }
-        for service in self.queue.services() {
+        for service in self.admission.queue.services() {
             self.place_queued_for(now, &service, actions);
             self.demand_room(now, &service, actions);
         }
@@ -235,7 +438,7 @@
         service: &ServiceName,
         actions: &mut Vec<Action>,
     ) {
-        while let Some(QueuedSyn { flow, packet, .. }) = self.queue.pop(now, service) {
+        while let Some(QueuedSyn { flow, packet, .. }) = self.admission.pop(now, service) {
             self.set_queued(&flow, false);
             let Some(flow_state) = self.flows.get_mut(&flow) else {
                 // The flow was removed from the table.
@@ -265,9 +468,13 @@
 
     /// Asks agents for room while SYNs for their service are queued.
     fn demand_room(&mut self, now: Instant, service: &str, actions: &mut Vec<Action>) {
-        let waiting = self.queue.waiting_for(service);
+        let queue = &self.admission.queue;
+        let waiting = queue.waiting_for(service);
         if waiting > 0 {
-            self.members.demand_room(now, service, waiting, actions);
+            let has_classes = self.admission.has_classes(service);
+            let by_class = has_classes.then(|| queue.waiting_by_class(service));
+            self.members
+                .demand_room(now, service, waiting, by_class.as_deref(), actions);
         }
     }
 
@@ -298,7 +505,10 @@
         if flow_state.accepted_by().is_some() || flow_state.is_queued() {
             return;
         }
-        match self.place(now, flow) {
+        if let Ok(service) = self.service(&flow) {
+            self.admission.record_returned(now, &service);
+        }
+        match self.place_in_turn(now, flow) {
             Ok((to, service)) => actions.push(Action::Send {
                 to,
                 purpose: Purpose::Open,
@@ -309,3 +519,19 @@
         }
     }
 }
+
+/// When the SYN of a flow becomes late.
+fn late_at(flow: &Flow, ages: &Ages) -> Instant {
+    match ages.late {
+        Some(late) => flow.first_attempt_at() + late,
+        None => expires_at(flow, ages),
+    }
+}
+
+/// When the SYN of a flow expires.
+fn expires_at(flow: &Flow, ages: &Ages) -> Instant {
+    let expires_at = flow.first_syn_at() + ages.expired;
+    ages.timed_out.map_or(expires_at, |timed_out| {
+        expires_at.min(flow.first_attempt_at() + timed_out)
+    })
+}
--- a/crates/core/src/flow/balancer/settings.rs
+++ b/crates/core/src/flow/balancer/settings.rs
@@ -18,6 +18,9 @@
     pub questions_per_second: u32,
     /// Limit of queued SYNs: those that a busy entry VM gets within a second.
     pub max_queued: usize,
+    /// Share of the places that each less critical class gets while it waits, so that its clients make
+    /// progress.
+    pub lower_class_share: f64,
     /// Flows that were idle for longer are removed, until an intent sets another timeout.
     pub idle_timeout: Duration,
     /// Maximum age of a flow; flows that exceed it by the idle timeout are removed.
@@ -35,6 +38,7 @@
             max_searches: 4_096,
             questions_per_second: 10_000,
             max_queued: 2_048,
+            lower_class_share: 0.05,
             idle_timeout: Duration::from_secs(15),
             max_flow_age: Duration::from_secs(60),
             settle_time: Duration::from_millis(600),
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -252,6 +252,9 @@
             report,
         },
         AgentAction::Report { .. } => Body::Report(report),
+        AgentAction::Earlier { flows, .. } => Body::Earlier {
+            flows: flows.clone(),
+        },
         AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => {
             panic!("{action:?} sends no message")
         }
@@ -544,6 +547,7 @@
         self.attempts.push(Attempt {
             client,
             balancer: self.scenario.draw_balancer(&mut self.rng),
+            began_at: self.now,
             upstream: None,
             is_over: false,
         });
@@ -645,9 +649,24 @@
                 Action::Demand { to, waiting } => {
                     self.frame_to_agent(from, to, Body::Demand { waiting });
                 }
-                Action::Reset { flow, .. } => {
+                Action::ClassDemand { to, waiting } => {
+                    self.frame_to_agent(from, to, Body::ClassDemand { waiting });
+                }
+                Action::Ended { to, attempts } => {
+                    self.frame_to_agent(from, to, Body::Ended { attempts });
+                }
+                Action::Inquire { to, flows } => {
+                    self.frame_to_agent(from, to, Body::Inquire { flows });
+                }
+                Action::Reset { flow, sequence, .. } => {
                     let attempt = attempt_of(&flow);
                     let period = self.period_of(attempt);
+                    if sequence == 0 {
+                        let after = self.now - self.attempts[number(attempt)].began_at;
+                        let mut upstreams = self.upstreams.iter();
+                        let is_untrue = upstreams.any(|state| state.flows.contains_key(&attempt));
+                        self.outcome.record_refusal(after, is_untrue);
+                    }
                     self.outcome.record_reset(period, class_of(attempt));
                     self.schedule(self.scenario.client_delay, Event::Reset { attempt });
                 }
@@ -759,6 +778,15 @@
                 self.agents[agent].handle_demand(now, from, waiting, &mut actions);
                 self.agent_actions(agent, actions, &syn_copy(0, 0));
             }
+            Body::ClassDemand { waiting } => {
+                self.agents[agent].handle_class_demand(now, from, &waiting, &mut actions);
+                self.agent_actions(agent, actions, &syn_copy(0, 0));
+            }
+            Body::Ended { attempts } => self.agents[agent].handle_ended(now, &attempts),
+            Body::Inquire { flows } => {
+                self.agents[agent].handle_inquiry(now, from, &flows, &mut actions);
+                self.agent_actions(agent, actions, &syn_copy(0, 0));
+            }
             other => panic!("unexpected frame to an agent: {other:?}"),
         }
     }
--- a/crates/core/tests/flow/load/client.rs
+++ b/crates/core/tests/flow/load/client.rs
@@ -19,6 +19,7 @@
 pub struct Attempt {
     pub client: usize,
     pub balancer: usize,
+    pub began_at: Duration,
     /// The upstream whose SYN-ACK the client acknowledges.
     pub upstream: Option<usize>,
     pub is_over: bool,
--- a/crates/core/tests/flow/load/outcome.rs
+++ b/crates/core/tests/flow/load/outcome.rs
@@ -1,6 +1,6 @@
 //! What clients got.
 
-use std::{collections::BTreeMap, fmt};
+use std::{collections::BTreeMap, fmt, time::Duration};
 
 use super::scenario::Period;
 
@@ -63,6 +63,10 @@
     pub shed: usize,
     /// SYNs that reached an upstream after their client's attempt was over.
     pub opened_too_late: usize,
+    /// Times from the start of an attempt until the balancer refused it.
+    refused_after: Vec<Duration>,
+    /// Refused attempts that an upstream had accepted.
+    pub untrue_refusals: usize,
 }
 
 impl Outcome {
@@ -98,6 +102,19 @@
         self.record(period, class, |service| service.resets += 1);
     }
 
+    /// Records that an attempt was refused at this time after its start, and whether an upstream had
+    /// accepted it.
+    pub fn record_refusal(&mut self, after: Duration, is_untrue: bool) {
+        self.refused_after.push(after);
+        self.untrue_refusals += usize::from(is_untrue);
+    }
+
+    /// Number of refusals within `limit`, and of all.
+    pub fn refused_within(&self, limit: Duration) -> (usize, usize) {
+        let within = self.refused_after.iter().filter(|&&after| after <= limit);
+        (within.count(), self.refused_after.len())
+    }
+
     pub fn record_forwarded_syn(&mut self, period: Period, class: usize) {
         self.record(period, class, |service| service.forwarded_syns += 1);
     }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -5,6 +5,7 @@
     reason = "a failed step must fail its test, in helper functions too"
 )]
 
+mod admission;
 mod agent;
 mod balancer;
 mod classes;
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -395,6 +395,9 @@
                     Body::Demand { waiting: *waiting },
                     client_head(flow(0), Flags::default(), 0, 0),
                 ),
+                Action::ClassDemand { .. } | Action::Ended { .. } | Action::Inquire { .. } => {
+                    panic!("the routes have one priority: {action:?}")
+                }
                 Action::Reset { flow, .. } => {
                     self.reset(*flow, &format!("balancer {from}: {action:?}"));
                     continue;
@@ -528,7 +531,10 @@
                 },
                 None,
             ),
-            AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => return,
+            AgentAction::Earlier { .. }
+            | AgentAction::ToUpstream
+            | AgentAction::ToClient
+            | AgentAction::Reset { .. } => return,
         };
         self.send_to_balancer(index, to, &body, packet);
     }
