fix(core): demand counts SYNs that were refused by the forecast

Cause: the length of the queue follows a balancer's own rate of placements once the forecast bounds it, and agents offer places to the longest queue. A balancer with few places refused more, asked for less and got even fewer.

Change: ClassDemand adds the SYNs of waiting classes that were refused lately.

--- a/crates/core/src/flow/balancer/admission.rs
+++ b/crates/core/src/flow/balancer/admission.rs
@@ -110,6 +110,24 @@
         self.throughput(now, service).record_return(now);
     }
 
+    /// Records that a SYN was refused by the forecast.
+    pub fn record_refused(&mut self, now: Instant, service: &ServiceName, class: Priority) {
+        self.throughput(now, service).record_refusal(now, class);
+    }
+
+    /// SYNs that ask for room by class, for a service with classes: those that wait, and those of
+    /// waiting classes that were refused by the forecast lately. Without these a balancer that gets
+    /// few places would refuse more, ask for less and get even fewer.
+    pub fn demand(&mut self, now: Instant, service: &ServiceName) -> Vec<(Priority, u16)> {
+        let mut demand = self.queue.waiting_by_class(service);
+        let throughput = self.throughput(now, service);
+        for (class, count) in &mut demand {
+            let refused = throughput.refused_lately(now, *class);
+            *count = count.saturating_add(u16::try_from(refused).unwrap_or(u16::MAX));
+        }
+        demand
+    }
+
     /// Queues a SYN.
     pub fn push(&mut self, now: Instant, service: ServiceName, syn: QueuedSyn) {
         self.throughput(now, &service).observe(now, true);
--- a/crates/core/src/flow/balancer/admission/throughput.rs
+++ b/crates/core/src/flow/balancer/admission/throughput.rs
@@ -29,6 +29,8 @@
 struct Bucket {
     /// First SYNs of flows, by class.
     arrived: BTreeMap<Priority, u32>,
+    /// SYNs that were refused by the forecast, by class.
+    refused: BTreeMap<Priority, u32>,
     /// Placements while SYNs were queued, less those that agents returned.
     placed: i32,
     /// Time in which SYNs were queued.
@@ -98,6 +100,19 @@
         *self.bucket(now).arrived.entry(class).or_default() += 1;
     }
 
+    /// Records that a SYN was refused by the forecast.
+    pub fn record_refusal(&mut self, now: Instant, class: Priority) {
+        *self.bucket(now).refused.entry(class).or_default() += 1;
+    }
+
+    /// SYNs of a class that were refused by the forecast within the last 100 to 200 ms.
+    pub fn refused_lately(&mut self, now: Instant, class: Priority) -> u32 {
+        let current = self.bucket(now).refused.get(&class).copied();
+        let earlier = (self.current + BUCKETS as u64 - 1) % BUCKETS as u64;
+        let earlier = self.buckets[earlier as usize].refused.get(&class).copied();
+        current.unwrap_or_default() + earlier.unwrap_or_default()
+    }
+
     /// Records that a SYN was sent to an agent.
     pub fn record_placement(&mut self, now: Instant) {
         if self.is_backlogged {
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -298,6 +298,9 @@
     /// Refuses a SYN by the forecast.
     fn refuse_unservable(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
         self.count(&flow, Event::Unservable);
+        if let Some((service, class)) = self.service_and_class(&flow) {
+            self.admission.record_refused(now, &service, class);
+        }
         self.report_ended(now, &flow, actions);
         self.reset_unopened(flow, ResetCause::Unservable, actions);
     }
@@ -467,12 +470,11 @@
     }
 
     /// Asks agents for room while SYNs for their service are queued.
-    fn demand_room(&mut self, now: Instant, service: &str, actions: &mut Vec<Action>) {
-        let queue = &self.admission.queue;
-        let waiting = queue.waiting_for(service);
+    fn demand_room(&mut self, now: Instant, service: &ServiceName, actions: &mut Vec<Action>) {
+        let waiting = self.admission.queue.waiting_for(service);
         if waiting > 0 {
             let has_classes = self.admission.has_classes(service);
-            let by_class = has_classes.then(|| queue.waiting_by_class(service));
+            let by_class = has_classes.then(|| self.admission.demand(now, service));
             self.members
                 .demand_room(now, service, waiting, by_class.as_deref(), actions);
         }
