perf(core): a place is not taken twice while its SYN is on the way

Cause: any report that an agent sends before a SYN reaches it still states the offered place, and the balancer sent a second SYN for it.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -304,6 +304,7 @@
                 if let Some(flow_state) = self.flows.get_mut(flow) {
                     flow_state.accept(from, *sequence);
                 }
+                self.admission.in_flight.record_answered(from, flow);
             }
             Body::Returned { reason, packet, .. } => {
                 if let Some(head) = head {
--- a/crates/core/src/flow/balancer/admission.rs
+++ b/crates/core/src/flow/balancer/admission.rs
@@ -5,6 +5,7 @@
 //! all others SYNs wait in one class, as if there were no priorities.
 
 mod classes;
+mod in_flight;
 mod queue;
 mod returning;
 mod statistics;
@@ -15,6 +16,7 @@
 
 pub use self::{
     classes::Classes,
+    in_flight::InFlight,
     queue::{Queue, QueuedSyn},
     returning::{Returning, directory},
     statistics::{Count, Event, Statistics},
@@ -37,6 +39,8 @@
     /// Queued SYNs.
     pub queue: Queue,
     throughputs: HashMap<ServiceName, Throughput>,
+    /// SYNs to services with classes that agents have not answered.
+    pub in_flight: InFlight,
     /// Messages about callers that return.
     pub returning: Returning,
     /// What became of SYNs.
@@ -51,6 +55,7 @@
             classes: Classes::default(),
             queue: Queue::default(),
             throughputs: HashMap::new(),
+            in_flight: InFlight::default(),
             returning: Returning::default(),
             statistics: Statistics::default(),
         }
@@ -166,6 +171,7 @@
 
     /// Updates the history of all services, and returns those whose overload has begun or ended.
     pub fn update(&mut self, now: Instant) -> Vec<(ServiceName, Overload)> {
+        self.in_flight.expire(now);
         let mut changes = Vec::new();
         for (service, throughput) in &mut self.throughputs {
             throughput.observe(now, self.queue.waiting_for(service) > 0);
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -174,11 +174,13 @@
             return Err(PlacementError::Expired);
         }
         let service = self.service(&flow)?;
+        let taken = self.taken_agents(&service);
         let settled = self.is_member_list_settled(now);
         let (Some(intent), Some(flow_state)) = (&self.intent, self.flows.get_mut(&flow)) else {
             return Err(PlacementError::NoCapacity);
         };
-        let tried = flow_state.syn_recipients();
+        let mut tried = flow_state.syn_recipients();
+        tried.extend(taken);
         let zones_out = &intent.zones_out;
         match self.members.choose(now, &flow, &service, &tried, zones_out) {
             Some(to) => {
@@ -187,6 +189,9 @@
                 let route = intent.policy.routes.get(&flow.route);
                 let class = self.admission.class_of(&service, route);
                 self.admission.record_placed(now, &service, class);
+                if self.admission.has_classes(&service) {
+                    self.admission.in_flight.record_sent(now, to, flow);
+                }
                 Ok((to, service))
             }
             None if settled && self.members.has_no_upstream(now, &service, zones_out) => {
@@ -197,6 +202,22 @@
         }
     }
 
+    /// Agents whose stated room is taken by SYNs that are on their way, while SYNs wait for a service
+    /// with classes.
+    fn taken_agents(&self, service: &str) -> Vec<SocketAddrV4> {
+        let admission = &self.admission;
+        if !admission.has_classes(service) || admission.queue.waiting_for(service) == 0 {
+            return Vec::new();
+        }
+        let is_taken = |&(agent, count): &(SocketAddrV4, usize)| {
+            self.members.get(agent).is_some_and(|member| {
+                member.states_room() && count >= usize::from(member.report.headroom.max(1))
+            })
+        };
+        let taken = admission.in_flight.iter().filter(is_taken);
+        taken.map(|(agent, _)| agent).collect()
+    }
+
     /// Queues, drops or refuses a SYN that cannot be placed now.
     fn handle_unplaced(
         &mut self,
@@ -504,6 +525,7 @@
             return;
         };
         flow_state.record_return(from);
+        self.admission.in_flight.record_answered(from, &flow);
         if flow_state.accepted_by().is_some() || flow_state.is_queued() {
             return;
         }
