fix(core): demand names refused classes of which no SYN waits

Cause: a balancer that refused all lower SYNs asked for its critical ones only, and got less than others that had both.

--- a/crates/core/src/flow/balancer/admission.rs
+++ b/crates/core/src/flow/balancer/admission.rs
@@ -120,17 +120,17 @@
         self.throughput(now, service).record_refusal(now, class);
     }
 
-    /// SYNs that ask for room by class, for a service with classes: those that wait, and those of
-    /// waiting classes that were refused by the forecast lately. Without these a balancer that gets
-    /// few places would refuse more, ask for less and get even fewer.
+    /// SYNs that ask for room by class, for a service with classes: those that wait, and those that
+    /// were refused by the forecast lately. Without these a balancer that gets few places would refuse
+    /// more, ask for less and get even fewer.
     pub fn demand(&mut self, now: Instant, service: &ServiceName) -> Vec<(Priority, u16)> {
-        let mut demand = self.queue.waiting_by_class(service);
-        let throughput = self.throughput(now, service);
-        for (class, count) in &mut demand {
-            let refused = throughput.refused_lately(now, *class);
-            *count = count.saturating_add(u16::try_from(refused).unwrap_or(u16::MAX));
+        let mut demand = self.throughput(now, service).refused_lately(now);
+        for (class, waiting) in self.queue.waiting_by_class(service) {
+            *demand.entry(class).or_default() += waiting;
         }
-        demand
+        let saturated = |count| u16::try_from(count).unwrap_or(u16::MAX);
+        let demand = demand.into_iter();
+        demand.map(|(class, count)| (class, saturated(count))).collect()
     }
 
     /// Queues a SYN.
--- a/crates/core/src/flow/balancer/admission/queue.rs
+++ b/crates/core/src/flow/balancer/admission/queue.rs
@@ -141,11 +141,9 @@
     }
 
     /// Number of queued SYNs for a service by class.
-    pub fn waiting_by_class(&self, service: &str) -> Vec<(Priority, u16)> {
+    pub fn waiting_by_class(&self, service: &str) -> impl Iterator<Item = (Priority, usize)> {
         let waiting = self.services.get(service).into_iter().flatten();
-        waiting
-            .map(|(&class, syns)| (class, u16::try_from(syns.len()).unwrap_or(u16::MAX)))
-            .collect()
+        waiting.map(|(&class, syns)| (class, syns.len()))
     }
 
     /// Whether a SYN of a more critical class is queued for a service.
--- a/crates/core/src/flow/balancer/admission/throughput.rs
+++ b/crates/core/src/flow/balancer/admission/throughput.rs
@@ -30,7 +30,7 @@
     /// First SYNs of flows, by class.
     arrived: BTreeMap<Priority, u32>,
     /// SYNs that were refused by the forecast, by class.
-    refused: BTreeMap<Priority, u32>,
+    refused: BTreeMap<Priority, usize>,
     /// Placements while SYNs were queued, less those that agents returned.
     placed: i32,
     /// Time in which SYNs were queued.
@@ -105,12 +105,14 @@
         *self.bucket(now).refused.entry(class).or_default() += 1;
     }
 
-    /// SYNs of a class that were refused by the forecast within the last 100 to 200 ms.
-    pub fn refused_lately(&mut self, now: Instant, class: Priority) -> u32 {
-        let current = self.bucket(now).refused.get(&class).copied();
+    /// SYNs that were refused by the forecast within the last 100 to 200 ms, by class.
+    pub fn refused_lately(&mut self, now: Instant) -> BTreeMap<Priority, usize> {
+        let mut refused = self.bucket(now).refused.clone();
         let earlier = (self.current + BUCKETS as u64 - 1) % BUCKETS as u64;
-        let earlier = self.buckets[earlier as usize].refused.get(&class).copied();
-        current.unwrap_or_default() + earlier.unwrap_or_default()
+        for (&class, &count) in &self.buckets[earlier as usize].refused {
+            *refused.entry(class).or_default() += count;
+        }
+        refused
     }
 
     /// Records that a SYN was sent to an agent.
