feat(forwarder): logs, metrics and a setting for admission by class

Change: a line and counters by service and class once a second, lines and a gauge for begin and end of an overload, the setting lower_class_share (admission.lowerClassShare in the platform's file), which is reloaded while the process runs.

--- a/crates/core/src/flow/balancer/admission.rs
+++ b/crates/core/src/flow/balancer/admission.rs
@@ -130,7 +130,9 @@
         }
         let saturated = |count| u16::try_from(count).unwrap_or(u16::MAX);
         let demand = demand.into_iter();
-        demand.map(|(class, count)| (class, saturated(count))).collect()
+        demand
+            .map(|(class, count)| (class, saturated(count)))
+            .collect()
     }
 
     /// Queues a SYN.
--- a/crates/core/src/flow/balancer/admission/in_flight.rs
+++ b/crates/core/src/flow/balancer/admission/in_flight.rs
@@ -47,6 +47,8 @@
 
     /// Agents with SYNs in flight, and how many.
     pub fn iter(&self) -> impl Iterator<Item = (SocketAddrV4, usize)> {
-        self.by_agent.iter().map(|(&agent, flows)| (agent, flows.len()))
+        self.by_agent
+            .iter()
+            .map(|(&agent, flows)| (agent, flows.len()))
     }
 }
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -515,22 +515,14 @@
                 },
                 None,
             ),
-            AgentAction::Absent { to, flow } => (
-                *to,
-                Body::Absent {
-                    flows: vec![*flow],
-                    report,
-                },
-                None,
-            ),
-            AgentAction::Unconfirmed { to, flow } => (
-                *to,
-                Body::Unconfirmed {
-                    flows: vec![*flow],
-                    report,
-                },
-                None,
-            ),
+            AgentAction::Absent { to, flow } => {
+                let flows = vec![*flow];
+                (*to, Body::Absent { flows, report }, None)
+            }
+            AgentAction::Unconfirmed { to, flow } => {
+                let flows = vec![*flow];
+                (*to, Body::Unconfirmed { flows, report }, None)
+            }
             AgentAction::Earlier { .. }
             | AgentAction::ToUpstream
             | AgentAction::ToClient
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -268,16 +268,26 @@
                     let report = self.core.report_to(now, from);
                     self.send(from, Body::Answer { sent, report });
                 }
-                Body::Demand { waiting } => {
-                    self.core
-                        .handle_demand(now, from, waiting, &mut self.actions);
-                    self.execute_actions(now, &[]);
-                }
-                _ => metrics::counter!("sassafrasmast_frames_unexpected").increment(1),
+                body => self.handle_admission_frame(now, from, body),
             }
         }
     }
 
+    /// Handles a balancer's frame about SYNs that are queued there or were refused.
+    fn handle_admission_frame(&mut self, now: Instant, from: SocketAddrV4, body: Body<'_>) {
+        let actions = &mut self.actions;
+        match body {
+            Body::Demand { waiting } => self.core.handle_demand(now, from, waiting, actions),
+            Body::ClassDemand { waiting } => {
+                self.core.handle_class_demand(now, from, &waiting, actions);
+            }
+            Body::Ended { attempts } => self.core.handle_ended(now, &attempts),
+            Body::Inquire { flows } => self.core.handle_inquiry(now, from, &flows, actions),
+            _ => metrics::counter!("sassafrasmast_frames_unexpected").increment(1),
+        }
+        self.execute_actions(now, &[]);
+    }
+
     /// Handles an announcement or deregistration of the upstream.
     fn handle_upstream_call(&mut self, call: UpstreamCall) {
         let now = Instant::now();
--- a/crates/forwarder/src/agent/output.rs
+++ b/crates/forwarder/src/agent/output.rs
@@ -68,6 +68,7 @@
                     let report = self.core.report_to(now, to);
                     self.send(to, Body::Report(report));
                 }
+                Action::Earlier { to, flows } => self.send(to, Body::Earlier { flows }),
                 Action::Missing { to, flow } => self.send_missing(now, to, flow, packet),
                 Action::MissingBuffered { to, flow, packet } => {
                     self.send_missing(now, to, flow, &packet)
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -1,5 +1,6 @@
 //! The balancer process: passes packets of clients to agents.
 
+mod admission;
 mod output;
 
 use std::{
@@ -22,6 +23,7 @@
     sync::{mpsc, watch},
 };
 
+use self::admission::Admission;
 use crate::{
     fallback::Fallback,
     http_server::{self, Answer},
@@ -57,6 +59,7 @@
     frame_buffer: Vec<u8>,
     ready: Arc<AtomicBool>,
     stopping: bool,
+    admission: Admission,
     fallback: Fallback,
     reload: Reload,
     view: watch::Sender<Arc<View>>,
@@ -139,6 +142,7 @@
                 zone: settings.zone.clone(),
                 max_flow_age: settings.max_flow_age,
                 questions_per_second: settings.questions_per_second(),
+                lower_class_share: settings.lower_class_share,
                 ..balancer::Settings::default()
             },
         );
@@ -149,6 +153,7 @@
             log: Log::start(&settings.name)?,
             actions: Vec::new(),
             frame_buffer: Vec::with_capacity(MAX_BYTES),
+            admission: Admission::new(now),
             fallback: Fallback::new(now, pulls, true, settings.peers.clone()),
             reload: Reload::new(now),
             view,
@@ -291,6 +296,8 @@
             .run(now, &*platform, &mut self.settings, &mut self.log)
         {
             self.fallback.set_peers(self.settings.peers.clone());
+            self.core
+                .set_lower_class_share(self.settings.lower_class_share);
         }
     }
 
@@ -302,6 +309,7 @@
         self.fallback.tick(now, &self.view.borrow());
         self.core.tick(now, &mut self.actions);
         self.execute_actions(now, None);
+        self.admission.report(now, &mut self.core, &mut self.log);
         self.update_ready(now);
         metrics::gauge!("sassafrasmast_flows").set(self.core.flow_count() as f64);
         metrics::gauge!("sassafrasmast_openings_waiting").set(self.core.queued_count() as f64);
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -100,6 +100,9 @@
                     self.send(to, Body::Probe { sent });
                 }
                 Action::Demand { to, waiting } => self.send(to, Body::Demand { waiting }),
+                Action::ClassDemand { to, waiting } => self.send(to, Body::ClassDemand { waiting }),
+                Action::Ended { to, attempts } => self.send(to, Body::Ended { attempts }),
+                Action::Inquire { to, flows } => self.send(to, Body::Inquire { flows }),
                 Action::Reset {
                     flow,
                     sequence,
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -59,6 +59,9 @@
     pub cold_coverage: f64,
     /// New flows per second that a cold upstream may get in addition.
     pub cold_slack: f64,
+    /// Share of the places at upstreams that each less critical class of requests gets while more
+    /// critical ones wait.
+    pub lower_class_share: f64,
     /// Age from which a flow may be discarded.
     pub max_flow_age: Duration,
     /// Time to live of an agent's entry in the store.
@@ -100,6 +103,7 @@
         self.peers = new.peers;
         self.cold_coverage = new.cold_coverage;
         self.cold_slack = new.cold_slack;
+        self.lower_class_share = new.lower_class_share;
         let differing = fixed.into_iter().filter(|(_, differs)| *differs);
         differing.map(|(name, _)| name).collect()
     }
@@ -119,6 +123,7 @@
             metrics: None,
             cold_coverage: 1.0,
             cold_slack: 0.0,
+            lower_class_share: 0.05,
             max_flow_age: Duration::from_secs(60),
             lease_ttl: Duration::from_secs(9),
             link_bytes_per_s: 1_250_000,
