fix(core): uncertain SYNs are not refused early

The last SYN of a queue was placed without regard to SYNs in flight, and time in which the process itself was held up counted as time without placements.

Change: a SYN that a silent upstream may accept is never refused early; both other cases are covered. Tests of admission at one balancer.

--- a/crates/core/src/flow/balancer/admission.rs
+++ b/crates/core/src/flow/balancer/admission.rs
@@ -141,6 +141,12 @@
         self.queue.push(service, syn);
     }
 
+    /// Whether SYNs for a service have been queued since the last tick.
+    pub fn is_backlogged(&self, service: &str) -> bool {
+        let throughput = self.throughputs.get(service);
+        throughput.is_some_and(Throughput::is_backlogged)
+    }
+
     /// Whether a SYN that is not placed now, and becomes late and expires at these times, will not be
     /// placed before it expires. True only if that follows from the rates of the last second.
     ///
--- a/crates/core/src/flow/balancer/admission/throughput.rs
+++ b/crates/core/src/flow/balancer/admission/throughput.rs
@@ -85,8 +85,9 @@
         self.observed_at = now;
         let was_backlogged = self.is_backlogged;
         let bucket = self.bucket(now);
-        if was_backlogged {
-            // Ticks are much shorter than a bucket while SYNs are queued.
+        // Ticks are much shorter than a bucket while SYNs are queued. After a longer time the process
+        // itself was held up, which says nothing about upstreams.
+        if was_backlogged && passed < BUCKET {
             bucket.backlogged += passed;
         }
         if is_backlogged != was_backlogged {
@@ -95,6 +96,11 @@
         }
     }
 
+    /// Whether SYNs are queued, as of the last observation.
+    pub fn is_backlogged(&self) -> bool {
+        self.is_backlogged
+    }
+
     /// Records the first SYN of a flow.
     pub fn record_arrival(&mut self, now: Instant, class: Priority) {
         *self.bucket(now).arrived.entry(class).or_default() += 1;
--- a/crates/core/src/flow/balancer/flow.rs
+++ b/crates/core/src/flow/balancer/flow.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use crate::flow::Head;
+use crate::flow::{Head, Reason};
 
 /// Times after the first SYN of a flow at which its client sends the copies, by their number.
 const COPY_TIMES: [Duration; 3] = [
@@ -44,6 +44,8 @@
     returning_since: Option<Instant>,
     /// Whether an agent was asked for the client's earlier attempts.
     inquired: bool,
+    /// Whether an agent returned the SYN without knowing whether its upstream accepts it.
+    may_be_accepted: bool,
     /// Whether the SYN is queued.
     queued: bool,
     /// Whether the client has acknowledged the answer to its first request.
@@ -63,6 +65,7 @@
             seen_copies: [false; COPY_TIMES.len()],
             returning_since: None,
             inquired: false,
+            may_be_accepted: false,
             queued: false,
             answered: false,
         }
@@ -106,6 +109,11 @@
         copies.all(|(&sent_at, seen)| seen || sent_at > age)
     }
 
+    /// Whether an agent returned the SYN without knowing whether its upstream accepts it.
+    pub fn may_be_accepted(&self) -> bool {
+        self.may_be_accepted
+    }
+
     /// Records that the client's first attempt began `age` ago.
     pub fn set_request_age(&mut self, now: Instant, age: Duration) {
         self.returning_since = now.checked_sub(age);
@@ -176,8 +184,10 @@
         }
     }
 
-    /// Records that an agent returned the flow's SYN.
-    pub fn record_return(&mut self, agent: SocketAddrV4) {
+    /// Records that an agent returned the flow's SYN. An upstream that is only silent may have received
+    /// it.
+    pub fn record_return(&mut self, agent: SocketAddrV4, reason: Reason) {
+        self.may_be_accepted |= reason == Reason::Silent;
         for recipient in &mut self.syn_recipients {
             if recipient.agent == agent {
                 recipient.returned = true;
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -126,14 +126,17 @@
 
     /// Whether it is certain that no upstream has accepted the flow: all copies of its SYN arrived
     /// here and each agent that was sent one returned it. Where the service has classes, copies do
-    /// not count that the client has not sent yet.
+    /// not count that the client has not sent yet, and upstreams that did not answer may have accepted.
     fn is_unopened(&self, now: Instant, flow: &Key) -> bool {
         let Some(flow_state) = self.flows.get(flow) else {
             return false;
         };
-        let has_copies = flow_state.has_all_copies()
-            || (flow_state.has_sent_copies(now) && self.has_classes(flow));
-        has_copies && flow_state.all_returned()
+        let is_certain = if self.has_classes(flow) {
+            flow_state.has_sent_copies(now) && !flow_state.may_be_accepted()
+        } else {
+            flow_state.has_all_copies()
+        };
+        is_certain && flow_state.all_returned()
     }
 
     /// Whether the SYN of a flow is not to be placed any more. An overdue one is refused only if
@@ -206,7 +209,7 @@
     /// with classes.
     fn taken_agents(&self, service: &str) -> Vec<SocketAddrV4> {
         let admission = &self.admission;
-        if !admission.has_classes(service) || admission.queue.waiting_for(service) == 0 {
+        if !admission.has_classes(service) || !admission.is_backlogged(service) {
             return Vec::new();
         }
         let is_taken = |&(agent, count): &(SocketAddrV4, usize)| {
@@ -524,7 +527,7 @@
         let Some(flow_state) = self.flows.get_mut(&flow) else {
             return;
         };
-        flow_state.record_return(from);
+        flow_state.record_return(from, reason);
         self.admission.in_flight.record_answered(from, &flow);
         if flow_state.accepted_by().is_some() || flow_state.is_queued() {
             return;
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -9,6 +9,7 @@
 mod agent;
 mod balancer;
 mod classes;
+mod competition;
 mod fixture;
 mod load;
 mod overload;
