feat(core): fair shares of client addresses

Cause: one client address can fill the queue and take all places of a class.

Change: with the setting fair_shares (admission.fairShares, off by default) addresses take turns within a class and timeliness, at services with classes. A full queue evicts the SYN whose turn comes last, and the forecast counts turns. A SYN that is taken out and queued again keeps its turn.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -84,7 +84,7 @@
             flows: HashMap::new(),
             searches: HashMap::new(),
             searches_continued_at: now,
-            admission: Admission::new(settings.lower_class_share),
+            admission: Admission::new(settings.lower_class_share, settings.fair_shares),
             overload_changes: Vec::new(),
             response_times: ResponseTimes::default(),
             members_known_since: None,
--- a/crates/core/src/flow/balancer/admission.rs
+++ b/crates/core/src/flow/balancer/admission.rs
@@ -11,8 +11,9 @@
 mod statistics;
 mod throughput;
 mod timeliness;
+mod turns;
 
-use std::{collections::HashMap, time::Instant};
+use std::{collections::HashMap, net::Ipv4Addr, time::Instant};
 
 pub use self::{
     classes::Classes,
@@ -22,6 +23,7 @@
     statistics::{Count, Event, Statistics},
     throughput::{Overload, Throughput},
     timeliness::{Ages, Timeliness},
+    turns::Turn,
 };
 use crate::flow::{Intent, Priority, ServiceName, intent::Route};
 
@@ -35,6 +37,8 @@
 pub struct Admission {
     /// Share of the places that goes to each less critical class that waits.
     lower_class_share: f64,
+    /// Whether client addresses take turns.
+    fair_shares: bool,
     classes: Classes,
     /// Queued SYNs.
     pub queue: Queue,
@@ -49,9 +53,10 @@
 
 impl Admission {
     /// An empty queue, without classes.
-    pub fn new(lower_class_share: f64) -> Self {
+    pub fn new(lower_class_share: f64, fair_shares: bool) -> Self {
         Self {
             lower_class_share,
+            fair_shares,
             classes: Classes::default(),
             queue: Queue::default(),
             throughputs: HashMap::new(),
@@ -87,6 +92,24 @@
         (self.lower_class_share.recip().round().max(1.0) - 1.0) as u32
     }
 
+    /// The turn of a further SYN of a client address, if addresses take turns at the service.
+    pub fn next_turn(&self, service: &str, class: Priority, address: Ipv4Addr) -> Option<Turn> {
+        let has_turns = self.fair_shares && self.has_classes(service);
+        has_turns.then(|| self.queue.next_turn(service, class, address))
+    }
+
+    /// Takes out a SYN of the full queue to make room for another one: of a less critical class, or of
+    /// an address that has had its turns if that of the other comes before.
+    pub fn evict(
+        &mut self,
+        service: &str,
+        class: Priority,
+        turn: Option<Turn>,
+    ) -> Option<QueuedSyn> {
+        let less_critical = self.queue.evict(service, class);
+        less_critical.or_else(|| self.queue.evict_after(service, class, turn?))
+    }
+
     /// Takes out the SYN for a service that is to be placed next.
     pub fn pop(&mut self, now: Instant, service: &str) -> Option<QueuedSyn> {
         self.queue.pop(now, service, self.max_passed())
@@ -157,10 +180,10 @@
         now: Instant,
         service: &ServiceName,
         class: Priority,
-        late_at: Instant,
-        expires_at: Instant,
+        turn: Option<Turn>,
+        (late_at, expires_at): (Instant, Instant),
     ) -> bool {
-        let (more_critical, own) = self.queue.ahead(now, service, class, late_at);
+        let (more_critical, own) = self.queue.ahead(now, service, class, late_at, turn);
         let floor = self.lower_class_share;
         let throughput = self.throughput(now, service);
         let Some(placed) = throughput.placements_per_s(now) else {
--- a/crates/core/src/flow/balancer/admission/queue.rs
+++ b/crates/core/src/flow/balancer/admission/queue.rs
@@ -2,9 +2,11 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::Ipv4Addr,
     time::Instant,
 };
 
+use super::turns::{Turn, Turns};
 use crate::flow::{Key, Priority, ServiceName};
 
 /// A queued SYN.
@@ -20,10 +22,12 @@
     pub late_at: Instant,
     /// When it is to be checked whether it still may be placed.
     pub check_at: Instant,
+    /// Its turn among SYNs of other client addresses, if these take turns.
+    pub turn: Option<Turn>,
 }
 
 /// Place of a SYN in the queue: a time, and a number that tells SYNs of the same time apart.
-type Place = (Instant, u64);
+pub type Place = (Instant, u64);
 
 /// Where a queued SYN is.
 #[derive(Debug, Clone)]
@@ -44,6 +48,7 @@
 struct ClassQueue {
     on_time: BTreeMap<Place, QueuedSyn>,
     late: BTreeMap<Place, QueuedSyn>,
+    turns: Turns,
 }
 
 impl ClassQueue {
@@ -61,6 +66,9 @@
             && first.key().0 < now
         {
             let (place, syn) = first.remove_entry();
+            if let Some(turn) = syn.turn {
+                self.turns.set_late(turn, place);
+            }
             self.late.insert(place, syn);
         }
     }
@@ -68,6 +76,9 @@
     /// The place of the SYN that is to be placed next.
     fn next(&mut self, now: Instant) -> Option<Place> {
         self.update(now);
+        if let Some(place) = self.turns.first() {
+            return Some(place);
+        }
         let next = self.on_time.first_key_value();
         Some(*next.or_else(|| self.late.last_key_value())?.0)
     }
@@ -80,12 +91,15 @@
 
     /// Number of SYNs that are placed before one that becomes late at `late_at`, which may be past,
     /// if no further ones arrive.
-    fn ahead(&mut self, now: Instant, late_at: Instant) -> usize {
+    fn ahead(&mut self, now: Instant, late_at: Instant, turn: Option<Turn>) -> usize {
         self.update(now);
-        if late_at >= now {
-            return before(&self.on_time, late_at);
+        let (on_time, late) = (self.on_time.len(), self.late.len());
+        match (turn, late_at >= now) {
+            (Some(turn), true) => self.turns.ahead(turn).min(on_time),
+            (Some(turn), false) => self.turns.ahead(turn).max(on_time).min(on_time + late),
+            (None, true) => before(&self.on_time, late_at),
+            (None, false) => on_time + late - before(&self.late, late_at),
         }
-        self.on_time.len() + self.late.len() - before(&self.late, late_at)
     }
 }
 
@@ -161,13 +175,17 @@
         service: &str,
         class: Priority,
         late_at: Instant,
+        turn: Option<Turn>,
     ) -> (usize, usize) {
         let Some(waiting) = self.services.get_mut(service) else {
             return (0, 0);
         };
         let more_critical = waiting.range(..class).map(|(_, syns)| syns.len()).sum();
         let own = waiting.get_mut(&class);
-        (more_critical, own.map_or(0, |own| own.ahead(now, late_at)))
+        (
+            more_critical,
+            own.map_or(0, |own| own.ahead(now, late_at, turn)),
+        )
     }
 
     /// Services with queued SYNs.
@@ -188,6 +206,9 @@
         let waiting = self.services.entry(service).or_default();
         let flow = syn.flow;
         let syns = waiting.entry(syn.class).or_default();
+        if let Some(turn) = syn.turn {
+            syns.turns.insert(*flow.client.ip(), turn, location.place);
+        }
         syns.on_time.insert(location.place, syn);
         if let Some(earlier) = self.locations.insert(flow, location) {
             self.remove_at(&earlier);
@@ -253,6 +274,24 @@
         self.remove(&flow)
     }
 
+    /// The turn of a further SYN of a client address in a class.
+    pub fn next_turn(&self, service: &str, class: Priority, address: Ipv4Addr) -> Turn {
+        let waiting = self.services.get(service);
+        let syns = waiting.and_then(|waiting| waiting.get(&class));
+        syns.map_or(0, |syns| syns.turns.next(address))
+    }
+
+    /// Takes out the SYN of a class whose turn comes last, if it comes after `turn`.
+    pub fn evict_after(&mut self, service: &str, class: Priority, turn: Turn) -> Option<QueuedSyn> {
+        let syns = self.services.get(service)?.get(&class)?;
+        let (last, place) = syns.turns.last()?;
+        if last <= turn {
+            return None;
+        }
+        let flow = syns.get(&place)?.flow;
+        self.remove(&flow)
+    }
+
     /// Takes out the SYN of a flow.
     pub fn remove(&mut self, flow: &Key) -> Option<QueuedSyn> {
         let location = self.locations.remove(flow)?;
@@ -265,6 +304,12 @@
         let syns = waiting.get_mut(&location.class)?;
         let on_time = syns.on_time.remove(&location.place);
         let syn = on_time.or_else(|| syns.late.remove(&location.place));
+        if let Some(syn) = &syn
+            && let Some(turn) = syn.turn
+        {
+            syns.turns
+                .remove(*syn.flow.client.ip(), turn, location.place);
+        }
         if syns.len() == 0 {
             waiting.remove(&location.class);
         }
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Action, Balancer, DropCause, Flow, ResetCause, Timeliness,
-    admission::{self, Ages, Event, QueuedSyn},
+    admission::{self, Ages, Event, QueuedSyn, Turn},
 };
 use crate::flow::{Key, Priority, Purpose, Reason, ServiceName};
 
@@ -293,7 +293,7 @@
             return;
         }
         self.count(&flow, Event::Queued);
-        self.enqueue(now, flow, bytes.into());
+        self.enqueue(now, flow, bytes.into(), None);
         self.inquire(now, &flow, actions);
     }
 
@@ -314,9 +314,10 @@
         if flow_state.last_copy() > 0 {
             return false;
         }
-        let (late_at, expires_at) = (late_at(flow_state, &ages), expires_at(flow_state, &ages));
+        let ends = (late_at(flow_state, &ages), expires_at(flow_state, &ages));
+        let turn = self.admission.next_turn(&service, class, *flow.client.ip());
         self.admission
-            .is_unservable(now, &service, class, late_at, expires_at)
+            .is_unservable(now, &service, class, turn, ends)
     }
 
     /// Refuses a SYN by the forecast.
@@ -329,13 +330,14 @@
         self.reset_unopened(flow, ResetCause::Unservable, actions);
     }
 
-    /// Makes room in the full queue for a SYN by evicting one of a less critical class of the same
-    /// service, and returns whether there was one.
+    /// Makes room in the full queue for a SYN by evicting another one of the same service, and returns
+    /// whether there was one.
     fn evict(&mut self, now: Instant, flow: &Key, actions: &mut Vec<Action>) -> bool {
         let Some((service, class)) = self.service_and_class(flow) else {
             return false;
         };
-        let Some(evicted) = self.admission.queue.evict(&service, class) else {
+        let turn = self.admission.next_turn(&service, class, *flow.client.ip());
+        let Some(evicted) = self.admission.evict(&service, class, turn) else {
             return false;
         };
         let flow = evicted.flow;
@@ -404,7 +406,7 @@
             if self.is_unservable(now, &flow) {
                 self.refuse_unservable(now, flow, actions);
             } else {
-                self.enqueue(now, flow, syn.packet);
+                self.enqueue(now, flow, syn.packet, syn.turn);
             }
         }
     }
@@ -419,11 +421,14 @@
         });
     }
 
-    /// Queues a SYN until an upstream has capacity.
-    fn enqueue(&mut self, now: Instant, flow: Key, packet: Box<[u8]>) {
+    /// Queues a SYN until an upstream has capacity. `turn` is the one that it had if it was queued
+    /// before.
+    fn enqueue(&mut self, now: Instant, flow: Key, packet: Box<[u8]>, turn: Option<Turn>) {
         let ages = self.ages(&flow);
         // Without an intent the service is not known yet.
         let (service, class) = self.service_and_class(&flow).unwrap_or_default();
+        let address = *flow.client.ip();
+        let turn = turn.or_else(|| self.admission.next_turn(&service, class, address));
         let Some(flow_state) = self.flows.get_mut(&flow) else {
             return;
         };
@@ -437,6 +442,7 @@
             packet,
             late_at: late_at(flow_state, &ages),
             check_at: overdue_at.max(now + RECHECK_INTERVAL).min(expires_at),
+            turn,
         };
         self.admission.push(now, service, syn);
     }
@@ -449,7 +455,7 @@
                 self.set_queued(&flow, false);
                 self.handle_unplaced(now, flow, &syn.packet, PlacementError::Expired, actions);
             } else {
-                self.enqueue(now, flow, syn.packet);
+                self.enqueue(now, flow, syn.packet, syn.turn);
             }
         }
         for service in self.admission.queue.services() {
@@ -465,7 +471,10 @@
         service: &ServiceName,
         actions: &mut Vec<Action>,
     ) {
-        while let Some(QueuedSyn { flow, packet, .. }) = self.admission.pop(now, service) {
+        while let Some(QueuedSyn {
+            flow, packet, turn, ..
+        }) = self.admission.pop(now, service)
+        {
             self.set_queued(&flow, false);
             let Some(flow_state) = self.flows.get_mut(&flow) else {
                 // The flow was removed from the table.
@@ -485,7 +494,7 @@
                     packet,
                 }),
                 Err(PlacementError::NoCapacity) => {
-                    self.enqueue(now, flow, packet);
+                    self.enqueue(now, flow, packet, turn);
                     return;
                 }
                 Err(error) => self.handle_unplaced(now, flow, &packet, error, actions),
--- a/crates/core/src/flow/balancer/settings.rs
+++ b/crates/core/src/flow/balancer/settings.rs
@@ -21,6 +21,8 @@
     /// Share of the places that each less critical class gets while it waits, so that its clients make
     /// progress.
     pub lower_class_share: f64,
+    /// Whether client addresses take turns among the queued SYNs of a class, at services with classes.
+    pub fair_shares: bool,
     /// Flows that were idle for longer are removed, until an intent sets another timeout.
     pub idle_timeout: Duration,
     /// Maximum age of a flow; flows that exceed it by the idle timeout are removed.
@@ -39,6 +41,7 @@
             questions_per_second: 10_000,
             max_queued: 2_048,
             lower_class_share: 0.05,
+            fair_shares: false,
             idle_timeout: Duration::from_secs(15),
             max_flow_age: Duration::from_secs(60),
             settle_time: Duration::from_millis(600),
--- a/crates/core/tests/flow/admission.rs
+++ b/crates/core/tests/flow/admission.rs
@@ -80,10 +80,15 @@
     }
 
     fn with_intent(agents: u16, intent: Intent) -> Self {
+        Self::with_settings(agents, intent, false)
+    }
+
+    fn with_settings(agents: u16, intent: Intent, fair_shares: bool) -> Self {
         let now = Instant::now();
         let settings = balancer::Settings {
             zone: ZONE.into(),
             max_queued: MAX_QUEUED,
+            fair_shares,
             ..balancer::Settings::default()
         };
         let mut balancer = Balancer::new(now, settings);
@@ -573,3 +578,86 @@
     let is_demand = |message: &Action| matches!(message, Action::Demand { .. });
     assert!(rig.messages.iter().all(is_demand), "{:?}", rig.messages);
 }
+
+/// Another flow of the client that has this one.
+fn sibling(flow: Key, port: u16) -> Key {
+    Key {
+        client: SocketAddrV4::new(*flow.client.ip(), port),
+        ..flow
+    }
+}
+
+/// Guards against an address whose attempts take all places while others wait.
+#[test]
+fn addresses_take_turns_with_fair_shares() {
+    let play = |fair_shares| {
+        let mut rig = Rig::with_settings(1, classes(), fair_shares);
+        for port in 0..20 {
+            rig.syn(sibling(flow(LOWER, 1), 30_000 + port));
+            rig.now += ms(1);
+        }
+        for client in 2..=4 {
+            rig.syn(flow(LOWER, client));
+            rig.now += ms(1);
+        }
+        let places: Vec<_> = (0..6).map(|_| *rig.give_place().client.ip()).collect();
+        let of = |client| *flow(LOWER, client).client.ip();
+        places.iter().filter(|&&address| address != of(1)).count()
+    };
+    assert_eq!(play(false), 0);
+    assert_eq!(play(true), 3);
+}
+
+/// Guards against turns that are lost or gained by SYNs that are taken out and queued again.
+#[test]
+fn turns_outlast_ticks_without_room() {
+    let mut rig = Rig::with_settings(1, classes(), true);
+    for port in 0..3 {
+        rig.syn(sibling(flow(LOWER, 1), 30_000 + port));
+        rig.now += ms(1);
+    }
+    rig.syn(flow(LOWER, 2));
+    rig.tick(50);
+    let places: Vec<_> = (0..4).map(|_| rig.give_place()).collect();
+    let first = sibling(flow(LOWER, 1), 30_000);
+    assert_eq!(places[..2], [first, flow(LOWER, 2)]);
+}
+
+/// Guards against an address that fills the queue, so that others are refused.
+#[test]
+fn address_that_fills_the_queue_makes_room_for_others() {
+    let mut rig = Rig::with_settings(1, classes(), true);
+    for port in 0..MAX_QUEUED {
+        let port = 30_000 + u16::try_from(port).unwrap();
+        rig.syn(sibling(flow(LOWER, 1), port));
+        rig.now += ms(1);
+    }
+    rig.syn(flow(LOWER, 2));
+    let newest = sibling(
+        flow(LOWER, 1),
+        30_000 + u16::try_from(MAX_QUEUED).unwrap() - 1,
+    );
+    assert_eq!(rig.decisions.reset, [(newest, ResetCause::Evicted)]);
+    rig.syn(sibling(flow(LOWER, 1), 29_999));
+    let refused = (sibling(flow(LOWER, 1), 29_999), ResetCause::Overloaded);
+    assert_eq!(rig.decisions.reset.last(), Some(&refused));
+}
+
+/// Guards against an address with one attempt that is refused since another one's SYNs are queued.
+#[test]
+fn forecast_counts_turns() {
+    for (fair_shares, refused) in [(false, 1), (true, 0)] {
+        let mut rig = Rig::with_settings(1, classes(), fair_shares);
+        for round in 0..4 {
+            for client in 0..7 {
+                let port = 30_000 + 10 * round + client;
+                rig.syn(sibling(flow(LOWER, 1), port));
+            }
+            rig.tick(50);
+            rig.give_place();
+        }
+        rig.decisions = Decisions::default();
+        rig.syn(flow(LOWER, 2));
+        assert_eq!(rig.decisions.reset.len(), refused, "{fair_shares}");
+    }
+}
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -143,6 +143,7 @@
                 max_flow_age: settings.max_flow_age,
                 questions_per_second: settings.questions_per_second(),
                 lower_class_share: settings.lower_class_share,
+                fair_shares: settings.fair_shares,
                 ..balancer::Settings::default()
             },
         );
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -62,6 +62,8 @@
     /// Share of the places at upstreams that each less critical class of requests gets while more
     /// critical ones wait.
     pub lower_class_share: f64,
+    /// Whether client addresses take turns while flows wait for upstreams.
+    pub fair_shares: bool,
     /// Age from which a flow may be discarded.
     pub max_flow_age: Duration,
     /// Time to live of an agent's entry in the store.
@@ -98,6 +100,7 @@
             ("metrics", self.metrics != new.metrics),
             ("lease", self.lease_ttl != new.lease_ttl),
             ("link", self.link_bytes_per_s != new.link_bytes_per_s),
+            ("fair_shares", self.fair_shares != new.fair_shares),
             ("max_flow_age", self.max_flow_age != new.max_flow_age),
         ];
         self.peers = new.peers;
@@ -124,6 +127,7 @@
             cold_coverage: 1.0,
             cold_slack: 0.0,
             lower_class_share: 0.05,
+            fair_shares: false,
             max_flow_age: Duration::from_secs(60),
             lease_ttl: Duration::from_secs(9),
             link_bytes_per_s: 1_250_000,
