test(core): clients of several classes have addresses of their own

Cause: clients of the model shared addresses, so that the directory of callers took new ones for returning ones, which refused some at random.

Change: where a scenario has several classes, each client has its own address. With one class the model is unchanged, since its random choices follow from the addresses.

--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -137,9 +137,19 @@
     usize::from(address.ip().octets()[3])
 }
 
-/// The bits of an attempt's id above these name its class.
+/// Bit of an attempt's id that is set if its client has an address of its own. Where all requests have
+/// one class, nothing depends on addresses, and clients share them as in earlier versions of the model.
+const OWN_ADDRESS: AttemptId = 1 << 31;
+
+/// The bits of an attempt's id from this one on, below [`OWN_ADDRESS`], name its class.
 const CLASS_SHIFT: u32 = 28;
 
+/// Attempts for which a client with an address of its own has ids.
+const IDS_PER_CLIENT: usize = 4;
+
+/// First port of clients with addresses of their own.
+const FIRST_PORT: u16 = 40_000;
+
 /// The place of an attempt in [`Model::attempts`].
 fn number(attempt: AttemptId) -> usize {
     (attempt & ((1 << CLASS_SHIFT) - 1)) as usize
@@ -147,7 +157,7 @@
 
 /// The class of an attempt's requests, by its number in [`Scenario::classes`].
 fn class_of(attempt: AttemptId) -> usize {
-    (attempt >> CLASS_SHIFT) as usize
+    ((attempt & !OWN_ADDRESS) >> CLASS_SHIFT) as usize
 }
 
 /// The address that clients of a class connect to.
@@ -156,20 +166,37 @@
     SocketAddrV4::new(*route.ip(), route.port() + u16::try_from(class).unwrap())
 }
 
-/// The flow of an attempt: 16 bits of its id are the client's port, the others its address.
+/// The flow of an attempt. Of clients that share addresses, 16 bits of its id are the client's port, the
+/// others its address.
 fn key(attempt: AttemptId) -> Key {
+    let route = class_route(class_of(attempt));
+    if attempt & OWN_ADDRESS != 0 {
+        let client = number(attempt) / IDS_PER_CLIENT;
+        let [_, high, middle, low] = u32::try_from(client).unwrap().to_be_bytes();
+        let port = FIRST_PORT + u16::try_from(number(attempt) % IDS_PER_CLIENT).unwrap();
+        return Key {
+            client: SocketAddrV4::new([101, high, middle, low].into(), port),
+            route,
+        };
+    }
     let [high, low, port_high, port_low] = attempt.to_be_bytes();
     Key {
         client: SocketAddrV4::new(
             [100, 64, high, low].into(),
             u16::from_be_bytes([port_high, port_low]),
         ),
-        route: class_route(class_of(attempt)),
+        route,
     }
 }
 
 fn attempt_of(flow: &Key) -> AttemptId {
-    let [_, _, high, low] = flow.client.ip().octets();
+    let [first, second, high, low] = flow.client.ip().octets();
+    if first == 101 {
+        let client = u32::from_be_bytes([0, second, high, low]);
+        let class = u32::from(flow.route.port() - route_address().port());
+        let number = client * IDS_PER_CLIENT as u32 + u32::from(flow.client.port() - FIRST_PORT);
+        return OWN_ADDRESS | class << CLASS_SHIFT | number;
+    }
     let [port_high, port_low] = flow.client.port().to_be_bytes();
     u32::from_be_bytes([high, low, port_high, port_low])
 }
@@ -541,16 +568,27 @@
         if state.attempts_left == 0 || self.now >= deadline {
             return;
         }
+        let made = client::ATTEMPTS - state.attempts_left;
         state.attempts_left -= 1;
         let class = AttemptId::try_from(state.class).unwrap() << CLASS_SHIFT;
-        let attempt = AttemptId::try_from(self.attempts.len()).unwrap() | class;
-        self.attempts.push(Attempt {
+        let begun = Attempt {
             client,
             balancer: self.scenario.draw_balancer(&mut self.rng),
             began_at: self.now,
             upstream: None,
             is_over: false,
-        });
+        };
+        let attempt = if self.scenario.classes.len() > 1 {
+            let place = client * IDS_PER_CLIENT + made as usize;
+            if self.attempts.len() <= place {
+                self.attempts.resize(place + 1, begun.clone());
+            }
+            self.attempts[place] = begun;
+            AttemptId::try_from(place).unwrap() | class | OWN_ADDRESS
+        } else {
+            self.attempts.push(begun);
+            AttemptId::try_from(self.attempts.len() - 1).unwrap() | class
+        };
         for (copy, after) in COPIES.into_iter().enumerate() {
             let after = self.scenario.client_delay + after;
             self.schedule(after, Event::Syn { attempt, copy });
--- a/crates/core/tests/flow/load/client.rs
+++ b/crates/core/tests/flow/load/client.rs
@@ -15,7 +15,7 @@
 }
 
 /// An attempt, which has a flow of its own.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Attempt {
     pub client: usize,
     pub balancer: usize,
