--- a/crates/core/src/flow/balancer/admission/returning.rs
+++ b/crates/core/src/flow/balancer/admission/returning.rs
@@ -10,11 +10,12 @@
 
 use crate::flow::{Key, Member, balancer::Action, ranking};
 
-/// Interval at which messages are sent. A SYN waits for its place about as long in an overload.
+/// Interval at which messages are sent: long enough to share frames, and far less than the time for
+/// which a SYN stays on time.
 const BATCH_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Shortest age of a caller's first attempt that is worth a message: two hundredths of the time limits
-/// that clients have do not change the order of their SYNs.
+/// Shortest age of a caller's first attempt that is worth a message. Clients have time limits of a second
+/// and more, so a younger one hardly changes the place of the next attempt.
 const MIN_REPORTED_AGE: Duration = Duration::from_millis(50);
 
 /// Attempts that ended and inquiries that are still to be sent, by agent.
