fix(core): a SYN that a silent upstream may accept is not refused by a full queue

Cause: with classes the queue may be full of more critical SYNs when an agent returns a first copy after 60 ms without an answer; it was reset.

Change: at services with classes the refusal needs the same certainty as others. A test that fails without it. A doc link to a private item is gone.

--- a/crates/core/src/flow/balancer/admission/returning.rs
+++ b/crates/core/src/flow/balancer/admission/returning.rs
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Sends what has waited for [`BATCH_INTERVAL`]. Ended attempts go first, so that inquiries that
+    /// Sends what has waited for 20 ms. Ended attempts go first, so that inquiries that
     /// follow find them.
     pub fn flush(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let is_due = self
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -284,11 +284,15 @@
             && !self.evict(now, &flow, actions)
         {
             self.count(&flow, Event::QueueFull);
-            let copy = self.flows.get(&flow).map_or(0, Flow::last_copy);
-            if copy > 0 {
-                actions.push(Action::Drop(flow, DropCause::Unsure));
+            let is_certain = if self.has_classes(&flow) {
+                self.is_unopened(now, &flow)
             } else {
+                self.flows.get(&flow).map_or(0, Flow::last_copy) == 0
+            };
+            if is_certain {
                 self.reset_unopened(flow, ResetCause::Overloaded, actions);
+            } else {
+                actions.push(Action::Drop(flow, DropCause::Unsure));
             }
             return;
         }
--- a/crates/core/tests/flow/admission.rs
+++ b/crates/core/tests/flow/admission.rs
@@ -661,3 +661,19 @@
         assert_eq!(rig.decisions.reset.len(), refused, "{fair_shares}");
     }
 }
+
+/// Guards against an untrue reset: an upstream that did not answer may still accept.
+#[test]
+fn full_queue_drops_a_syn_that_a_silent_upstream_may_accept() {
+    let mut rig = Rig::new(2);
+    rig.state_room_unused(2, 1);
+    rig.syn(flow(LOWEST, 1));
+    assert_eq!(rig.decisions.placed, [flow(LOWEST, 1)]);
+    for client in 0..MAX_QUEUED {
+        rig.syn(flow(CRITICAL, 100 + u16::try_from(client).unwrap()));
+    }
+    rig.return_syn(2, flow(LOWEST, 1), Reason::Silent);
+    assert_eq!(rig.decisions.reset, []);
+    let dropped = (flow(LOWEST, 1), DropCause::Unsure);
+    assert_eq!(rig.decisions.dropped, [dropped]);
+}
