--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -7,6 +7,7 @@
 mod action;
 mod admission;
 mod announcement;
+mod attempts;
 mod classes;
 mod delivery;
 mod flow;
@@ -21,15 +22,17 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    net::SocketAddrV4,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use sassafrasmast_wire::Incarnation;
+use sassafrasmast_wire::{Incarnation, flow::Attempt};
 
 pub use self::{
     action::Action,
     announcement::Announcement,
+    attempts::Attempts,
     classes::{Classes, Counts},
     delivery::Delivery,
     flow::{Flow, Phase},
@@ -65,6 +68,8 @@
     held: Held,
     /// When a request was last held.
     last_held_at: Option<Instant>,
+    /// Callers that may try again.
+    attempts: Attempts,
     /// The shortest latency objective of the routes that lead to this agent's service.
     latency_objective: Option<Duration>,
     flows: HashMap<Key, Flow>,
@@ -95,6 +100,7 @@
             classes: Classes::default(),
             held: Held::default(),
             last_held_at: None,
+            attempts: Attempts::default(),
             latency_objective: None,
             flows: HashMap::new(),
             pending_syns: Vec::new(),
@@ -132,6 +138,33 @@
         is_newer
     }
 
+    /// Handles a balancer's message that attempts of callers ended without an answer.
+    pub fn handle_ended(&mut self, now: Instant, attempts: &[Attempt]) {
+        let Some(intent) = &self.intent else {
+            return;
+        };
+        for attempt in attempts {
+            let route = intent.policy.routes.get(&attempt.route);
+            if let Some(time_limit) = route.and_then(|route| route.timeout) {
+                self.attempts.record(now, attempt, time_limit);
+            }
+        }
+    }
+
+    /// Handles a balancer's question for earlier attempts of the callers of flows.
+    pub fn handle_inquiry(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        flows: &[Key],
+        actions: &mut Vec<Action>,
+    ) {
+        let flows = self.attempts.answer(now, flows);
+        if !flows.is_empty() {
+            actions.push(Action::Earlier { to: from, flows });
+        }
+    }
+
     /// Handles an announcement of the upstream and returns what changed.
     pub fn handle_announcement(
         &mut self,
--- a/crates/core/src/flow/balancer/action.rs
+++ b/crates/core/src/flow/balancer/action.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddrV4;
 
+use sassafrasmast_wire::flow::Attempt;
+
 use crate::flow::{Key, Priority, Purpose, ServiceName};
 
 /// An action that the caller carries out.
@@ -52,9 +54,23 @@
     ClassDemand {
         /// The agent.
         to: SocketAddrV4,
-        /// Number of SYNs that wait by priority.
+        /// Number of SYNs that wait, by class.
         waiting: Vec<(Priority, u16)>,
     },
+    /// Tell an agent which attempts have ended without an answer.
+    Ended {
+        /// The agent.
+        to: SocketAddrV4,
+        /// The attempts.
+        attempts: Vec<Attempt>,
+    },
+    /// Ask an agent for earlier attempts of the callers of these flows.
+    Inquire {
+        /// The agent.
+        to: SocketAddrV4,
+        /// The flows.
+        flows: Vec<Key>,
+    },
     /// Reset a flow towards its client.
     Reset {
         /// The flow.
@@ -78,6 +94,10 @@
     NoUpstream,
     /// No upstream had capacity while the client could still use the flow, or the queue is full.
     Overloaded,
+    /// By the forecast no upstream will have capacity while the client can still use the flow.
+    Unservable,
+    /// The queue is full, and SYNs of a more critical class wait.
+    Evicted,
     /// No upstream holds the flow, except possibly unreachable ones if its requests are idempotent.
     Lost,
     /// The flow's upstream has restarted or deregistered.
@@ -98,6 +118,8 @@
             Self::NoRoute => "no_route",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
+            Self::Unservable => "unservable",
+            Self::Evicted => "evicted",
             Self::Lost => "lost",
             Self::Restarted => "restarted",
             Self::Unreachable => "unreachable",
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -20,7 +20,7 @@
 use sassafrasmast_core::flow::{
     Agent, Balancer, Head, Intent, Key, Member, Purpose, Report, State,
     agent::{self, Action as AgentAction, Announcement, Delivery},
-    balancer::{self, Action},
+    balancer::{self, Action, ResetCause},
     intent::Route,
     packet::Flags,
 };
@@ -158,9 +158,19 @@
     usize::from(address.ip().octets()[3])
 }
 
-/// The bits of an attempt's id above these name its class.
+/// Bit of an attempt's id that is set if its client has an address of its own. Where all requests have
+/// one class, nothing depends on addresses, and clients share them as in earlier versions of the model.
+const OWN_ADDRESS: AttemptId = 1 << 31;
+
+/// The bits of an attempt's id from this one on, below [`OWN_ADDRESS`], name its class.
 const CLASS_SHIFT: u32 = 28;
 
+/// Attempts for which a client with an address of its own has ids.
+const IDS_PER_CLIENT: usize = 4;
+
+/// First port of clients with addresses of their own.
+const FIRST_PORT: u16 = 40_000;
+
 /// The place of an attempt in [`Model::attempts`].
 fn number(attempt: AttemptId) -> usize {
     (attempt & ((1 << CLASS_SHIFT) - 1)) as usize
@@ -168,7 +178,7 @@
 
 /// The class of an attempt's requests, by its number in [`Scenario::classes`].
 fn class_of(attempt: AttemptId) -> usize {
-    (attempt >> CLASS_SHIFT) as usize
+    ((attempt & !OWN_ADDRESS) >> CLASS_SHIFT) as usize
 }
 
 /// The address that clients of a class connect to.
@@ -177,20 +187,37 @@
     SocketAddrV4::new(*route.ip(), route.port() + u16::try_from(class).unwrap())
 }
 
-/// The flow of an attempt: 16 bits of its id are the client's port, the others its address.
+/// The flow of an attempt. Of clients that share addresses, 16 bits of its id are the client's port, the
+/// others its address.
 fn key(attempt: AttemptId) -> Key {
+    let route = class_route(class_of(attempt));
+    if attempt & OWN_ADDRESS != 0 {
+        let client = number(attempt) / IDS_PER_CLIENT;
+        let [_, high, middle, low] = u32::try_from(client).unwrap().to_be_bytes();
+        let port = FIRST_PORT + u16::try_from(number(attempt) % IDS_PER_CLIENT).unwrap();
+        return Key {
+            client: SocketAddrV4::new([101, high, middle, low].into(), port),
+            route,
+        };
+    }
     let [high, low, port_high, port_low] = attempt.to_be_bytes();
     Key {
         client: SocketAddrV4::new(
             [100, 64, high, low].into(),
             u16::from_be_bytes([port_high, port_low]),
         ),
-        route: class_route(class_of(attempt)),
+        route,
     }
 }
 
 fn attempt_of(flow: &Key) -> AttemptId {
-    let [_, _, high, low] = flow.client.ip().octets();
+    let [first, second, high, low] = flow.client.ip().octets();
+    if first == 101 {
+        let client = u32::from_be_bytes([0, second, high, low]);
+        let class = u32::from(flow.route.port() - route_address().port());
+        let number = client * IDS_PER_CLIENT as u32 + u32::from(flow.client.port() - FIRST_PORT);
+        return OWN_ADDRESS | class << CLASS_SHIFT | number;
+    }
     let [port_high, port_low] = flow.client.port().to_be_bytes();
     u32::from_be_bytes([high, low, port_high, port_low])
 }
@@ -275,6 +302,9 @@
             report,
         },
         AgentAction::Report { .. } => Body::Report(report),
+        AgentAction::Earlier { flows, .. } => Body::Earlier {
+            flows: flows.clone(),
+        },
         AgentAction::ToUpstream
         | AgentAction::HeldToUpstream { .. }
         | AgentAction::ToClient
@@ -644,16 +674,28 @@
         if state.attempts_left == 0 || self.now >= deadline {
             return;
         }
+        let made = client::ATTEMPTS - state.attempts_left;
         state.attempts_left -= 1;
         let class = AttemptId::try_from(state.class).unwrap() << CLASS_SHIFT;
-        let attempt = AttemptId::try_from(self.attempts.len()).unwrap() | class;
-        self.attempts.push(Attempt {
+        let begun = Attempt {
             client,
             balancer: self.scenario.draw_balancer(&mut self.rng),
+            began_at: self.now,
             upstream: None,
             sent: 0,
             is_over: false,
-        });
+        };
+        let attempt = if self.scenario.classes.len() > 1 {
+            let place = client * IDS_PER_CLIENT + made as usize;
+            if self.attempts.len() <= place {
+                self.attempts.resize(place + 1, begun.clone());
+            }
+            self.attempts[place] = begun;
+            AttemptId::try_from(place).unwrap() | class | OWN_ADDRESS
+        } else {
+            self.attempts.push(begun);
+            AttemptId::try_from(self.attempts.len() - 1).unwrap() | class
+        };
         for (copy, after) in COPIES.into_iter().enumerate() {
             let after = self.scenario.client_delay + after;
             self.schedule(after, Event::Syn { attempt, copy });
@@ -766,9 +808,27 @@
                 Action::ClassDemand { to, waiting } => {
                     self.frame_to_agent(from, to, Body::ClassDemand { waiting });
                 }
-                Action::Reset { flow, .. } => {
+                Action::Ended { to, attempts } => {
+                    self.frame_to_agent(from, to, Body::Ended { attempts });
+                }
+                Action::Inquire { to, flows } => {
+                    self.frame_to_agent(from, to, Body::Inquire { flows });
+                }
+                Action::Reset {
+                    flow,
+                    sequence,
+                    cause,
+                } => {
                     let attempt = attempt_of(&flow);
                     let period = self.period_of(attempt);
+                    if sequence == 0 {
+                        let after = self.now - self.attempts[number(attempt)].began_at;
+                        let mut upstreams = self.upstreams.iter();
+                        let is_untrue = upstreams.any(|state| state.flows.contains_key(&attempt));
+                        let by_forecast = cause == ResetCause::Unservable;
+                        self.outcome
+                            .record_refusal(period, after, by_forecast, is_untrue);
+                    }
                     self.outcome.record_reset(period, class_of(attempt));
                     self.schedule(self.scenario.client_delay, Event::Reset { attempt });
                 }
@@ -880,10 +940,17 @@
                 self.agents[agent].handle_demand(now, from, waiting, &mut actions);
                 self.agent_actions(agent, actions, &syn_copy(0, 0));
             }
+            Body::ClassDemand { .. } | Body::Ended { .. } | Body::Inquire { .. }
+                if self.scenario.agents_of_earlier_build => {}
             Body::ClassDemand { waiting } => {
                 self.agents[agent].handle_class_demand(now, from, &waiting, &mut actions);
                 self.agent_actions(agent, actions, &syn_copy(0, 0));
             }
+            Body::Ended { attempts } => self.agents[agent].handle_ended(now, &attempts),
+            Body::Inquire { flows } => {
+                self.agents[agent].handle_inquiry(now, from, &flows, &mut actions);
+                self.agent_actions(agent, actions, &syn_copy(0, 0));
+            }
             other => panic!("unexpected frame to an agent: {other:?}"),
         }
     }
--- a/crates/core/tests/flow/load/client.rs
+++ b/crates/core/tests/flow/load/client.rs
@@ -18,10 +18,11 @@
 }
 
 /// An attempt, which has a flow of its own.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Attempt {
     pub client: usize,
     pub balancer: usize,
+    pub began_at: Duration,
     /// The upstream whose SYN-ACK the client acknowledges.
     pub upstream: Option<usize>,
     /// Requests that were sent on the flow before the current one.
--- a/crates/core/tests/flow/load/outcome.rs
+++ b/crates/core/tests/flow/load/outcome.rs
@@ -1,6 +1,6 @@
 //! What clients got.
 
-use std::{collections::BTreeMap, fmt};
+use std::{collections::BTreeMap, fmt, time::Duration};
 
 use super::scenario::Period;
 
@@ -66,6 +66,11 @@
     pub opened_too_late: usize,
     /// Requests that reached an upstream before an earlier one of their flow, or after its end.
     pub out_of_order: usize,
+    /// Times from the start of an attempt until a balancer refused it by its forecast, of requests
+    /// from the time for recovery on.
+    refused_after: Vec<Duration>,
+    /// Refused attempts that an upstream had accepted, of all requests.
+    pub untrue_refusals: usize,
 }
 
 impl Outcome {
@@ -111,6 +116,27 @@
         self.record(period, class, |service| service.resets += 1);
     }
 
+    /// Records that an attempt was refused at this time after its start, whether by the forecast, and
+    /// whether an upstream had accepted it.
+    pub fn record_refusal(
+        &mut self,
+        period: Period,
+        after: Duration,
+        by_forecast: bool,
+        is_untrue: bool,
+    ) {
+        if period == Period::After && by_forecast {
+            self.refused_after.push(after);
+        }
+        self.untrue_refusals += usize::from(is_untrue);
+    }
+
+    /// Share of the refusals by the forecast, from the time for recovery on, that came within `limit`.
+    pub fn refused_within(&self, limit: Duration) -> f64 {
+        let within = self.refused_after.iter().filter(|&&after| after <= limit);
+        Service::share(within.count(), self.refused_after.len())
+    }
+
     pub fn record_forwarded_syn(&mut self, period: Period, class: usize) {
         self.record(period, class, |service| service.forwarded_syns += 1);
     }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -5,10 +5,13 @@
     reason = "a failed step must fail its test, in helper functions too"
 )]
 
+mod admission;
 mod agent;
+mod attempts;
 mod balancer;
 mod classes;
 mod classless;
+mod competition;
 mod fixture;
 mod holding;
 mod intents;
@@ -16,3 +19,4 @@
 mod overload;
 mod recovery;
 mod simulation;
+mod trace;
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -396,7 +396,9 @@
                     Body::Demand { waiting: *waiting },
                     client_head(flow(0), Flags::default(), 0, 0),
                 ),
-                Action::ClassDemand { .. } => panic!("the service has no classes"),
+                Action::ClassDemand { .. } | Action::Ended { .. } | Action::Inquire { .. } => {
+                    panic!("the routes have one priority: {action:?}")
+                }
                 Action::Reset { flow, .. } => {
                     self.reset(*flow, &format!("balancer {from}: {action:?}"));
                     continue;
@@ -507,27 +509,24 @@
                 };
                 (*to, body, None)
             }
-            AgentAction::Found { to, flow } => {
-                let flow = *flow;
-                (*to, Body::Found { flow, report }, None)
-            }
-            AgentAction::Absent { to, flow } => (
+            AgentAction::Found { to, flow } => (
                 *to,
-                Body::Absent {
-                    flows: vec![*flow],
+                Body::Found {
+                    flow: *flow,
                     report,
                 },
                 None,
             ),
-            AgentAction::Unconfirmed { to, flow } => (
-                *to,
-                Body::Unconfirmed {
-                    flows: vec![*flow],
-                    report,
-                },
-                None,
-            ),
-            AgentAction::ToUpstream
+            AgentAction::Absent { to, flow } => {
+                let flows = vec![*flow];
+                (*to, Body::Absent { flows, report }, None)
+            }
+            AgentAction::Unconfirmed { to, flow } => {
+                let flows = vec![*flow];
+                (*to, Body::Unconfirmed { flows, report }, None)
+            }
+            AgentAction::Earlier { .. }
+            | AgentAction::ToUpstream
             | AgentAction::HeldToUpstream { .. }
             | AgentAction::ToClient
             | AgentAction::Reset { .. } => return,
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -1,5 +1,6 @@
 //! The balancer process: passes packets of clients to agents.
 
+mod admission;
 mod output;
 
 use std::{
@@ -22,6 +23,7 @@
     sync::{Notify, mpsc, watch},
 };
 
+use self::admission::Admission;
 use crate::{
     event::Event,
     fallback::Fallback,
@@ -62,6 +64,7 @@
     frame_buffer: Vec<u8>,
     ready: Arc<AtomicBool>,
     stopping: bool,
+    admission: Admission,
     fallback: Fallback,
     reload: Reload,
     view: watch::Sender<Arc<View>>,
@@ -161,6 +164,8 @@
                 zone: settings.zone.clone(),
                 max_flow_age: settings.max_flow_age,
                 questions_per_second: settings.questions_per_second(),
+                lower_class_share: settings.lower_class_share,
+                fair_shares: settings.fair_shares,
                 ..balancer::Settings::default()
             },
         );
@@ -171,6 +176,7 @@
             log: Log::start(&settings.name)?,
             actions: Vec::new(),
             frame_buffer: Vec::with_capacity(MAX_BYTES),
+            admission: Admission::new(now),
             fallback: Fallback::new(now, pulls, true, settings.peers.clone()),
             reload: Reload::new(now),
             view,
@@ -341,6 +347,8 @@
             .run(now, &*platform, &mut self.settings, &mut self.log)
         {
             self.fallback.set_peers(self.settings.peers.clone());
+            self.core
+                .set_lower_class_share(self.settings.lower_class_share);
         }
     }
 
@@ -352,6 +360,7 @@
         self.fallback.tick(now, &self.view.borrow());
         self.core.tick(now, &mut self.actions);
         self.execute_actions(now, None);
+        self.admission.report(now, &mut self.core, &mut self.log);
         self.update_ready(now);
         self.check_starved(now);
         metrics::gauge!("sassafrasmast_flows").set(self.core.flow_count() as f64);
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -101,9 +101,9 @@
                 }
                 Action::List => self.list_requests.notify_one(),
                 Action::Demand { to, waiting } => self.send(to, Body::Demand { waiting }),
-                Action::ClassDemand { to, waiting } => {
-                    self.send(to, Body::ClassDemand { waiting });
-                }
+                Action::ClassDemand { to, waiting } => self.send(to, Body::ClassDemand { waiting }),
+                Action::Ended { to, attempts } => self.send(to, Body::Ended { attempts }),
+                Action::Inquire { to, flows } => self.send(to, Body::Inquire { flows }),
                 Action::Reset {
                     flow,
                     sequence,
