--- a/crates/core/src/flow/agent/action.rs
+++ b/crates/core/src/flow/agent/action.rs
@@ -9,6 +9,11 @@
 pub enum Action {
     /// Pass the packet to the upstream.
     ToUpstream,
+    /// Pass a held packet to the upstream.
+    HeldToUpstream {
+        /// The held packet.
+        packet: Box<[u8]>,
+    },
     /// Send the packet to its client.
     ToClient,
     /// Return the SYN to a balancer.
@@ -81,6 +86,13 @@
         /// The balancer.
         to: SocketAddrV4,
     },
+    /// Tell a balancer that callers of flows had earlier attempts.
+    Earlier {
+        /// The balancer.
+        to: SocketAddrV4,
+        /// The flows, each with the age of its caller's first attempt in milliseconds.
+        flows: Vec<(Key, u32)>,
+    },
     /// Tell a balancer the time that the upstream takes for a request in a slot.
     Speed {
         /// The balancer.
@@ -103,7 +115,10 @@
     /// The balancer that a frame is to be sent to, if the action sends one.
     pub fn recipient(&self) -> Option<SocketAddrV4> {
         match self {
-            Self::ToUpstream | Self::ToClient | Self::Reset { .. } => None,
+            Self::ToUpstream
+            | Self::HeldToUpstream { .. }
+            | Self::ToClient
+            | Self::Reset { .. } => None,
             Self::Return { to, .. }
             | Self::ReturnBuffered { to, .. }
             | Self::Accepted { to, .. }
@@ -113,7 +128,8 @@
             | Self::Missing { to, .. }
             | Self::MissingBuffered { to, .. }
             | Self::Report { to }
-            | Self::Speed { to, .. } => Some(*to),
+            | Self::Earlier { to, .. } => Some(*to),
+            Self::Speed { to, .. } => Some(*to),
         }
     }
 }
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -7,20 +7,21 @@
 //! known, the balancer searches for it: agents are asked in growing waves until one reports the
 //! flow.
 
+pub mod admission;
+
 mod action;
 mod candidate;
 mod candidates;
 mod flow;
+mod listing;
 mod members;
 mod path_monitor;
 mod placement;
-mod queue;
 mod response_times;
 mod search;
 mod searches;
 mod settings;
 mod speeds;
-mod timeliness;
 mod zones;
 
 use std::{
@@ -34,20 +35,20 @@
 
 pub use self::{
     action::{Action, DropCause, ResetCause},
+    admission::{Admission, Ages, Overload, Statistics, Timeliness},
     candidate::Candidate,
     flow::Flow,
+    listing::Listing,
     members::Members,
     path_monitor::PathMonitor,
-    queue::Queue,
     response_times::ResponseTimes,
     search::{Search, Status},
     settings::Settings,
     speeds::{Speed, Speeds},
-    timeliness::{Ages, Timeliness},
     zones::{ZoneShare, Zones},
 };
 use super::{
-    Head, Intent, Key, Member, Purpose, Revision,
+    Head, Intent, Key, Member, Purpose, Revision, ServiceName,
     intent::{Kind, Route},
 };
 use crate::balancer::Bucket;
@@ -70,8 +71,11 @@
     question_limiter: Bucket,
     /// When due searches were last continued.
     searches_continued_at: Instant,
-    queue: Queue,
+    admission: Admission,
+    /// Services whose overload has begun or ended since [`Self::take_overload_changes`].
+    overload_changes: Vec<(ServiceName, Overload)>,
     response_times: ResponseTimes,
+    listing: Listing,
     /// When a list of agents was first received.
     members_known_since: Option<Instant>,
     swept_at: Instant,
@@ -86,15 +90,17 @@
         Self {
             members,
             question_limiter: Bucket::new(now, rate, rate / QUESTION_BURST_DIVISOR),
-            settings,
             intent: None,
             flows: HashMap::new(),
             searches: HashMap::new(),
             searches_continued_at: now,
-            queue: Queue::default(),
+            admission: Admission::new(settings.lower_class_share, settings.fair_shares),
+            overload_changes: Vec::new(),
             response_times: ResponseTimes::default(),
+            listing: Listing::default(),
             members_known_since: None,
             swept_at: now,
+            settings,
         }
     }
 
@@ -127,7 +133,7 @@
 
     /// Number of SYNs that wait for an upstream with capacity.
     pub fn queued_count(&self) -> usize {
-        self.queue.len()
+        self.admission.queue.len()
     }
 
     /// Time since the client of a flow sent its first SYN, if the flow is in the table.
@@ -145,9 +151,28 @@
         self.members.set_remote_cost(remote_cost);
     }
 
-    /// Replaces the intent in force if `intent` is newer, and returns whether it is.
+    /// Merges `intent` into the intent in force, and returns whether that changed it.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
-        Intent::replace_if_newer(&mut self.intent, intent)
+        let is_newer = Intent::replace_if_newer(&mut self.intent, intent);
+        if is_newer && let Some(intent) = &self.intent {
+            self.admission.set_intent(intent);
+        }
+        is_newer
+    }
+
+    /// Changes the share of the places that each less critical class gets while it waits.
+    pub fn set_lower_class_share(&mut self, share: f64) {
+        self.admission.set_lower_class_share(share);
+    }
+
+    /// What became of SYNs since this balancer started.
+    pub fn admission_statistics(&self) -> &Statistics {
+        &self.admission.statistics
+    }
+
+    /// Takes the services whose overload has begun or ended since the last call.
+    pub fn take_overload_changes(&mut self) -> Vec<(ServiceName, Overload)> {
+        std::mem::take(&mut self.overload_changes)
     }
 
     /// Replaces the list of agents by the store's complete list.
@@ -156,6 +181,18 @@
         self.members_known_since.get_or_insert(now);
     }
 
+    /// Records that the list of agents is complete as of `at`: the store was asked for it then, and all
+    /// that it said since is known here.
+    pub fn confirm_members(&mut self, now: Instant, at: Instant, actions: &mut Vec<Action>) {
+        self.listing.confirm(at);
+        self.finish_visited_searches(now, actions);
+    }
+
+    /// Records that the store is unreachable, so that it cannot confirm the list of agents.
+    pub fn lose_store(&mut self) {
+        self.listing.lose();
+    }
+
     /// Adds agents that another balancer knows, except those that are known here.
     pub fn add_members(&mut self, now: Instant, members: Vec<Member>) {
         if members.is_empty() {
@@ -293,6 +330,7 @@
         match body {
             Body::Accepted { flow, sequence, .. } => {
                 self.handle_accepted(now, flow, from, *sequence);
+                self.admission.in_flight.record_answered(from, flow);
             }
             Body::Returned { reason, packet, .. } => {
                 if let Some(head) = head {
@@ -333,6 +371,7 @@
                 let time = Duration::from_micros((*service_time_micros).into());
                 self.members.record_speed(now, from, time);
             }
+            Body::Earlier { flows } => self.handle_earlier(now, flows, actions),
             Body::Report(_)
             | Body::Deliver { .. }
             | Body::Locate { .. }
@@ -340,8 +379,7 @@
             | Body::Demand { .. }
             | Body::ClassDemand { .. }
             | Body::Ended { .. }
-            | Body::Inquire { .. }
-            | Body::Earlier { .. } => {}
+            | Body::Inquire { .. } => {}
         }
     }
 
@@ -358,7 +396,7 @@
 
     /// Places queued SYNs if an agent's upstream has room.
     fn use_room(&mut self, now: Instant, agent: SocketAddrV4, actions: &mut Vec<Action>) {
-        if self.queue.is_empty() {
+        if self.admission.queue.is_empty() {
             return;
         }
         let member = self.members.get(agent);
@@ -374,7 +412,10 @@
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.members.tick(now);
         self.continue_searches(now, actions);
+        self.request_list(now, actions);
         self.place_queued(now, actions);
+        self.overload_changes.extend(self.admission.update(now));
+        self.admission.returning.flush(now, actions);
         self.members.probe(now, actions);
         self.members.check_path(now, actions);
         if now.saturating_duration_since(self.swept_at) >= SWEEP_INTERVAL {
@@ -395,10 +436,11 @@
         self.flows
             .retain(|_, flow_state| !flow_state.is_expired(now, idle, oldest));
         self.members.sweep(now);
+        self.admission.sweep(now);
     }
 
-    /// Whether searches or queued SYNs are pending, so that ticks must come often.
+    /// Whether searches, queued SYNs or messages about callers are pending, so that ticks must come often.
     pub fn has_pending_work(&self) -> bool {
-        !self.searches.is_empty() || !self.queue.is_empty()
+        !self.searches.is_empty() || self.admission.has_pending_work()
     }
 }
--- a/crates/core/src/flow/balancer/searches.rs
+++ b/crates/core/src/flow/balancer/searches.rs
@@ -165,6 +165,25 @@
         }
     }
 
+    /// Asks the store for the list of agents if a search waits for it.
+    pub(super) fn request_list(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.listing.take_request(now) {
+            actions.push(Action::List);
+        }
+    }
+
+    /// Ends the searches that waited for the list of agents.
+    pub(super) fn finish_visited_searches(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let searches = self.searches.iter();
+        let visited: Vec<Key> = searches
+            .filter(|(_, search)| search.has_visited_all())
+            .map(|(flow, _)| *flow)
+            .collect();
+        for flow in visited {
+            self.finish_search(now, flow, actions);
+        }
+    }
+
     /// Ends a search if the flow is lost or the time limit is reached.
     pub(super) fn finish_search(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
         let settled = self.is_member_list_settled(now);
@@ -174,6 +193,11 @@
         search.add_new_members(&self.members);
         match search.status(now, &self.members, settled) {
             Status::Running => {}
+            // Another balancer may have opened the flow at an agent that is not known here yet.
+            Status::Lost if !self.listing.covers(now, search.started_at()) => {
+                self.listing.want(now);
+                self.request_list(now, actions);
+            }
             Status::Lost => {
                 let sequence = search.acknowledgement();
                 self.searches.remove(&flow);
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -20,7 +20,7 @@
 use sassafrasmast_core::flow::{
     Agent, Balancer, Head, Intent, Key, Member, Purpose, Report, State,
     agent::{self, Action as AgentAction, Announcement, Delivery},
-    balancer::{self, Action},
+    balancer::{self, Action, ResetCause},
     intent::Route,
     packet::Flags,
 };
@@ -28,7 +28,7 @@
 
 use self::{
     client::{Attempt, Client},
-    upstream::{Phase, Upstream},
+    upstream::Upstream,
 };
 pub use self::{
     outcome::{Outcome, Service},
@@ -44,6 +44,12 @@
 /// Time after its first SYN at which a client gives up an attempt that has no SYN-ACK.
 const ATTEMPT_TIME: Duration = ms(1_400);
 
+/// Times after which a client sends a request again that has no answer, on flows of several requests.
+const REQUEST_COPIES: [Duration; 2] = [ms(200), ms(600)];
+
+/// Bytes of a request.
+const REQUEST_BYTES: u32 = 500;
+
 /// Interval between ticks of balancers and agents.
 const TICK: Duration = ms(5);
 
@@ -65,9 +71,18 @@
         attempt: AttemptId,
         upstream: usize,
     },
-    /// The client's request arrives at a balancer.
+    /// The client's request, by its number on the flow, arrives at a balancer.
     Request {
         attempt: AttemptId,
+        number: u32,
+    },
+    /// The client of a flow of several requests sends the next one.
+    Next {
+        attempt: AttemptId,
+    },
+    /// The client of a flow of several requests gives up one of them.
+    Deadline {
+        client: usize,
     },
     /// The upstream has finished a request. Void if the upstream has restarted since.
     Finish {
@@ -95,6 +110,12 @@
         from: usize,
         frame: u64,
     },
+    /// A packet that an agent has held arrives at its upstream, which has handled its own packet
+    /// that made room for it.
+    HeldToUpstream {
+        agent: usize,
+        packet: u64,
+    },
     /// A frame from an agent to a balancer.
     ToBalancer {
         balancer: usize,
@@ -137,9 +158,19 @@
     usize::from(address.ip().octets()[3])
 }
 
-/// The bits of an attempt's id above these name its class.
+/// Bit of an attempt's id that is set if its client has an address of its own. Where all requests have
+/// one class, nothing depends on addresses, and clients share them as in earlier versions of the model.
+const OWN_ADDRESS: AttemptId = 1 << 31;
+
+/// The bits of an attempt's id from this one on, below [`OWN_ADDRESS`], name its class.
 const CLASS_SHIFT: u32 = 28;
 
+/// Attempts for which a client with an address of its own has ids.
+const IDS_PER_CLIENT: usize = 4;
+
+/// First port of clients with addresses of their own.
+const FIRST_PORT: u16 = 40_000;
+
 /// The place of an attempt in [`Model::attempts`].
 fn number(attempt: AttemptId) -> usize {
     (attempt & ((1 << CLASS_SHIFT) - 1)) as usize
@@ -147,7 +178,7 @@
 
 /// The class of an attempt's requests, by its number in [`Scenario::classes`].
 fn class_of(attempt: AttemptId) -> usize {
-    (attempt >> CLASS_SHIFT) as usize
+    ((attempt & !OWN_ADDRESS) >> CLASS_SHIFT) as usize
 }
 
 /// The address that clients of a class connect to.
@@ -156,20 +187,37 @@
     SocketAddrV4::new(*route.ip(), route.port() + u16::try_from(class).unwrap())
 }
 
-/// The flow of an attempt: 16 bits of its id are the client's port, the others its address.
+/// The flow of an attempt. Of clients that share addresses, 16 bits of its id are the client's port, the
+/// others its address.
 fn key(attempt: AttemptId) -> Key {
+    let route = class_route(class_of(attempt));
+    if attempt & OWN_ADDRESS != 0 {
+        let client = number(attempt) / IDS_PER_CLIENT;
+        let [_, high, middle, low] = u32::try_from(client).unwrap().to_be_bytes();
+        let port = FIRST_PORT + u16::try_from(number(attempt) % IDS_PER_CLIENT).unwrap();
+        return Key {
+            client: SocketAddrV4::new([101, high, middle, low].into(), port),
+            route,
+        };
+    }
     let [high, low, port_high, port_low] = attempt.to_be_bytes();
     Key {
         client: SocketAddrV4::new(
             [100, 64, high, low].into(),
             u16::from_be_bytes([port_high, port_low]),
         ),
-        route: class_route(class_of(attempt)),
+        route,
     }
 }
 
 fn attempt_of(flow: &Key) -> AttemptId {
-    let [_, _, high, low] = flow.client.ip().octets();
+    let [first, second, high, low] = flow.client.ip().octets();
+    if first == 101 {
+        let client = u32::from_be_bytes([0, second, high, low]);
+        let class = u32::from(flow.route.port() - route_address().port());
+        let number = client * IDS_PER_CLIENT as u32 + u32::from(flow.client.port() - FIRST_PORT);
+        return OWN_ADDRESS | class << CLASS_SHIFT | number;
+    }
     let [port_high, port_low] = flow.client.port().to_be_bytes();
     u32::from_be_bytes([high, low, port_high, port_low])
 }
@@ -200,6 +248,7 @@
     let mut bytes = attempt_of(&head.client_flow()).to_be_bytes().to_vec();
     bytes.extend(head.acknowledgement.to_be_bytes());
     bytes.push(u8::from(head.flags.syn) | u8::from(head.flags.fin) << 1);
+    bytes.extend(head.sequence.to_be_bytes());
     bytes
 }
 
@@ -213,6 +262,7 @@
     };
     Head {
         acknowledgement,
+        sequence: number(9),
         ..head
     }
 }
@@ -258,7 +308,13 @@
         } => Body::Speed {
             service_time_micros: *service_time_micros,
         },
-        AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => {
+        AgentAction::Earlier { flows, .. } => Body::Earlier {
+            flows: flows.clone(),
+        },
+        AgentAction::ToUpstream
+        | AgentAction::HeldToUpstream { .. }
+        | AgentAction::ToClient
+        | AgentAction::Reset { .. } => {
             panic!("{action:?} sends no message")
         }
     }
@@ -411,14 +467,12 @@
             Event::SynAck { attempt, upstream } => {
                 if self.is_waiting(attempt) {
                     self.attempts[number(attempt)].upstream = Some(upstream);
-                    self.schedule(self.scenario.client_delay, Event::Request { attempt });
+                    self.send_request(attempt);
                 }
             }
-            Event::Request { attempt } => {
-                let upstream = self.attempts[number(attempt)].upstream.unwrap();
-                let head = data(key(attempt), sequence_of(upstream) + 1);
-                self.send_to_balancer(attempt, &head);
-            }
+            Event::Request { attempt, number } => self.request_at_balancer(attempt, number),
+            Event::Next { attempt } => self.send_next(attempt),
+            Event::Deadline { client } => self.give_up(client),
             Event::Finish {
                 upstream,
                 start,
@@ -430,8 +484,9 @@
             }
             Event::Answer { attempt } => self.record_answer(attempt),
             Event::Close { attempt } => {
-                let upstream = self.attempts[number(attempt)].upstream.unwrap();
-                self.send_to_balancer(attempt, &fin(attempt, upstream));
+                if let Some(upstream) = self.attempts[number(attempt)].upstream {
+                    self.send_to_balancer(attempt, &fin(attempt, upstream));
+                }
             }
             Event::Reset { attempt } => self.end_attempt(attempt),
             Event::GiveUp { attempt } => {
@@ -439,6 +494,7 @@
                     self.end_attempt(attempt);
                 }
             }
+            Event::HeldToUpstream { agent, packet } => self.held_at_upstream(agent, packet),
             Event::ToAgent { agent, from, frame } => self.frame_at_agent(agent, from, frame),
             Event::ToBalancer {
                 balancer,
@@ -520,15 +576,9 @@
 
     fn arrive(&mut self) {
         let class = self.scenario.draw_class(&mut self.rng);
-        let client = Client {
-            class,
-            arrived_at: self.now,
-            attempts_left: client::ATTEMPTS,
-        };
-        let period = self.scenario.period(self.now);
-        self.outcome.record_arrival(period, class);
-        self.clients.push(client);
-        self.begin_attempt(self.clients.len() - 1);
+        let to_follow = self.scenario.classes[class].requests - 1;
+        let client = self.add_client(class, to_follow);
+        self.begin_attempt(client);
         let surge = match self.scenario.disturbance {
             Disturbance::Burst { factor } if self.is_disturbed => factor,
             _ => 1.0,
@@ -538,22 +588,121 @@
         self.schedule(Duration::from_secs_f64(pause), Event::Arrival);
     }
 
+    /// Adds a request of a class, which `to_follow` others follow on its flow.
+    fn add_client(&mut self, class: usize, to_follow: u32) -> usize {
+        let period = self.scenario.period(self.now);
+        self.outcome.record_arrival(period, class);
+        let client = self.clients.len();
+        self.clients.push(Client {
+            class,
+            arrived_at: self.now,
+            attempts_left: client::ATTEMPTS,
+            to_follow,
+            is_answered: false,
+        });
+        if self.has_long_flows(class) {
+            let after = self.scenario.classes[class].time_limit;
+            self.schedule(after, Event::Deadline { client });
+        }
+        client
+    }
+
+    fn has_long_flows(&self, class: usize) -> bool {
+        self.scenario.classes[class].requests > 1
+    }
+
+    /// Sends the current request of a flow that is open.
+    fn send_request(&mut self, attempt: AttemptId) {
+        let event = Event::Request {
+            attempt,
+            number: self.attempts[number(attempt)].sent,
+        };
+        self.schedule(self.scenario.client_delay, event);
+        if self.has_long_flows(class_of(attempt)) {
+            for after in REQUEST_COPIES {
+                self.schedule(self.scenario.client_delay + after, event);
+            }
+        }
+    }
+
+    /// A request of an open flow, or a copy of it, arrives at a balancer.
+    fn request_at_balancer(&mut self, attempt: AttemptId, request: u32) {
+        let state = &self.attempts[number(attempt)];
+        let upstream = state.upstream.unwrap();
+        let is_current = state.sent == request && !self.is_over(attempt);
+        if is_current || !self.has_long_flows(class_of(attempt)) {
+            let first = data(key(attempt), sequence_of(upstream) + 1);
+            let sequence = first.sequence + REQUEST_BYTES * request;
+            self.send_to_balancer(attempt, &Head { sequence, ..first });
+        }
+    }
+
+    /// Sends the next request on a flow whose last one was answered.
+    fn send_next(&mut self, attempt: AttemptId) {
+        let before = self.attempts[number(attempt)].client;
+        let to_follow = self.clients[before].to_follow - 1;
+        let client = self.add_client(class_of(attempt), to_follow);
+        let state = &mut self.attempts[number(attempt)];
+        state.client = client;
+        state.sent += 1;
+        state.is_over = false;
+        self.send_request(attempt);
+    }
+
+    /// Gives up a request on a flow of several ones and goes on with the next one on a new flow.
+    fn give_up(&mut self, client: usize) {
+        let Client {
+            class,
+            to_follow,
+            is_answered,
+            ..
+        } = self.clients[client];
+        if is_answered {
+            return;
+        }
+        let id = |index| AttemptId::try_from(index).unwrap();
+        let class_bits = id(class) << CLASS_SHIFT;
+        let open = |attempt: &Attempt| attempt.client == client && attempt.upstream.is_some();
+        if let Some(index) = self.attempts.iter().rposition(open) {
+            let attempt = id(index) | class_bits;
+            self.attempts[index].is_over = true;
+            self.schedule(self.scenario.client_delay, Event::Close { attempt });
+        }
+        if to_follow > 0 {
+            let client = self.add_client(class, to_follow - 1);
+            self.begin_attempt(client);
+        }
+    }
+
     fn begin_attempt(&mut self, client: usize) {
         let deadline = self.deadline(client);
         let state = &mut self.clients[client];
         if state.attempts_left == 0 || self.now >= deadline {
             return;
         }
+        let made = client::ATTEMPTS - state.attempts_left;
         state.attempts_left -= 1;
         let class = AttemptId::try_from(state.class).unwrap() << CLASS_SHIFT;
-        let attempt = AttemptId::try_from(self.attempts.len()).unwrap() | class;
-        self.attempts.push(Attempt {
+        let begun = Attempt {
             client,
             balancer: self.scenario.draw_balancer(&mut self.rng),
+            began_at: self.now,
             upstream: None,
             requested_at: Duration::ZERO,
+            sent: 0,
             is_over: false,
-        });
+        };
+        let attempt = if self.scenario.classes.len() > 1 {
+            let place = client * IDS_PER_CLIENT + made as usize;
+            if self.attempts.len() <= place {
+                self.attempts.resize(place + 1, begun.clone());
+            }
+            self.attempts[place] = begun;
+            AttemptId::try_from(place).unwrap() | class | OWN_ADDRESS
+        } else {
+            self.attempts.push(begun);
+            AttemptId::try_from(self.attempts.len() - 1).unwrap() | class
+        };
         for (copy, after) in COPIES.into_iter().enumerate() {
             let after = self.scenario.client_delay + after;
             self.schedule(after, Event::Syn { attempt, copy });
@@ -593,9 +742,20 @@
         }
         let state = &mut self.attempts[number(attempt)];
         state.is_over = true;
+        let client = &mut self.clients[state.client];
+        client.is_answered = true;
         let Client {
-            class, arrived_at, ..
-        } = self.clients[state.client];
+            class,
+            arrived_at,
+            to_follow,
+            ..
+        } = *client;
+        if to_follow > 0 {
+            let pause = self.scenario.classes[class].pause;
+            self.schedule(pause, Event::Next { attempt });
+        } else if self.has_long_flows(class) {
+            self.schedule(self.scenario.client_delay, Event::Close { attempt });
+        }
         let period = self.scenario.period(arrived_at);
         let is_in_time = self.now - arrived_at < self.scenario.classes[class].objective;
         self.outcome.record_answer(period, class, is_in_time);
@@ -664,13 +824,34 @@
                 Action::Demand { to, waiting } => {
                     self.frame_to_agent(from, to, Body::Demand { waiting });
                 }
-                Action::Reset { flow, .. } => {
+                Action::ClassDemand { to, waiting } => {
+                    self.frame_to_agent(from, to, Body::ClassDemand { waiting });
+                }
+                Action::Ended { to, attempts } => {
+                    self.frame_to_agent(from, to, Body::Ended { attempts });
+                }
+                Action::Inquire { to, flows } => {
+                    self.frame_to_agent(from, to, Body::Inquire { flows });
+                }
+                Action::Reset {
+                    flow,
+                    sequence,
+                    cause,
+                } => {
                     let attempt = attempt_of(&flow);
                     let period = self.period_of(attempt);
+                    if sequence == 0 {
+                        let after = self.now - self.attempts[number(attempt)].began_at;
+                        let mut upstreams = self.upstreams.iter();
+                        let is_untrue = upstreams.any(|state| state.flows.contains_key(&attempt));
+                        let by_forecast = cause == ResetCause::Unservable;
+                        self.outcome
+                            .record_refusal(period, after, by_forecast, is_untrue);
+                    }
                     self.outcome.record_reset(period, class_of(attempt));
                     self.schedule(self.scenario.client_delay, Event::Reset { attempt });
                 }
-                Action::Drop(..) => {}
+                Action::Drop(..) | Action::List => {}
                 Action::Locate {
                     to,
                     flow,
@@ -785,6 +966,17 @@
                 self.agents[agent].handle_demand(now, from, waiting, &mut actions);
                 self.agent_actions(agent, actions, &syn_copy(0, 0));
             }
+            Body::ClassDemand { .. } | Body::Ended { .. } | Body::Inquire { .. }
+                if self.scenario.agents_of_earlier_build => {}
+            Body::ClassDemand { waiting } => {
+                self.agents[agent].handle_class_demand(now, from, &waiting, &mut actions);
+                self.agent_actions(agent, actions, &syn_copy(0, 0));
+            }
+            Body::Ended { attempts } => self.agents[agent].handle_ended(now, &attempts),
+            Body::Inquire { flows } => {
+                self.agents[agent].handle_inquiry(now, from, &flows, &mut actions);
+                self.agent_actions(agent, actions, &syn_copy(0, 0));
+            }
             other => panic!("unexpected frame to an agent: {other:?}"),
         }
     }
@@ -818,6 +1010,16 @@
         for action in actions {
             match &action {
                 AgentAction::ToUpstream => self.send_to_upstream(agent, current),
+                AgentAction::HeldToUpstream { packet } => {
+                    self.event_count += 1;
+                    let number = self.event_count;
+                    self.frames.insert(number, packet.to_vec());
+                    let event = Event::HeldToUpstream {
+                        agent,
+                        packet: number,
+                    };
+                    self.schedule(Duration::ZERO, event);
+                }
                 AgentAction::ToClient => {}
                 AgentAction::Reset { flow, .. } => {
                     let attempt = attempt_of(flow);
@@ -833,6 +1035,13 @@
         }
     }
 
+    fn held_at_upstream(&mut self, upstream: usize, packet: u64) {
+        let packet = self.frames.remove(&packet);
+        if let Some(packet) = packet.filter(|_| !self.is_down) {
+            self.send_to_upstream(upstream, &decode(&packet));
+        }
+    }
+
     /// The upstream accepts each SYN that it can queue, and runs a request or queues it.
     fn send_to_upstream(&mut self, upstream: usize, head: &Head) {
         let attempt = attempt_of(&head.client_flow());
@@ -843,7 +1052,7 @@
                 self.send_from_upstream(upstream, &bounced(*head));
                 return;
             }
-            state.flows.insert(attempt, Phase::Accepted);
+            state.flows.insert(attempt, 0);
             if self.is_over(attempt) {
                 self.outcome.opened_too_late += 1;
             }
@@ -856,11 +1065,16 @@
             state.flows.remove(&attempt);
             return;
         }
+        let request = (head.sequence - data(key(attempt), 0).sequence) / REQUEST_BYTES;
         match state.flows.get_mut(&attempt) {
-            None => self.send_from_upstream(upstream, &bounced(*head)),
-            Some(Phase::Requested) => {}
-            Some(phase @ Phase::Accepted) => {
-                *phase = Phase::Requested;
+            None => {
+                self.outcome.out_of_order += usize::from(!self.is_over(attempt));
+                self.send_from_upstream(upstream, &bounced(*head));
+            }
+            Some(arrived) if *arrived > request => {}
+            Some(arrived) => {
+                self.outcome.out_of_order += usize::from(*arrived < request);
+                *arrived = request + 1;
                 self.attempts[number(attempt)].requested_at = self.now;
                 if state.running < self.scenario.slots {
                     self.begin_request(upstream, attempt);
@@ -911,7 +1125,9 @@
         state.running -= 1;
         let next = state.waiting.pop_front();
         self.schedule(self.scenario.client_delay, Event::Answer { attempt });
-        self.schedule(self.scenario.client_delay * 2, Event::Close { attempt });
+        if !self.has_long_flows(class_of(attempt)) {
+            self.schedule(self.scenario.client_delay * 2, Event::Close { attempt });
+        }
         let ack = Flags {
             ack: true,
             ..Flags::default()
--- a/crates/core/tests/flow/load/client.rs
+++ b/crates/core/tests/flow/load/client.rs
@@ -12,16 +12,22 @@
     pub class: usize,
     pub arrived_at: Duration,
     pub attempts_left: u32,
+    /// Requests that follow this one on its flow.
+    pub to_follow: u32,
+    pub is_answered: bool,
 }
 
 /// An attempt, which has a flow of its own.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Attempt {
     pub client: usize,
     pub balancer: usize,
+    pub began_at: Duration,
     /// The upstream whose SYN-ACK the client acknowledges.
     pub upstream: Option<usize>,
     /// When its request arrived at the upstream.
     pub requested_at: Duration,
+    /// Requests that were sent on the flow before the current one.
+    pub sent: u32,
     pub is_over: bool,
 }
--- a/crates/core/tests/flow/load/outcome.rs
+++ b/crates/core/tests/flow/load/outcome.rs
@@ -75,7 +75,8 @@
     pub during: Service,
     pub after: Service,
     outside: Service,
-    /// What clients of each class got from the time for recovery on.
+    /// What clients of each class got during the disturbance and from the time for recovery on.
+    during_by_class: BTreeMap<usize, Service>,
     after_by_class: BTreeMap<usize, Service>,
     /// Waits in the queue of each upstream, from the time for recovery on.
     pub queue_waits: BTreeMap<usize, Waits>,
@@ -88,6 +89,13 @@
     pub shed: usize,
     /// SYNs that reached an upstream after their client's attempt was over.
     pub opened_too_late: usize,
+    /// Requests that reached an upstream before an earlier one of their flow, or after its end.
+    pub out_of_order: usize,
+    /// Times from the start of an attempt until a balancer refused it by its forecast, of requests
+    /// from the time for recovery on.
+    refused_after: Vec<Duration>,
+    /// Refused attempts that an upstream had accepted, of all requests.
+    pub untrue_refusals: usize,
 }
 
 impl Outcome {
@@ -98,11 +106,21 @@
             Period::After => &mut self.after,
             Period::Outside => &mut self.outside,
         });
-        if period == Period::After {
-            apply(self.after_by_class.entry(class).or_default());
+        match period {
+            Period::During => apply(self.during_by_class.entry(class).or_default()),
+            Period::After => apply(self.after_by_class.entry(class).or_default()),
+            Period::Before | Period::Outside => {}
         }
     }
 
+    /// What clients of a class got that sent their requests during the disturbance.
+    pub fn during_of(&self, class: usize) -> Service {
+        self.during_by_class
+            .get(&class)
+            .cloned()
+            .unwrap_or_default()
+    }
+
     /// What clients of a class got from the time for recovery on.
     pub fn after_of(&self, class: usize) -> Service {
         self.after_by_class.get(&class).cloned().unwrap_or_default()
@@ -197,6 +215,27 @@
         self.record(period, class, |service| service.resets += 1);
     }
 
+    /// Records that an attempt was refused at this time after its start, whether by the forecast, and
+    /// whether an upstream had accepted it.
+    pub fn record_refusal(
+        &mut self,
+        period: Period,
+        after: Duration,
+        by_forecast: bool,
+        is_untrue: bool,
+    ) {
+        if period == Period::After && by_forecast {
+            self.refused_after.push(after);
+        }
+        self.untrue_refusals += usize::from(is_untrue);
+    }
+
+    /// Share of the refusals by the forecast, from the time for recovery on, that came within `limit`.
+    pub fn refused_within(&self, limit: Duration) -> f64 {
+        let within = self.refused_after.iter().filter(|&&after| after <= limit);
+        Service::share(within.count(), self.refused_after.len())
+    }
+
     pub fn record_forwarded_syn(&mut self, period: Period, class: usize) {
         self.record(period, class, |service| service.forwarded_syns += 1);
     }
--- a/crates/core/tests/flow/load/scenario.rs
+++ b/crates/core/tests/flow/load/scenario.rs
@@ -53,6 +53,9 @@
     pub priority: Priority,
     /// Share of the requests.
     pub share: f64,
+    /// Requests that a client sends on a flow, and the time between an answer and the next request.
+    pub requests: u32,
+    pub pause: Duration,
     /// Time limit and latency objective of a request.
     pub time_limit: Duration,
     pub objective: Duration,
@@ -63,12 +66,21 @@
         Self {
             priority: 0,
             share: 1.0,
+            requests: 1,
+            pause: ms(150),
             time_limit: ms(1_500),
             objective: ms(150),
         }
     }
 }
 
+impl Class {
+    /// Share of the flows that are opened, relative to other classes.
+    fn flow_share(&self) -> f64 {
+        self.share / f64::from(self.requests)
+    }
+}
+
 /// Requests that take longer than others.
 #[derive(Debug, Clone, Copy)]
 pub struct Tail {
@@ -108,6 +120,8 @@
     pub earlier_builds_from: usize,
     /// Time that frames of agents take longer which bring nothing but a report.
     pub report_delay: Duration,
+    /// Whether agents drop messages that were added with admission by class.
+    pub agents_of_earlier_build: bool,
     /// The load as a share of what the upstreams bear.
     pub load: f64,
     pub disturbance: Disturbance,
@@ -136,6 +150,7 @@
             zone_loads: Vec::new(),
             earlier_builds_from: usize::MAX,
             report_delay: ms(0),
+            agents_of_earlier_build: false,
             load: 0.5,
             disturbance: Disturbance::None,
             begin: ms(4_100),
@@ -202,10 +217,9 @@
         limits.max().unwrap_or_default()
     }
 
-    /// The class of a request, by its number.
+    /// The class of a new flow, by its number.
     pub fn draw_class(&self, rng: &mut StdRng) -> usize {
-        let shares = self.classes.iter().map(|class| class.share);
-        draw(shares, rng)
+        draw(self.classes.iter().map(Class::flow_share), rng)
     }
 
     /// The balancer that the router selects for an attempt.
@@ -228,9 +242,10 @@
         work.mul_f64(self.speed(upstream) * tail)
     }
 
-    /// Requests a second that clients send.
+    /// Flows a second that clients open.
     pub fn rate(&self) -> f64 {
-        self.load * self.capacity()
+        let flow_shares = self.classes.iter().map(Class::flow_share);
+        self.load * self.capacity() * flow_shares.sum::<f64>()
     }
 
     /// Length of the period after the disturbance in which requests count.
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -383,6 +383,7 @@
                     };
                     (*to, body, client_head(*flow, Flags::default(), 0, 0))
                 }
+                Action::List => continue,
                 Action::Probe(to) => (
                     *to,
                     Body::Probe {
@@ -395,6 +396,9 @@
                     Body::Demand { waiting: *waiting },
                     client_head(flow(0), Flags::default(), 0, 0),
                 ),
+                Action::ClassDemand { .. } | Action::Ended { .. } | Action::Inquire { .. } => {
+                    panic!("the routes have one priority: {action:?}")
+                }
                 Action::Reset { flow, .. } => {
                     self.reset(*flow, &format!("balancer {from}: {action:?}"));
                     continue;
@@ -460,6 +464,7 @@
                 AgentAction::ToUpstream => {
                     self.schedule(ms(0), Event::ToUpstream(index, current));
                 }
+                AgentAction::HeldToUpstream { .. } => panic!("the service has no classes"),
                 AgentAction::ToClient => self.schedule(DELAY, Event::ToClient(current)),
                 AgentAction::Reset { flow, .. } => {
                     self.reset(flow, &format!("agent {index}"));
@@ -508,27 +513,27 @@
                 };
                 (*to, body, None)
             }
-            AgentAction::Found { to, flow } => {
-                let flow = *flow;
-                (*to, Body::Found { flow, report }, None)
-            }
-            AgentAction::Absent { to, flow } => (
+            AgentAction::Found { to, flow } => (
                 *to,
-                Body::Absent {
-                    flows: vec![*flow],
+                Body::Found {
+                    flow: *flow,
                     report,
                 },
                 None,
             ),
-            AgentAction::Unconfirmed { to, flow } => (
-                *to,
-                Body::Unconfirmed {
-                    flows: vec![*flow],
-                    report,
-                },
-                None,
-            ),
-            AgentAction::ToUpstream | AgentAction::ToClient | AgentAction::Reset { .. } => return,
+            AgentAction::Absent { to, flow } => {
+                let flows = vec![*flow];
+                (*to, Body::Absent { flows, report }, None)
+            }
+            AgentAction::Unconfirmed { to, flow } => {
+                let flows = vec![*flow];
+                (*to, Body::Unconfirmed { flows, report }, None)
+            }
+            AgentAction::Earlier { .. }
+            | AgentAction::ToUpstream
+            | AgentAction::HeldToUpstream { .. }
+            | AgentAction::ToClient
+            | AgentAction::Reset { .. } => return,
         };
         self.send_to_balancer(index, to, &body, packet);
     }
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -2,6 +2,7 @@
 //! packets directly to clients.
 
 mod announcements;
+mod classes;
 mod output;
 
 use std::{
@@ -18,27 +19,28 @@
     Agent, State,
     agent::{self, Action, Change, Delivery},
 };
-use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES, Question};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
 };
 
-use self::announcements::UpstreamCall;
+use self::{announcements::UpstreamCall, classes::Holding};
 use crate::{
+    event::Event,
     fallback::Fallback,
     inputs::{self, Inputs},
     log::{Log, unix_time_ms},
-    peer::{Pull, View},
+    peer::View,
     platform::Platform,
+    position::{position_of, revision_field},
+    puller::Pull,
     registration::{Record, Registration},
     reload::Reload,
     settings::{Settings, Upstream},
     signals::Command,
     status::{self, Status},
     udp,
-    watcher::{self, Event},
 };
 
 /// Interval between ticks while a SYN waits for the upstream's answer, or balancers wait for room.
@@ -74,8 +76,13 @@
     view: watch::Sender<Arc<View>>,
     /// Whether the store matches `record`, according to the last call of the registration.
     registered: Arc<AtomicBool>,
+    started_at: Instant,
     /// When balancers were last sent [`Body::Hello`].
     hello_sent_at: Instant,
+    /// Since when requests on open flows are held, if they are.
+    holding: Option<Holding>,
+    /// Requests that had been held at the last tick.
+    held_before: u64,
 }
 
 /// Runs an agent until the process is killed.
@@ -88,14 +95,14 @@
     upstream: Upstream,
     platform: Arc<P>,
 ) -> anyhow::Result<()> {
-    let operators = Range::Prefix(platform.operator_prefix().to_owned());
     let Inputs {
         mut signals,
         mut events,
         mut status_requests,
         pulls,
         view,
-    } = Inputs::start(&settings, &platform, operators).await?;
+        ..
+    } = Inputs::start(&settings, &platform).await?;
     let (sender, mut upstream_calls) = mpsc::channel(inputs::EVENT_QUEUE_CAPACITY);
     announcements::serve(upstream.announcements, &platform, sender.clone()).await?;
     if settings.ready != upstream.announcements {
@@ -178,7 +185,10 @@
             reload: Reload::new(now),
             view,
             registered,
+            started_at: now,
             hello_sent_at: now,
+            holding: None,
+            held_before: 0,
             settings,
             upstream,
             platform,
@@ -229,7 +239,9 @@
                 continue;
             };
             let now = Instant::now();
-            self.balancers.insert(from, now);
+            if self.balancers.insert(from, now).is_none() {
+                self.greet(now, from);
+            }
             let own = self.core.revision();
             self.fallback
                 .observe_revision(now, from, frame.revision, own);
@@ -253,29 +265,42 @@
                     self.core.deliver(now, from, &delivery, &mut self.actions);
                     self.execute_actions(now, packet);
                 }
-                Body::Locate { questions } => {
-                    for Question {
-                        flow,
-                        acknowledgement,
-                    } in questions
-                    {
-                        self.core
-                            .locate(from, flow, acknowledgement, &mut self.actions);
-                    }
-                    self.execute_actions(now, &[]);
-                }
+                Body::Locate { questions } => self.locate(now, from, questions),
                 Body::Probe { sent } => {
                     let report = self.core.report_to(now, from);
                     self.send(from, Body::Answer { sent, report });
                 }
-                Body::Demand { waiting } => {
-                    self.core
-                        .handle_demand(now, from, waiting, &mut self.actions);
-                    self.execute_actions(now, &[]);
-                }
-                _ => metrics::counter!("sassafrasmast_frames_unexpected").increment(1),
+                body => self.handle_admission_frame(now, from, body),
+            }
+        }
+    }
+
+    /// Answers a balancer's questions for the owners of flows.
+    fn locate(&mut self, now: Instant, from: SocketAddrV4, questions: Vec<Question>) {
+        for question in questions {
+            self.core.locate(
+                from,
+                question.flow,
+                question.acknowledgement,
+                &mut self.actions,
+            );
+        }
+        self.execute_actions(now, &[]);
+    }
+
+    /// Handles a balancer's frame about SYNs that are queued there or were refused.
+    fn handle_admission_frame(&mut self, now: Instant, from: SocketAddrV4, body: Body<'_>) {
+        let actions = &mut self.actions;
+        match body {
+            Body::Demand { waiting } => self.core.handle_demand(now, from, waiting, actions),
+            Body::ClassDemand { waiting } => {
+                self.core.handle_class_demand(now, from, &waiting, actions);
             }
+            Body::Ended { attempts } => self.core.handle_ended(now, &attempts),
+            Body::Inquire { flows } => self.core.handle_inquiry(now, from, &flows, actions),
+            _ => metrics::counter!("sassafrasmast_frames_unexpected").increment(1),
         }
+        self.execute_actions(now, &[]);
     }
 
     /// Handles an announcement or deregistration of the upstream.
@@ -351,7 +376,7 @@
             let revision = intent.revision;
             if !self.core.set_intent(intent) {
                 self.log.line(now, "intent_stale", || {
-                    [("revision", watcher::revision_field(revision))]
+                    [("revision", revision_field(revision))]
                 });
             }
         }
@@ -396,12 +421,13 @@
             now.saturating_duration_since(*last_frame_at) < BALANCER_EXPIRY
         });
         self.report_changes(now);
+        self.report_classes(now);
         self.send_hello(now);
         self.fallback.tick(now, &self.view.borrow());
         let report = self.core.report(now);
         metrics::gauge!("sassafrasmast_flows").set(f64::from(report.flows));
         metrics::gauge!("sassafrasmast_busy").set(f64::from(report.busy));
-        let position = watcher::position_of(self.core.revision());
+        let position = position_of(self.core.revision());
         metrics::gauge!("sassafrasmast_revision").set(position.number as f64);
         metrics::gauge!("sassafrasmast_store_era").set(position.era as f64);
     }
@@ -422,9 +448,10 @@
         let mut status = Status {
             flows: report.flows.into(),
             upstreams: vec![own],
-            ..Status::new(now, &self.settings, intent, &self.fallback)
+            ..Status::new(&self.settings, intent, self.fallback.store_status(now))
         };
         let balancers = self.balancers.iter();
+        status.peers = self.fallback.peer_statuses(now);
         status
             .peers
             .extend(balancers.map(|(address, at)| status::Peer {
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -1,8 +1,10 @@
 //! The balancer process: passes packets of clients to agents.
 
+mod admission;
 mod output;
 
 use std::{
+    collections::BTreeSet,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -15,32 +17,37 @@
     Balancer, Intent, Key,
     balancer::{self, Action},
 };
-use sassafrasmast_store::Range;
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
 };
 
+use self::admission::Admission;
 use crate::{
+    event::Event,
     fallback::Fallback,
     http_server::{self, Answer},
     inputs::Inputs,
     log::Log,
-    peer::{KnownAgent, Pull, View},
+    peer::{KnownAgent, View},
     platform::{Call, Platform},
+    position::{position_of, revision_field},
+    puller::Pull,
     reload::Reload,
     settings::Settings,
     signals::Command,
     status::{self, Status},
     udp,
-    watcher::{self, Event},
     zone_status::{Departures, ServicePlacement},
 };
 
 /// Interval between ticks while a search runs or a SYN waits for placement.
 const FAST_TICK: Duration = Duration::from_millis(5);
 
+/// Interval between checks whether a service has no upstream.
+const STARVED_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Interval between ticks otherwise. Bounds how late probes of silent agents are sent.
 const SLOW_TICK: Duration = Duration::from_millis(50);
 
@@ -58,10 +65,16 @@
     frame_buffer: Vec<u8>,
     ready: Arc<AtomicBool>,
     stopping: bool,
+    admission: Admission,
     fallback: Fallback,
     reload: Reload,
     departures: Departures,
     view: watch::Sender<Arc<View>>,
+    /// Tells the watcher whether a service has no upstream.
+    starved: watch::Sender<bool>,
+    starved_checked_at: Instant,
+    /// Asks the watcher to confirm the list of agents.
+    list_requests: Arc<Notify>,
 }
 
 /// Runs a balancer until the process is killed.
@@ -76,10 +89,20 @@
         mut status_requests,
         pulls,
         view,
-    } = Inputs::start(&settings, &platform, Range::Prefix(String::new())).await?;
+        starved,
+        list_requests,
+    } = Inputs::start(&settings, &platform).await?;
     let ready = Arc::new(AtomicBool::new(false));
     serve_ready(&settings, &platform, &ready).await?;
-    let mut process = Process::start(settings, platform, ready, pulls, view)?;
+    let mut process = Process::start(
+        settings,
+        platform,
+        ready,
+        pulls,
+        view,
+        starved,
+        list_requests,
+    )?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -133,6 +156,8 @@
         ready: Arc<AtomicBool>,
         pulls: mpsc::Sender<Pull>,
         view: watch::Sender<Arc<View>>,
+        starved: watch::Sender<bool>,
+        list_requests: Arc<Notify>,
     ) -> anyhow::Result<Self> {
         let now = Instant::now();
         let core = Balancer::new(
@@ -141,6 +166,8 @@
                 zone: settings.zone.clone(),
                 max_flow_age: settings.max_flow_age,
                 questions_per_second: settings.questions_per_second(),
+                lower_class_share: settings.lower_class_share,
+                fair_shares: settings.fair_shares,
                 remote_cost: settings.remote_cost,
                 ..balancer::Settings::default()
             },
@@ -152,10 +179,14 @@
             log: Log::start(&settings.name)?,
             actions: Vec::new(),
             frame_buffer: Vec::with_capacity(MAX_BYTES),
+            admission: Admission::new(now),
             fallback: Fallback::new(now, pulls, true, settings.peers.clone()),
             reload: Reload::new(now),
             departures: Departures::default(),
             view,
+            starved,
+            starved_checked_at: now,
+            list_requests,
             settings,
             platform,
             ready,
@@ -226,6 +257,10 @@
         match event {
             Event::Intent(intent) => self.install_intent(now, intent),
             Event::Members(members) => self.core.set_members(now, members),
+            Event::MembersConfirmed(at) => {
+                self.core.confirm_members(now, at, &mut self.actions);
+                self.execute_actions(now, None);
+            }
             Event::Listed(member) => self.core.add_listed_member(*member),
             Event::Unlisted(address) => self.core.unlist_member(now, address),
             Event::Snapshot(_, snapshot) => {
@@ -238,10 +273,11 @@
                 self.core.add_members(now, members.collect());
             }
             Event::PullFailed(..)
+            | Event::AgentSource(_)
             | Event::StoreReachable
             | Event::StoreRestored { .. }
-            | Event::StoreUnreachable(_)
             | Event::ValueRejected(_) => {}
+            Event::StoreUnreachable(_) => self.core.lose_store(),
         }
         self.update_ready(now);
         self.update_view();
@@ -252,7 +288,7 @@
         let revision = intent.revision;
         if !self.core.set_intent(intent) {
             self.log.line(now, "intent_stale", || {
-                [("revision", watcher::revision_field(revision))]
+                [("revision", revision_field(revision))]
             });
         }
     }
@@ -275,6 +311,26 @@
         }
     }
 
+    /// Tells the watcher whether a service has no upstream in any zone.
+    fn check_starved(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.starved_checked_at) < STARVED_CHECK_INTERVAL {
+            return;
+        }
+        self.starved_checked_at = now;
+        let members = self.core.members();
+        let all_zones = BTreeSet::new();
+        let is_starved = self.core.intent().is_some_and(|intent| {
+            let mut services = intent.policy.services.keys();
+            members.iter().next().is_none()
+                || services.any(|service| members.has_no_upstream(now, service, &all_zones))
+        });
+        self.starved.send_if_modified(|starved| {
+            let differs = *starved != is_starved;
+            *starved = is_starved;
+            differs
+        });
+    }
+
     fn handle_signal(&mut self, command: Command) {
         let now = Instant::now();
         match command {
@@ -295,6 +351,8 @@
             .run(now, &*platform, &mut self.settings, &mut self.log)
         {
             self.fallback.set_peers(self.settings.peers.clone());
+            self.core
+                .set_lower_class_share(self.settings.lower_class_share);
             self.core.set_remote_cost(self.settings.remote_cost);
         }
     }
@@ -307,14 +365,16 @@
         self.fallback.tick(now, &self.view.borrow());
         self.core.tick(now, &mut self.actions);
         self.execute_actions(now, None);
+        self.admission.report(now, &mut self.core, &mut self.log);
         self.update_ready(now);
+        self.check_starved(now);
         self.departures
             .observe(now, self.core.members(), &mut self.log);
         metrics::gauge!("sassafrasmast_flows").set(self.core.flow_count() as f64);
         metrics::gauge!("sassafrasmast_openings_waiting").set(self.core.queued_count() as f64);
         metrics::gauge!("sassafrasmast_searches").set(self.core.search_count() as f64);
         metrics::gauge!("sassafrasmast_members").set(self.core.members().iter().count() as f64);
-        let position = watcher::position_of(self.core.revision());
+        let position = position_of(self.core.revision());
         metrics::gauge!("sassafrasmast_revision").set(position.number as f64);
         metrics::gauge!("sassafrasmast_store_era").set(position.era as f64);
     }
@@ -335,7 +395,8 @@
             flows: self.core.flow_count() as u64,
             upstreams,
             placements: ServicePlacement::of(now, self.core.members(), &zones_out),
-            ..Status::new(now, &self.settings, intent, &self.fallback)
+            peers: self.fallback.peer_statuses(now),
+            ..Status::new(&self.settings, intent, self.fallback.store_status(now))
         };
         status.reply(request);
     }
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -9,7 +9,7 @@
 use sassafrasmast_wire::flow::{Body, Frame, Question};
 
 use super::{Process, flow_text};
-use crate::{platform::Platform, status::age_ms, udp, watcher};
+use crate::{platform::Platform, position::revision_field, status::age_ms, udp};
 
 impl<P: Platform> Process<P> {
     /// Logs an agent's frame about a flow.
@@ -99,7 +99,11 @@
                     let sent = self.core.members().probe_timestamp(now);
                     self.send(to, Body::Probe { sent });
                 }
+                Action::List => self.list_requests.notify_one(),
                 Action::Demand { to, waiting } => self.send(to, Body::Demand { waiting }),
+                Action::ClassDemand { to, waiting } => self.send(to, Body::ClassDemand { waiting }),
+                Action::Ended { to, attempts } => self.send(to, Body::Ended { attempts }),
+                Action::Inquire { to, flows } => self.send(to, Body::Inquire { flows }),
                 Action::Reset {
                     flow,
                     sequence,
@@ -142,7 +146,7 @@
             [
                 ("flow", flow_text(Some(flow))),
                 ("cause", cause.into()),
-                ("revision", watcher::revision_field(self.core.revision())),
+                ("revision", revision_field(self.core.revision())),
             ]
         });
     }
@@ -181,7 +185,7 @@
                 ),
                 ("syn_age_ms", syn_age_ms.into()),
                 ("queued", self.core.queued_count().into()),
-                ("revision", watcher::revision_field(self.core.revision())),
+                ("revision", revision_field(self.core.revision())),
             ]
         });
     }
--- a/crates/forwarder/src/inputs.rs
+++ b/crates/forwarder/src/inputs.rs
@@ -2,17 +2,20 @@
 
 use std::sync::Arc;
 
-use sassafrasmast_store::Range;
-use tokio::sync::{mpsc, watch};
+use rand::Rng;
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
+    event::Event,
+    membership::Schedule,
     metrics_server,
-    peer::{self, Pull, View},
+    peer::{self, View},
     platform::Platform,
-    settings::Settings,
+    puller::{self, Pull},
+    settings::{Role, Settings},
     signals::Signals,
     status,
-    watcher::{Event, Watcher},
+    watcher::Watcher,
 };
 
 /// Events, or calls of the upstream, that may wait for the event loop.
@@ -29,10 +32,14 @@
     pub(crate) pulls: mpsc::Sender<Pull>,
     /// Accepts the view from which requests of peers are answered.
     pub(crate) view: watch::Sender<Arc<View>>,
+    /// Accepts whether a service has no upstream, so that agents are learned of sooner.
+    pub(crate) starved: watch::Sender<bool>,
+    /// Asks the watcher to confirm the list of agents.
+    pub(crate) list_requests: Arc<Notify>,
 }
 
 impl Inputs {
-    /// Starts the watcher on the keys of `range` and the servers for peers, metrics and status.
+    /// Starts the watcher and the servers for peers, metrics and status.
     ///
     /// # Errors
     ///
@@ -40,22 +47,36 @@
     pub(crate) async fn start<P: Platform>(
         settings: &Settings,
         platform: &Arc<P>,
-        range: Range,
     ) -> anyhow::Result<Self> {
         let metrics_handle = metrics_server::install()?;
         let signals = Signals::new()?;
         let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
-        tokio::spawn(Watcher::new(Arc::clone(platform), range, sender.clone()).run());
-        let pulls = peer::start_puller(sender);
+        let schedule = matches!(settings.role, Role::Balancer)
+            .then(|| Schedule::new(settings.link_bytes_per_s, rand::rng().random()));
+        let (starved, starved_receiver) = watch::channel(false);
+        let list_requests = Arc::new(Notify::new());
+        let watcher = Watcher::new(
+            Arc::clone(platform),
+            settings.peers.clone(),
+            schedule,
+            starved_receiver,
+            Arc::clone(&list_requests),
+            sender.clone(),
+        );
+        tokio::spawn(watcher.run());
+        let pulls = puller::start_puller(sender);
         let (view, view_receiver) = watch::channel(Arc::default());
-        peer::serve(settings.frames, view_receiver).await?;
-        let status_requests = metrics_server::serve(settings.metrics, metrics_handle).await?;
+        peer::serve(settings.frames, view_receiver.clone()).await?;
+        let status_requests =
+            metrics_server::serve(settings.metrics, metrics_handle, view_receiver).await?;
         Ok(Self {
             signals,
             events,
             status_requests,
             pulls,
             view,
+            starved,
+            list_requests,
         })
     }
 }
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -59,9 +59,15 @@
     pub cold_coverage: f64,
     /// New flows per second that a cold upstream may get in addition.
     pub cold_slack: f64,
+    /// Share of the places at upstreams that each less critical class of requests gets while more
+    /// critical ones wait.
+    pub lower_class_share: f64,
+    /// Whether client addresses take turns while flows wait for upstreams.
+    pub fair_shares: bool,
     /// Age from which a flow may be discarded.
     pub max_flow_age: Duration,
-    /// Time to live of an agent's entry in the store.
+    /// Time to live of an agent's entry in the store. The entry of a VM that is gone keeps lost flows
+    /// waiting for that long: searches wait for listed agents.
     pub lease_ttl: Duration,
     /// Capacity of the VM's link.
     pub link_bytes_per_s: u64,
@@ -97,11 +103,13 @@
             ("metrics", self.metrics != new.metrics),
             ("lease", self.lease_ttl != new.lease_ttl),
             ("link", self.link_bytes_per_s != new.link_bytes_per_s),
+            ("fair_shares", self.fair_shares != new.fair_shares),
             ("max_flow_age", self.max_flow_age != new.max_flow_age),
         ];
         self.peers = new.peers;
         self.cold_coverage = new.cold_coverage;
         self.cold_slack = new.cold_slack;
+        self.lower_class_share = new.lower_class_share;
         self.remote_cost = new.remote_cost;
         let differing = fixed.into_iter().filter(|(_, differs)| *differs);
         differing.map(|(name, _)| name).collect()
@@ -122,6 +130,8 @@
             metrics: None,
             cold_coverage: 1.0,
             cold_slack: 0.0,
+            lower_class_share: 0.05,
+            fair_shares: false,
             max_flow_age: Duration::from_secs(60),
             lease_ttl: Duration::from_secs(9),
             link_bytes_per_s: 1_250_000,
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -1,21 +1,29 @@
-//! Keeps a process up to date with the store: lists all keys of a range, then watches them.
+//! Keeps a process up to date with the store: lists keys, then watches them. A balancer watches
+//! agents' keys or reads stale listings of them, as its [`Schedule`] says.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
+    pin::Pin,
     sync::Arc,
     time::Duration,
 };
 
 use rand::Rng;
-use sassafrasmast_core::flow::{self, Intent, Member, ZoneName};
-use sassafrasmast_store::{Entry, Error, Position, Range, Revision, Update};
-use serde_json::{Value, json};
-use tokio::{sync::mpsc, time::Instant};
+use sassafrasmast_core::flow::{Intent, ZoneName};
+use sassafrasmast_store::{Entry, Error, Listing, Position, Range, Revision, Update};
+use tokio::{
+    sync::{Notify, mpsc, watch},
+    task::JoinSet,
+    time::Instant,
+};
 
 use crate::{
-    peer::Snapshot,
+    event::Event,
+    membership::{AgentList, Change, Schedule, Source},
+    peer::{self, View},
     platform::{OperatorChange, Platform},
+    position::position,
     registration::Record,
 };
 
@@ -25,104 +33,47 @@
 /// Longest backoff: a process reconnects within a second after the store has recovered.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 
+/// Time after which a watch counts as stable, so that the backoff begins anew. A store that answers
+/// listings and refuses watches is not listed without end at the shortest delay.
+const STABLE_AFTER: Duration = Duration::from_secs(5);
+
 /// Time after the store has come back from an older copy in which operators' documents are written
 /// again. Until then a zone stays out that was out before, whether or not the copy says so. With the
 /// time until a process notices, up to 1.6 s, it stays below the 5 s in which a zone that was taken
 /// back has to be in use again.
 const REWRITE_TIME: Duration = Duration::from_secs(3);
 
-/// Event for the event loop of a process.
-#[derive(Debug)]
-pub enum Event {
-    /// The operators' intent has changed.
-    Intent(Arc<Intent>),
-    /// The complete list of agents.
-    Members(Vec<Member>),
-    /// An agent's entry was written.
-    Listed(Box<Member>),
-    /// An agent's entry was removed.
-    Unlisted(SocketAddrV4),
-    /// The store has become reachable.
-    StoreReachable,
-    /// The store has come back from an older copy.
-    StoreRestored {
-        /// Position before.
-        from: Position,
-        /// Position of the first listing since.
-        to: Position,
-    },
-    /// The store has become unreachable, with the error.
-    StoreUnreachable(String),
-    /// A pull from this peer returned a snapshot.
-    Snapshot(SocketAddrV4, Box<Snapshot>),
-    /// A pull from this peer failed, with the error.
-    PullFailed(SocketAddrV4, String),
-    /// The value of a key (operator's document or agent's entry) cannot be decoded and was ignored;
-    /// holds the key and the error.
-    ValueRejected(String),
-}
+/// Time for which a process that starts after a restore waits for a peer's intent. A process has to
+/// take traffic within a second of the store's first answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
-impl Event {
-    /// The `event` field of the log line.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Self::Intent(_) => "intent_read",
-            Self::Members(_) => "members_read",
-            Self::Listed(_) => "member_listed",
-            Self::Unlisted(_) => "member_unlisted",
-            Self::StoreReachable => "store_regained",
-            Self::StoreRestored { .. } => "store_restored",
-            Self::StoreUnreachable(_) => "store_lost",
-            Self::Snapshot(..) => "peer_told",
-            Self::PullFailed(..) => "peer_failed",
-            Self::ValueRejected(_) => "document_refused",
-        }
-    }
+/// Bytes of an entry in a listing besides its key and value, which is in base64.
+const ENTRY_OVERHEAD_BYTES: u64 = 110;
 
-    /// The other fields of the log line.
-    pub fn fields(&self) -> Vec<(&'static str, Value)> {
-        match self {
-            Self::Intent(intent) => vec![
-                ("revision", revision_field(intent.revision)),
-                ("version", intent.policy.version.into()),
-                ("routes", intent.policy.routes.len().into()),
-                ("zones_out", json!(intent.zones_out)),
-            ],
-            Self::Members(members) => vec![("count", members.len().into())],
-            Self::Listed(member) => vec![
-                ("agent", member.address.to_string().into()),
-                ("service", (&*member.service).into()),
-                ("upstream_state", member.report.state.as_str().into()),
-            ],
-            Self::Unlisted(address) => vec![("agent", address.to_string().into())],
-            Self::Snapshot(from, snapshot) => vec![
-                ("peer", from.to_string().into()),
-                ("revision", revision_field(snapshot.revision)),
-                ("differs", snapshot.intent.is_some().into()),
-                ("members", snapshot.members.len().into()),
-            ],
-            Self::PullFailed(from, reason) => vec![
-                ("peer", from.to_string().into()),
-                ("reason", reason.as_str().into()),
-            ],
-            Self::StoreReachable => Vec::new(),
-            Self::StoreRestored { from, to } => {
-                vec![("from", position_field(*from)), ("to", position_field(*to))]
-            }
-            Self::StoreUnreachable(reason) | Self::ValueRejected(reason) => {
-                vec![("reason", reason.as_str().into())]
-            }
-        }
-    }
-}
+/// A read of agents' entries that is due later.
+type StaleListing = Pin<Box<dyn Future<Output = Result<Listing, Error>> + Send>>;
+
+/// Whether the watch has delivered all changes made before a point in time, once that is known.
+type CatchUp = Pin<Box<dyn Future<Output = (Instant, bool)> + Send>>;
 
-/// Lists and watches a range of keys in the store.
+/// Lists and watches keys of the store.
 #[derive(Debug)]
 pub struct Watcher<P> {
     platform: Arc<P>,
-    range: Range,
+    /// Peers that a starting process asks for their intent.
+    peers: Vec<SocketAddrV4>,
     intent: Intent,
     events: mpsc::Sender<Event>,
+    /// Decides how agents are learned of; `None` in an agent's process, which does not learn of them.
+    schedule: Option<Schedule>,
+    /// Whether a service has no upstream, as the balancer sees it.
+    starved: watch::Receiver<bool>,
+    /// Notified when the balancer needs a list of agents that is complete at present.
+    list_requests: Arc<Notify>,
+    /// The agents' entries.
+    agents: AgentList,
+    /// Whether the pending watch covers the agents' keys.
+    watches_agents: bool,
     /// Consecutive failures.
     failures: u32,
     /// Whether the last call succeeded.
@@ -132,13 +83,27 @@
 }
 
 impl<P: Platform> Watcher<P> {
-    /// A watcher on the keys of `range` that sends its events to `events`.
-    pub fn new(platform: Arc<P>, range: Range, events: mpsc::Sender<Event>) -> Self {
+    /// A watcher that sends its events to `events`: on operators' keys, and with a schedule also on
+    /// agents' keys. `starved` tells whether a service has no upstream, `list_requests` that the list
+    /// of agents is to be confirmed.
+    pub fn new(
+        platform: Arc<P>,
+        peers: Vec<SocketAddrV4>,
+        schedule: Option<Schedule>,
+        starved: watch::Receiver<bool>,
+        list_requests: Arc<Notify>,
+        events: mpsc::Sender<Event>,
+    ) -> Self {
         Self {
             platform,
-            range,
+            peers,
             intent: Intent::default(),
             events,
+            schedule,
+            starved,
+            list_requests,
+            agents: AgentList::default(),
+            watches_agents: false,
             failures: 0,
             is_reachable: false,
             zones_kept: None,
@@ -149,50 +114,93 @@
     pub async fn run(mut self) {
         let mut watch_after = None;
         while !self.events.is_closed() {
+            if self.update_source().await {
+                // Changes since the last stale listing are not known.
+                watch_after = None;
+            }
+            let started_at = Instant::now();
             let result = match watch_after {
                 None => self.list().await,
                 Some(revision) => self.watch(revision).await,
             };
+            if started_at.elapsed() >= STABLE_AFTER {
+                self.failures = 0;
+            }
             match result {
                 Ok(revision) => watch_after = Some(revision),
                 Err(error) => {
-                    if needs_listing(&error) {
-                        watch_after = None;
-                    }
-                    // The store answers, so it need not be spared.
-                    if !matches!(error, Error::Restored { .. }) {
-                        self.back_off(&error).await;
-                    }
+                    watch_after = None;
+                    self.handle_failure(&error).await;
+                }
+            }
+        }
+    }
+
+    /// Updates whether agents are watched. Returns whether they are from now on.
+    async fn update_source(&mut self) -> bool {
+        let is_starved = *self.starved.borrow_and_update();
+        let Some(schedule) = &mut self.schedule else {
+            return false;
+        };
+        let now = Instant::now().into_std();
+        schedule.set_starved(now, is_starved);
+        let source = schedule.source(now);
+        let watches_agents = source == Source::Watch;
+        if watches_agents == self.watches_agents {
+            return false;
+        }
+        self.watches_agents = watches_agents;
+        self.send(Event::AgentSource(source)).await;
+        watches_agents
+    }
+
+    /// The keys that are listed and watched.
+    fn range(&self) -> Range {
+        Range::Prefix(if self.watches_agents {
+            String::new()
+        } else {
+            self.platform.operator_prefix().to_owned()
+        })
+    }
+
+    /// Handles a failed listing or watch; a listing follows.
+    async fn handle_failure(&mut self, error: &Error) {
+        match error {
+            // The store answers, so it need not be spared.
+            Error::Restored { .. } => {
+                if let Some(schedule) = &mut self.schedule {
+                    schedule.regain_store(Instant::now().into_std());
                 }
             }
+            Error::Compacted { .. } => tokio::time::sleep(RETRY_DELAY_MIN).await,
+            _ => self.back_off(error).await,
         }
     }
 
-    /// Lists all keys. Returns the revision after which the watch starts. Without a configuration
-    /// document, or if the store lists an older revision, the intent in force stays.
+    /// Lists the keys to watch. Returns the revision after which the watch starts. Without a
+    /// configuration document, or if the store lists an older revision, the intent in force stays.
     async fn list(&mut self) -> Result<Revision, Error> {
-        let listing = self.platform.store().range(self.range.clone()).await?;
+        let asked_at = Instant::now();
+        let listing = self.platform.store().range(self.range()).await?;
         self.mark_reachable().await;
         let mut intent = Intent {
             revision: u64::try_from(listing.revision).unwrap_or(0),
             ..Intent::default()
         };
         let mut has_policy = false;
-        let mut members = BTreeMap::new();
         for entry in &listing.entries {
-            if let Some(address) = Record::address(&entry.key) {
-                match Record::decode(&entry.value) {
-                    Ok(record) => {
-                        members.insert(address, record.member(address));
-                    }
-                    Err(error) => self.reject(&entry.key, &error).await,
-                }
-            } else if let Some(change) = self.operator_change(&entry.key, Some(&entry.value)).await
-            {
+            if let Some(change) = self.operator_change(&entry.key, Some(&entry.value)).await {
                 has_policy |= matches!(change, OperatorChange::Policy(_));
                 apply(&mut intent, change);
             }
         }
+        if self.watches_agents {
+            self.replace_agents(asked_at, &listing).await;
+        }
+        let is_first = self.intent.revision == 0;
+        if is_first && position(&intent).era > 0 {
+            self.ask_peers(&intent).await;
+        }
         self.note_restore(position(&intent)).await;
         if let Some((zones, _)) = &self.zones_kept {
             intent.zones_out.extend(zones.iter().cloned());
@@ -206,18 +214,114 @@
             self.send(Event::Intent(Arc::new(self.intent.clone())))
                 .await;
         }
-        self.send(Event::Members(members.into_values().collect()))
-            .await;
         Ok(listing.revision)
     }
 
+    /// Replaces the list of agents by a listing that is not stale, for which the store was asked at
+    /// `asked_at`.
+    async fn replace_agents(&mut self, asked_at: Instant, listing: &Listing) {
+        let records = self.records(&listing.entries).await;
+        let members = records.iter();
+        let members = members.map(|(address, record)| record.member(*address));
+        self.send(Event::Members(members.collect())).await;
+        self.agents.replace(listing.revision, records);
+        self.send(Event::MembersConfirmed(asked_at.into_std()))
+            .await;
+    }
+
+    /// Records that the balancer needs to know all present agents. Returns the source that is due.
+    fn record_list_request(&mut self) -> Source {
+        let now = Instant::now().into_std();
+        match &mut self.schedule {
+            Some(schedule) => {
+                schedule.record_request(now);
+                schedule.source(now)
+            }
+            None => Source::Watch,
+        }
+    }
+
+    /// Lists the agents' keys afresh.
+    ///
+    /// # Errors
+    ///
+    /// When the store has come back from an older copy. The balancer does without other replies that
+    /// are missing.
+    async fn confirm_agents(&mut self) -> Result<(), Error> {
+        let asked_at = Instant::now();
+        match self.platform.store().range(Record::range()).await {
+            Ok(listing) => {
+                metrics::counter!("sassafrasmast_listings_confirmed", "result" => "confirmed")
+                    .increment(1);
+                if let Some(schedule) = &mut self.schedule {
+                    schedule.record_listing(asked_at.into_std(), bytes(&listing));
+                }
+                self.replace_agents(asked_at, &listing).await;
+                Ok(())
+            }
+            Err(error) => {
+                metrics::counter!("sassafrasmast_listings_confirmed", "result" => "failed")
+                    .increment(1);
+                match error {
+                    Error::Restored { .. } => Err(error),
+                    _ => Ok(()),
+                }
+            }
+        }
+    }
+
+    /// Waits until the pending watch has delivered all present agents.
+    fn begin_catch_up(&self) -> CatchUp {
+        let store = self.platform.store();
+        let asked_at = Instant::now();
+        Box::pin(async move { (asked_at, store.watch_caught_up().await) })
+    }
+
+    /// Asks all peers for their intent, since the first listing may show an older copy that operators
+    /// have not written to again. Ends with the first intent, when all peers have answered, or after
+    /// `PEER_TIMEOUT`. Zones of the peer's intent that are not out in `listed` are kept out.
+    async fn ask_peers(&mut self, listed: &Intent) {
+        let mut exchanges = JoinSet::new();
+        for &from in &self.peers {
+            let request = View::default().request(false);
+            exchanges.spawn(async move { (from, peer::fetch(from, request).await) });
+        }
+        let until = Instant::now() + PEER_TIMEOUT;
+        while let Ok(Some(Ok((from, answer)))) =
+            tokio::time::timeout_at(until, exchanges.join_next()).await
+        {
+            match answer {
+                Ok(snapshot) => {
+                    let intent = snapshot.intent.clone();
+                    self.send(Event::Snapshot(from, Box::new(snapshot))).await;
+                    if let Some(intent) = intent {
+                        self.intent = Intent::clone(&intent);
+                        break;
+                    }
+                }
+                Err(error) => {
+                    let reason = format!("{error:#}");
+                    self.send(Event::PullFailed(from, reason)).await;
+                }
+            }
+        }
+        if !self.intent.zones_out.is_subset(&listed.zones_out) {
+            self.keep_zones();
+        }
+    }
+
+    /// Keeps the zones that are out for `REWRITE_TIME`.
+    fn keep_zones(&mut self) {
+        let until = Instant::now() + REWRITE_TIME;
+        self.zones_kept = Some((self.intent.zones_out.clone(), until));
+    }
+
     /// If the listing at `listed` is the first one of a later era, keeps the zones that are out.
     async fn note_restore(&mut self, listed: Position) {
         let before = position(&self.intent);
         let is_known = self.intent.revision > 0;
         if is_known && listed.era > before.era {
-            let until = Instant::now() + REWRITE_TIME;
-            self.zones_kept = Some((self.intent.zones_out.clone(), until));
+            self.keep_zones();
             self.send(Event::StoreRestored {
                 from: before,
                 to: listed,
@@ -232,44 +336,135 @@
         }
     }
 
-    /// Waits until zones are no longer kept out that the store does not list.
-    async fn zones_settled(zones_kept: Option<Instant>) {
-        match zones_kept {
-            Some(until) => tokio::time::sleep_until(until).await,
-            None => std::future::pending().await,
+    /// The agents' entries among these by address.
+    async fn records(&self, entries: &[Entry]) -> BTreeMap<SocketAddrV4, Record> {
+        let mut records = BTreeMap::new();
+        for entry in entries {
+            let Some(address) = Record::address(&entry.key) else {
+                continue;
+            };
+            match Record::decode(&entry.value) {
+                Ok(record) => {
+                    records.insert(address, record);
+                }
+                Err(error) => self.reject(&entry.key, &error).await,
+            }
         }
+        records
     }
 
-    /// Watches for changes after `revision`. Returns the last revision seen when the watch is to be
-    /// opened again, or an error after which the keys may have to be listed again.
+    /// Watches for changes after `revision`, and reads stale listings of agents' keys unless the watch
+    /// covers them. Returns the last revision seen when the watch is to be opened again, or an error
+    /// after which the keys have to be listed again.
     async fn watch(&mut self, revision: Revision) -> Result<Revision, Error> {
         let mut updates = self
             .platform
             .store()
-            .watch(self.range.clone(), revision + 1)
+            .watch(self.range(), revision + 1)
             .await?;
         let mut seen = revision;
         let settled_at = self.zones_kept.as_ref().map(|(_, until)| *until);
+        let mut stale_listing = self.next_stale_listing();
+        let list_requests = Arc::clone(&self.list_requests);
+        let mut catch_up = self.begin_catch_up();
+        let mut is_catching_up = false;
         loop {
-            let update = tokio::select! {
-                update = updates.recv() => update,
-                () = Self::zones_settled(settled_at) => return self.list().await,
-            };
-            match update {
-                Some(Ok(update)) => {
-                    self.mark_reachable().await;
-                    seen = self.handle_update(update).await;
+            let source_ends_at = self.schedule.as_ref().and_then(Schedule::watch_ends_at);
+            let source_ends_at = source_ends_at.filter(|_| self.watches_agents);
+            tokio::select! {
+                update = updates.recv() => match update {
+                    Some(Ok(update)) => seen = self.handle_update(update).await,
+                    Some(Err(error)) => return Err(error),
+                    None => return Ok(seen),
+                },
+                listing = &mut stale_listing => {
+                    self.handle_stale_listing(listing).await?;
+                    stale_listing = self.next_stale_listing();
                 }
-                Some(Err(error)) if needs_listing(&error) => return Err(error),
-                Some(Err(error)) => {
-                    self.back_off(&error).await;
-                    return Ok(seen);
+                // A request that comes while the watch catches up is handled after that.
+                () = list_requests.notified(), if !is_catching_up => match self.record_list_request() {
+                    Source::Watch if self.watches_agents => {
+                        catch_up = self.begin_catch_up();
+                        is_catching_up = true;
+                    }
+                    // A listing and a watch of all keys follow.
+                    Source::Watch => return Ok(seen),
+                    Source::StaleListings => {
+                        self.confirm_agents().await?;
+                        stale_listing = self.next_stale_listing();
+                    }
+                },
+                (asked_at, is_done) = &mut catch_up, if is_catching_up => {
+                    is_catching_up = false;
+                    if !is_done {
+                        return self.list().await;
+                    }
+                    while let Ok(update) = updates.try_recv() {
+                        seen = self.handle_update(update?).await;
+                    }
+                    self.send(Event::MembersConfirmed(asked_at.into_std())).await;
                 }
-                None => return Ok(seen),
+                () = at(settled_at) => return self.list().await,
+                // The source of the list of agents may have changed.
+                () = at(source_ends_at.map(Instant::from_std)) => return Ok(seen),
+                Ok(()) = self.starved.changed(), if self.schedule.is_some() => return Ok(seen),
             }
         }
     }
 
+    /// The next stale listing of agents' keys when it is due. Never ends while the watch covers them.
+    fn next_stale_listing(&self) -> StaleListing {
+        let Some(schedule) = self.schedule.as_ref().filter(|_| !self.watches_agents) else {
+            return Box::pin(std::future::pending());
+        };
+        let due_at = schedule.listing_due_at().map(Instant::from_std);
+        let store = self.platform.store();
+        Box::pin(async move {
+            tokio::time::sleep_until(due_at.unwrap_or_else(Instant::now)).await;
+            store.range_stale(Record::range()).await
+        })
+    }
+
+    /// Handles the result of a stale listing.
+    ///
+    /// # Errors
+    ///
+    /// When the store is lost or has come back from an older copy.
+    async fn handle_stale_listing(&mut self, result: Result<Listing, Error>) -> Result<(), Error> {
+        let Some(schedule) = &mut self.schedule else {
+            return Ok(());
+        };
+        let now = Instant::now().into_std();
+        let listing = match result {
+            Ok(listing) => listing,
+            Err(error) => {
+                metrics::counter!("sassafrasmast_stale_listings", "result" => "failed")
+                    .increment(1);
+                let is_lost = schedule.record_failure(now);
+                return if is_lost || matches!(error, Error::Restored { .. }) {
+                    Err(error)
+                } else {
+                    Ok(())
+                };
+            }
+        };
+        schedule.record_listing(now, bytes(&listing));
+        let records = self.records(&listing.entries).await;
+        let Some(changes) = self.agents.apply_stale(listing.revision, records) else {
+            metrics::counter!("sassafrasmast_stale_listings", "result" => "older").increment(1);
+            return Ok(());
+        };
+        metrics::counter!("sassafrasmast_stale_listings", "result" => "applied").increment(1);
+        for change in changes {
+            let event = match change {
+                Change::Listed(address, record) => Event::Listed(Box::new(record.member(address))),
+                Change::Unlisted(address) => Event::Unlisted(address),
+            };
+            self.send(event).await;
+        }
+        Ok(())
+    }
+
     /// Handles one update of the watch. Returns its revision.
     async fn handle_update(&mut self, update: Update) -> Revision {
         let (key, value, revision) = match &update {
@@ -286,9 +481,13 @@
                 Some(Ok(record)) => {
                     self.send(Event::Listed(Box::new(record.member(address))))
                         .await;
+                    self.agents.put(revision, address, record);
                 }
                 Some(Err(error)) => self.reject(key, &error).await,
-                None => self.send(Event::Unlisted(address)).await,
+                None => {
+                    self.agents.remove(revision, address);
+                    self.send(Event::Unlisted(address)).await;
+                }
             }
         } else if let Some(change) = self.operator_change(key, value).await {
             let before = self.intent.clone();
@@ -326,9 +525,11 @@
     }
 
     async fn mark_reachable(&mut self) {
-        self.failures = 0;
         if !self.is_reachable {
             self.is_reachable = true;
+            if let Some(schedule) = &mut self.schedule {
+                schedule.regain_store(Instant::now().into_std());
+            }
             self.send(Event::StoreReachable).await;
         }
     }
@@ -337,6 +538,9 @@
     async fn back_off(&mut self, error: &Error) {
         if self.is_reachable || self.failures == 0 {
             self.is_reachable = false;
+            if let Some(schedule) = &mut self.schedule {
+                schedule.lose_store();
+            }
             self.send(Event::StoreUnreachable(error.to_string())).await;
         }
         self.failures = self.failures.saturating_add(1);
@@ -352,36 +556,22 @@
     }
 }
 
-/// Position in the store's history that an intent reflects.
-pub(crate) fn position(intent: &Intent) -> Position {
-    position_of(intent.revision)
-}
-
-/// Position in the store's history of an intent's revision.
-pub(crate) fn position_of(revision: flow::Revision) -> Position {
-    Position::unpack(Revision::try_from(revision).unwrap_or(Revision::MAX))
-}
-
-/// The revision of an intent in a log line.
-pub(crate) fn revision_field(revision: flow::Revision) -> Value {
-    position_field(position_of(revision))
-}
-
-/// A position in a log line: the store's number, and the era before it if the store has come back
-/// from an older copy.
-fn position_field(position: Position) -> Value {
-    match position.era {
-        0 => position.number.into(),
-        era => format!("{era}/{}", position.number).into(),
+/// Waits until the given time, forever if there is none.
+async fn at(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
     }
 }
 
-/// Whether the keys have to be listed anew after an error of a watch.
-fn needs_listing(error: &Error) -> bool {
-    matches!(
-        error,
-        Error::Compacted { .. } | Error::Restored { .. } | Error::Malformed(_)
-    )
+/// Size of a listing on the link, estimated.
+fn bytes(listing: &Listing) -> u64 {
+    let entries = listing.entries.iter();
+    let sizes = entries.map(|entry| {
+        let text = entry.key.len() + entry.value.len().div_ceil(3) * 4;
+        text as u64 + ENTRY_OVERHEAD_BYTES
+    });
+    sizes.sum()
 }
 
 /// Applies the change of one document to the intent.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -38,6 +38,12 @@
     /// Reads one key, or all keys with a prefix, ordered by key.
     async fn range(&self, range: Range) -> Result<Listing, Error>;
 
+    /// Reads like [`Self::range`], but the result may be some seconds old: its revision may be lower
+    /// than that of an earlier read. Cheaper where the store has such reads; otherwise a normal read.
+    async fn range_stale(&self, range: Range) -> Result<Listing, Error> {
+        self.range(range).await
+    }
+
     /// Applies the writes of `txn` atomically if all its comparisons hold, otherwise none of them.
     async fn txn(&self, txn: Txn) -> Result<TxnResult, Error>;
 
@@ -53,11 +59,19 @@
         std::future::pending().await
     }
 
-    /// Revokes a lease and deletes its keys.
+    /// Revokes a lease and deletes its keys. For stores that come back from older copies this never
+    /// ends a lease of another holder that got the same id.
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error>;
 
     /// Watches `range` for changes from revision `from` on, inclusive. The watch ends with an error
     /// when the connection breaks or receives nothing for too long; the caller then reads again
     /// and watches from the revision of that read.
     async fn watch(&self, range: Range, from: Revision) -> Result<Watch, Error>;
+
+    /// Waits until the watch that was opened last has delivered all changes made before this call.
+    /// Returns false if that does not happen within some hundred milliseconds, or if it cannot be
+    /// told. Costs no call to the store while nothing changes.
+    async fn watch_caught_up(&self) -> bool {
+        false
+    }
 }
