--- a/crates/core/src/flow/agent/held.rs
+++ b/crates/core/src/flow/agent/held.rs
@@ -12,6 +12,10 @@
 /// and a process ticks every 20 ms.
 const MAX_TIME: Duration = Duration::from_millis(180);
 
+/// A request is held for its latency objective divided by this at most: it has yet to wait behind a
+/// few others at the upstream, to run, and to be answered in time.
+const OBJECTIVE_DIVISOR: u32 = 4;
+
 /// Limit of the bytes held, some forty full packets: a process has a few megabytes.
 const MAX_BYTES: usize = 65_536;
 
@@ -33,7 +37,7 @@
     late_at: Instant,
     /// Number of the request, in the order of arrival.
     number: u64,
-    held_at: Instant,
+    due_at: Instant,
     packets: Vec<HeldPacket>,
 }
 
@@ -46,7 +50,8 @@
     requests: HashMap<Key, Request>,
     /// The order in which requests are delivered.
     order: BTreeMap<Priority, BTreeMap<(Instant, u64), Key>>,
-    by_arrival: BTreeMap<u64, Key>,
+    /// Held requests by the time at which they are delivered in any case.
+    by_due_time: BTreeMap<(Instant, u64), Key>,
     bytes: usize,
     numbered: u64,
 }
@@ -82,25 +87,28 @@
         self.order.keys().copied()
     }
 
-    /// Holds the first packet of a request.
+    /// Holds the first packet of a request, which has a latency objective if operators configured one.
     pub fn hold(
         &mut self,
         now: Instant,
         flow: Key,
         class: Priority,
-        late_at: Instant,
+        objective: Option<Duration>,
         packet: HeldPacket,
     ) {
+        let late_at = now + objective.unwrap_or_default();
+        let max_time = objective.map_or(MAX_TIME, |objective| objective / OBJECTIVE_DIVISOR);
+        let due_at = now + max_time.min(MAX_TIME);
         self.numbered += 1;
         self.bytes += packet.bytes.len();
         let of_class = self.order.entry(class).or_default();
         of_class.insert((late_at, self.numbered), flow);
-        self.by_arrival.insert(self.numbered, flow);
+        self.by_due_time.insert((due_at, self.numbered), flow);
         let request = Request {
             class,
             late_at,
             number: self.numbered,
-            held_at: now,
+            due_at,
             packets: vec![packet],
         };
         self.requests.insert(flow, request);
@@ -128,10 +136,8 @@
 
     /// The flow of a request that was held for the longest time allowed.
     pub fn first_due(&self, now: Instant) -> Option<Key> {
-        let (_, flow) = self.by_arrival.first_key_value()?;
-        let request = self.requests.get(flow)?;
-        let held_for = now.saturating_duration_since(request.held_at);
-        (held_for >= MAX_TIME).then_some(*flow)
+        let ((due_at, _), flow) = self.by_due_time.first_key_value()?;
+        (*due_at <= now).then_some(*flow)
     }
 
     /// Takes out the class and the packets of a flow's held request.
@@ -143,7 +149,7 @@
                 self.order.remove(&request.class);
             }
         }
-        self.by_arrival.remove(&request.number);
+        self.by_due_time.remove(&(request.due_at, request.number));
         let bytes = request.packets.iter().map(|packet| packet.bytes.len());
         self.bytes -= bytes.sum::<usize>();
         Some((request.class, request.packets))
@@ -151,7 +157,7 @@
 
     /// Removes the requests of flows that `is_kept` does not hold for.
     pub fn retain(&mut self, is_kept: impl Fn(&Key) -> bool) {
-        let flows: Vec<Key> = self.by_arrival.values().copied().collect();
+        let flows: Vec<Key> = self.by_due_time.values().copied().collect();
         for flow in flows.iter().filter(|flow| !is_kept(flow)) {
             self.take(flow);
         }
--- a/crates/core/src/flow/agent/holding.rs
+++ b/crates/core/src/flow/agent/holding.rs
@@ -72,8 +72,7 @@
         let class = self.classes.of(intent, &flow);
         let route = intent.and_then(|intent| intent.policy.routes.get(&flow.route));
         let objective = route.and_then(|route| route.latency_objective);
-        let late_at = now + objective.unwrap_or_default();
-        self.held.hold(now, flow, class, late_at, packet);
+        self.held.hold(now, flow, class, objective, packet);
         self.last_held_at = Some(now);
         self.classes.count(class, |counts| counts.held += 1);
         true
