fix(forwarder): a balancer that starts asks its peers for the agents that they know

A list that the store confirms does not help, since the entries are gone.

Change: for two seconds after its start a balancer pulls the list of agents from its peers until one answers, whether or not the store does.

--- a/crates/forwarder/src/fallback.rs
+++ b/crates/forwarder/src/fallback.rs
@@ -21,6 +21,10 @@
 /// the revision is pulled from the peer. A slow store takes about half of it for one reply.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(400);
 
+/// Time after the start of a process in which it asks its peers for the list of agents: some attempts
+/// at different peers.
+const START_TIME: Duration = Duration::from_secs(2);
+
 /// Age from which the result of a pull is discarded when the next result is recorded. Operators see
 /// results in the status; an outage that they look into lasts about that long.
 const RESULT_RETENTION: Duration = Duration::from_secs(300);
@@ -31,6 +35,10 @@
     pulls: mpsc::Sender<Pull>,
     /// Whether the list of agents is pulled as well while the store is unreachable.
     pulls_members: bool,
+    /// Until when a process that has started asks its peers for the list of agents, whether or not the
+    /// store answers: agents whose entries were lost may take a renewal to notice that. `None` once a
+    /// peer has answered.
+    asks_for_members_until: Option<Instant>,
     /// Peers to pull from, in rotation.
     peers: Vec<SocketAddrV4>,
     /// Index of the peer that was pulled from last.
@@ -59,6 +67,7 @@
         Self {
             pulls,
             pulls_members,
+            asks_for_members_until: pulls_members.then(|| now + START_TIME),
             peers,
             peer_index: 0,
             unreachable_since: Some(now),
@@ -86,7 +95,10 @@
                 self.unreachable_since.get_or_insert(now);
                 self.unreachable_reason = Some(reason.clone());
             }
-            Event::Snapshot(from, _) => self.record_result(now, *from, None),
+            Event::Snapshot(from, _) => {
+                self.asks_for_members_until = None;
+                self.record_result(now, *from, None);
+            }
             Event::PullFailed(from, reason) => self.record_result(now, *from, Some(reason.clone())),
             _ => {}
         }
@@ -148,6 +160,7 @@
         let is_store_lost = self
             .unreachable_since
             .is_some_and(|since| now.saturating_duration_since(since) >= STORE_LOSS_GRACE);
+        let has_started = self.asks_for_members_until.is_some_and(|until| now < until);
         let is_pull_due = self
             .pulled_at
             .is_none_or(|at| now.saturating_duration_since(at) >= PULL_INTERVAL);
@@ -160,7 +173,7 @@
             {
                 from
             }
-            _ if is_store_lost && !self.peers.is_empty() => {
+            _ if (is_store_lost || has_started) && !self.peers.is_empty() => {
                 self.peer_index = (self.peer_index + 1) % self.peers.len();
                 self.peers[self.peer_index]
             }
@@ -169,7 +182,7 @@
         self.pulled_at = Some(now);
         let pull = Pull {
             from,
-            request: view.request(self.pulls_members && is_store_lost),
+            request: view.request(has_started || self.pulls_members && is_store_lost),
         };
         if self.pulls.try_send(pull).is_err() {
             metrics::counter!("sassafrasmast_pulls_skipped").increment(1);
