--- a/crates/core/src/flow/agent/admission.rs
+++ b/crates/core/src/flow/agent/admission.rs
@@ -175,6 +175,11 @@
         self.settings.cold_slack = slack;
     }
 
+    /// Changes the share of the places that each less critical class keeps.
+    pub fn set_lower_class_share(&mut self, share: f64) {
+        self.settings.lower_class_share = share;
+    }
+
     /// Limit of new flows per second to a cold upstream. `None` if operators configured no cold
     /// rate: cold upstreams of the service are slower but need no limit. Without an intent only the
     /// slack is allowed.
--- a/crates/core/src/flow/balancer/zones.rs
+++ b/crates/core/src/flow/balancer/zones.rs
@@ -207,7 +207,7 @@
         length.saturating_mul(waiting).checked_div(accepted.own)
     }
 
-    /// Counts anew, and adjusts the shares sent away, each [`INTERVAL`].
+    /// Counts anew, and adjusts the shares sent away, every 200 ms.
     pub fn tick(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.advanced_at);
         if passed < INTERVAL {
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -155,6 +155,7 @@
                 incarnation,
                 cold_coverage: settings.cold_coverage,
                 cold_slack: settings.cold_slack,
+                lower_class_share: settings.lower_class_share,
                 ..agent::Settings::default()
             },
         );
@@ -407,6 +408,8 @@
             self.fallback.set_peers(self.settings.peers.clone());
             self.core
                 .set_cold_bounds(self.settings.cold_coverage, self.settings.cold_slack);
+            self.core
+                .set_lower_class_share(self.settings.lower_class_share);
         }
     }
 
