--- a/crates/core/tests/flow/holding.rs
+++ b/crates/core/tests/flow/holding.rs
@@ -195,6 +195,22 @@
     assert_eq!(rig.tick(TICK), []);
 }
 
+/// Guards against requests that are held until they cannot be in time any more.
+#[test]
+fn a_request_with_an_objective_is_held_for_a_quarter_of_it_at_most() {
+    const OBJECTIVE: Duration = ms(240);
+    let mut rig = full_rig();
+    let mut intent = (**rig.agent.intent().unwrap()).clone();
+    intent.revision += 1;
+    for route in intent.policy.routes.values_mut() {
+        route.latency_objective = Some(OBJECTIVE);
+    }
+    assert!(rig.agent.set_intent(intent.into()));
+    rig.deliver(Purpose::Known, &request(bulk(1), 1));
+    assert_eq!(rig.tick(OBJECTIVE / 4 - ms(1)), []);
+    assert_eq!(rig.tick(ms(1)), [held(b"packet")]);
+}
+
 #[test]
 fn requests_of_the_most_critical_class_are_never_held() {
     let mut rig = rig();
