feat: placement by speed is a setting, off by default

Cause: when the parts were joined, agents no longer recorded which balancers place flows, so no Speed was sent; four tests of placement failed.

--- a/crates/core/src/flow/agent/delivery.rs
+++ b/crates/core/src/flow/agent/delivery.rs
@@ -30,6 +30,9 @@
         actions: &mut Vec<Action>,
     ) {
         let flow = delivery.head.client_flow();
+        if self.settings.reports_speed {
+            self.work.record_sender(now, from, delivery.head.opens());
+        }
         if delivery.head.opens() {
             self.open(now, from, flow, delivery, actions);
         } else {
--- a/crates/core/src/flow/agent/settings.rs
+++ b/crates/core/src/flow/agent/settings.rs
@@ -27,6 +27,9 @@
     /// Share of the free places that goes to the class below the most critical one that waits, so
     /// that none starves.
     pub lower_class_share: f64,
+    /// Whether balancers are told the time that the upstream takes for a request, so that they place
+    /// flows by it. Off by default: an upstream that fails its requests at once looks fast.
+    pub reports_speed: bool,
     /// Limit of flows in the table: far more than an upstream holds, about 200 bytes each.
     pub max_flows: usize,
     /// Flows that were idle for longer are removed, until an intent sets another timeout.
@@ -43,6 +46,7 @@
             cold_slack: 0.0,
             cold_utilization: 0.8,
             lower_class_share: 0.05,
+            reports_speed: false,
             max_flows: 20_000,
             idle_timeout: Duration::from_secs(15),
         }
--- a/crates/core/tests/flow/fixture.rs
+++ b/crates/core/tests/flow/fixture.rs
@@ -169,16 +169,22 @@
 
     /// As [`Self::unannounced`], with its start time in milliseconds.
     pub fn started_at(incarnation: u64) -> Self {
+        Self::with(agent::Settings {
+            incarnation,
+            ..agent::Settings::default()
+        })
+    }
+
+    fn with(settings: agent::Settings) -> Self {
         let now = Instant::now();
         let mut agent = Agent::new(
             now,
             agent::Settings {
                 service: SERVICE.into(),
                 zone: ZONE.into(),
-                incarnation,
                 cold_coverage: 1.5,
                 cold_slack: 5.0,
-                ..agent::Settings::default()
+                ..settings
             },
         );
         assert!(agent.set_intent(simple_intent()));
@@ -191,7 +197,15 @@
 
     /// An agent that received its upstream's first announcement.
     pub fn ready() -> Self {
-        let mut rig = Self::unannounced();
+        Self::ready_with(agent::Settings::default())
+    }
+
+    /// As [`Self::ready`], with some settings.
+    pub fn ready_with(settings: agent::Settings) -> Self {
+        let mut rig = Self::with(agent::Settings {
+            incarnation: 1,
+            ..settings
+        });
         rig.announce(&announcement(1, 1));
         rig
     }
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -397,6 +397,7 @@
                 service: SERVICE.into(),
                 zone: self.scenario.zone_of(index).into(),
                 incarnation: 1 + now.duration_since(self.start).as_millis() as u64,
+                reports_speed: self.scenario.places_by_speed,
                 ..agent::Settings::default()
             },
         );
--- a/crates/core/tests/flow/load/scenario.rs
+++ b/crates/core/tests/flow/load/scenario.rs
@@ -116,6 +116,8 @@
     pub tail: Option<Tail>,
     /// Relative loads of the zones; equal if empty.
     pub zone_loads: Vec<f64>,
+    /// Whether agents tell balancers the times that their upstreams take.
+    pub places_by_speed: bool,
     /// Agents from this one on are of an earlier build, which sends no speeds.
     pub earlier_builds_from: usize,
     /// Time that frames of agents take longer which bring nothing but a report.
@@ -148,6 +150,7 @@
             speeds: vec![1.0],
             tail: None,
             zone_loads: Vec::new(),
+            places_by_speed: false,
             earlier_builds_from: usize::MAX,
             report_delay: ms(0),
             agents_of_earlier_build: false,
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -8,7 +8,10 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use sassafrasmast_core::flow::{
-    Member, Report, State, agent::Action, balancer::Members, packet::Flags,
+    Member, Report, State,
+    agent::{Action, Settings},
+    balancer::Members,
+    packet::Flags,
 };
 
 use crate::{
@@ -51,6 +54,7 @@
             objective: ms(300),
             ..Class::default()
         }],
+        places_by_speed: true,
         speeds: vec![0.7, 0.7, 1.7],
         tail: Some(Tail {
             share: 0.03,
@@ -76,6 +80,7 @@
             objective: ms(300),
             ..Class::default()
         }],
+        places_by_speed: true,
         zone_loads: vec![1.4, 0.5, 0.5],
         load: (1.4 + 0.5 + 0.5) / 3.0,
         ..Scenario::default()
@@ -464,7 +469,10 @@
 /// that has been restarted.
 #[test]
 fn an_agent_tells_balancers_the_time_in_a_slot_until_its_upstream_restarts() {
-    let mut rig = AgentRig::ready();
+    let mut rig = AgentRig::ready_with(Settings {
+        reports_speed: true,
+        ..Settings::default()
+    });
     let ack = Flags {
         ack: true,
         ..Flags::default()
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -156,6 +156,7 @@
                 cold_coverage: settings.cold_coverage,
                 cold_slack: settings.cold_slack,
                 lower_class_share: settings.lower_class_share,
+                reports_speed: settings.places_by_speed,
                 ..agent::Settings::default()
             },
         );
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -62,6 +62,8 @@
     /// Share of the places at upstreams that each less critical class of requests gets while more
     /// critical ones wait.
     pub lower_class_share: f64,
+    /// Whether flows are placed by the times that upstreams take for requests.
+    pub places_by_speed: bool,
     /// Whether client addresses take turns while flows wait for upstreams.
     pub fair_shares: bool,
     /// Age from which a flow may be discarded.
@@ -104,6 +106,10 @@
             ("lease", self.lease_ttl != new.lease_ttl),
             ("link", self.link_bytes_per_s != new.link_bytes_per_s),
             ("fair_shares", self.fair_shares != new.fair_shares),
+            (
+                "places_by_speed",
+                self.places_by_speed != new.places_by_speed,
+            ),
             ("max_flow_age", self.max_flow_age != new.max_flow_age),
         ];
         self.peers = new.peers;
@@ -131,6 +137,7 @@
             cold_coverage: 1.0,
             cold_slack: 0.0,
             lower_class_share: 0.05,
+            places_by_speed: false,
             fair_shares: false,
             max_flow_age: Duration::from_secs(60),
             lease_ttl: Duration::from_secs(9),
