fix(core): a zone counts as out from the time its configuration came into force

Cause: the QUIC router dated a zone that is taken out from its own next use of the configuration, up to a tick (50 ms) after it came into force, so packets were forwarded to the zone for up to 1.05 s.

Change: the blackboard dates the zones that are out when it puts a configuration in force, and keeps the time of zones that were out before; the router's table takes it over.

--- a/crates/core/benches/route.rs
+++ b/crates/core/benches/route.rs
@@ -58,7 +58,8 @@
 fn router(agents: u32, now: Instant) -> (Router, Document) {
     let document = document(agents);
     let blackboard = Arc::new(Blackboard::new(16));
-    blackboard.install(Snapshot::new(document.clone()).expect("the sealing phase has a secret"));
+    let snapshot = Snapshot::new(document.clone()).expect("the sealing phase has a secret");
+    blackboard.install(Instant::now(), snapshot);
     let router = Router::new(now, Settings::default(), blackboard);
     for agent in 1..=agents {
         let load = Load {
--- a/crates/core/examples/roster.rs
+++ b/crates/core/examples/roster.rs
@@ -126,7 +126,10 @@
     let config = blackboard.config().expect("installed");
     let mut document = config.document.clone();
     document.version += 1;
-    blackboard.install(Snapshot::new(document).expect("consistent secrets"));
+    blackboard.install(
+        Instant::now(),
+        Snapshot::new(document).expect("consistent secrets"),
+    );
     let start = Instant::now();
     router.tick(now, &mut Vec::new());
     start.elapsed().as_secs_f64() * 1e6
@@ -184,7 +187,10 @@
 
 fn blackboard(document: Document) -> Arc<Blackboard> {
     let blackboard = Blackboard::new(0);
-    blackboard.install(Snapshot::new(document).expect("consistent secrets"));
+    blackboard.install(
+        Instant::now(),
+        Snapshot::new(document).expect("consistent secrets"),
+    );
     Arc::new(blackboard)
 }
 
--- a/crates/core/src/balancer/table.rs
+++ b/crates/core/src/balancer/table.rs
@@ -11,7 +11,7 @@
 
 use sassafrasmast_wire::{Address, AgentId, ServiceId};
 
-use crate::config::{Snapshot, Zone, ZoneName};
+use crate::config::{Snapshot, ZoneName};
 
 use super::health::Health;
 
@@ -49,7 +49,8 @@
 /// State of one availability zone.
 #[derive(Debug)]
 pub(super) struct ZoneState {
-    /// When this process learned that the zone is out of service; `None` while it is in service.
+    /// When the configuration came into force by which the zone is out of service; `None` while it is
+    /// in service.
     pub(super) out_since: Option<Instant>,
     /// Whether this process was forwarding when it learned that the zone is out of service. If so,
     /// it probably learned that without delay.
@@ -72,13 +73,11 @@
 
     fn next(
         previous: Option<&Arc<Self>>,
-        zone: &Zone,
-        now: Instant,
+        out_since: Option<Instant>,
         is_forwarding: bool,
     ) -> Arc<Self> {
-        let out_since = previous.and_then(|zone_state| zone_state.out_since);
         Arc::new(Self {
-            out_since: zone.out.then(|| out_since.unwrap_or(now)),
+            out_since,
             learned_while_forwarding: previous.is_some_and(|zone_state| {
                 zone_state
                     .out_since
@@ -117,9 +116,10 @@
             round_robin_order: document.upstreams.keys().copied().collect(),
             zones: HashMap::new(),
         };
-        for (name, zone) in &document.zones {
+        for name in document.zones.keys() {
             let zone_state = previous.and_then(|previous| previous.zones.get(name));
-            let zone_state = ZoneState::next(zone_state, zone, now, is_forwarding);
+            let out_since = snapshot.zones_out.get(name).copied();
+            let zone_state = ZoneState::next(zone_state, out_since, is_forwarding);
             table.zones.insert(name.clone(), zone_state);
         }
         for (&agent, upstream) in &document.upstreams {
--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -62,7 +62,7 @@
     /// Puts a configuration in force. Returns `false` and changes nothing unless its version is
     /// higher than the one in force: a configuration never reverts. Announcements of agents that
     /// it admits are dropped, so that they do not reappear as pending when the agent is removed.
-    pub fn install(&self, snapshot: Snapshot) -> bool {
+    pub fn install(&self, now: Instant, mut snapshot: Snapshot) -> bool {
         let mut config = self.config.write().unwrap_or_else(PoisonError::into_inner);
         let current = config
             .as_ref()
@@ -75,6 +75,7 @@
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .retain(|agent, _| !admitted.contains(agent));
+            snapshot.date_zones_out(now, config.as_deref());
             *config = Some(Arc::new(snapshot));
         }
         newer
--- a/crates/core/src/replay/balancer.rs
+++ b/crates/core/src/replay/balancer.rs
@@ -55,7 +55,7 @@
     /// Applies one input. `None` if it cannot be applied.
     pub(super) fn handle(&mut self, now: Instant, input: &Input) -> Option<Vec<DecisionKind>> {
         match input {
-            Input::Config { document } => self.install(document)?,
+            Input::Config { document } => self.install(now, document)?,
             Input::Report {
                 from,
                 service,
@@ -84,8 +84,9 @@
         Some(Vec::new())
     }
 
-    fn install(&self, document: &Document) -> Option<()> {
-        self.blackboard.install(Snapshot::new(document.clone())?);
+    fn install(&self, now: Instant, document: &Document) -> Option<()> {
+        self.blackboard
+            .install(now, Snapshot::new(document.clone())?);
         Some(())
     }
 
--- a/crates/core/tests/balancer/fixture.rs
+++ b/crates/core/tests/balancer/fixture.rs
@@ -120,8 +120,9 @@
     }
 
     pub fn install(&self) -> bool {
-        self.blackboard
-            .install(Snapshot::new(self.document.clone()).expect("the sealing phase has a secret"))
+        let snapshot =
+            Snapshot::new(self.document.clone()).expect("the sealing phase has a secret");
+        self.blackboard.install(self.now, snapshot)
     }
 
     /// Installs a changed configuration as the next version.
--- a/crates/daemon/examples/forward.rs
+++ b/crates/daemon/examples/forward.rs
@@ -88,7 +88,7 @@
 async fn start(listen: SocketAddr, document: Document) -> anyhow::Result<Arc<DataPlane>> {
     let blackboard = Arc::new(Blackboard::new(16));
     let snapshot = Snapshot::new(document).context("secrets")?;
-    blackboard.install(snapshot);
+    blackboard.install(Instant::now(), snapshot);
     let role = Balancer {
         api: listen,
         store: Vec::new(),
--- a/crates/daemon/src/config/installer.rs
+++ b/crates/daemon/src/config/installer.rs
@@ -3,6 +3,7 @@
 use std::{
     fmt,
     sync::{Arc, Mutex, PoisonError},
+    time::Instant,
 };
 
 use sassafrasmast_core::{
@@ -91,7 +92,7 @@
             self.refuse(version, origin, "the secrets are inconsistent".to_owned());
             return false;
         };
-        if !self.blackboard().install(snapshot) {
+        if !self.blackboard().install(Instant::now(), snapshot) {
             return false;
         }
         log::info!("config: put version {version} from {origin} in force");
--- a/crates/daemon/tests/agent/child.rs
+++ b/crates/daemon/tests/agent/child.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     process::{self, Command},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use rustls_pki_types::CertificateDer;
@@ -47,7 +47,7 @@
         let balancer = Balancer::start(ip, (1, listen), blackboard.clone()).await;
         let (certificate, chain, key) = document::certificate(ip);
         let document = document::document(listen, upstream);
-        assert!(blackboard.install(Snapshot::new(document).unwrap()));
+        assert!(blackboard.install(Instant::now(), Snapshot::new(document).unwrap()));
         let server = peer::Server::bind(balancer.back).await.unwrap();
         let common = peer::CommonHandler::balancer(blackboard);
         tokio::spawn(server.run(Arc::new(common)));
--- a/crates/daemon/tests/agent/harness.rs
+++ b/crates/daemon/tests/agent/harness.rs
@@ -1,6 +1,10 @@
 //! Runs one agent with a fake upstream, a fake balancer and a configuration.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use rustls_pki_types::CertificateDer;
 use sassafrasmast_core::{
@@ -158,7 +162,10 @@
 
     /// Puts a document in force.
     pub fn install(&self, document: Document) {
-        assert!(self.blackboard.install(Snapshot::new(document).unwrap()));
+        assert!(
+            self.blackboard
+                .install(Instant::now(), Snapshot::new(document).unwrap())
+        );
     }
 
     /// Changes the document in force.
--- a/crates/daemon/tests/balancer.rs
+++ b/crates/daemon/tests/balancer.rs
@@ -54,7 +54,7 @@
         let document = document(service, agent.local_addr().expect("bound"));
         let blackboard = Arc::new(Blackboard::new(64));
         let snapshot = Snapshot::new(document.clone()).expect("consistent secrets");
-        assert!(blackboard.install(snapshot));
+        assert!(blackboard.install(Instant::now(), snapshot));
         let (wanted, pulls) = mpsc::channel(8);
         let data_plane = data_plane(listen, &blackboard, wanted).expect("free addresses");
         data_plane.start();
@@ -255,7 +255,7 @@
     test_bed.document.version = 2;
     test_bed.document.upstreams.clear();
     let snapshot = Snapshot::new(test_bed.document.clone()).expect("consistent secrets");
-    assert!(test_bed.blackboard.install(snapshot));
+    assert!(test_bed.blackboard.install(Instant::now(), snapshot));
     test_bed.send(&test_bed.short_header_datagram()).await;
     let keys = test_bed
         .document
