perf(core): one agent for each critical SYN keeps a place for it

Cause: while SYNs of two classes waited, a balancer told all the agents that it asked of its critical SYNs.

Change: as many agents as critical SYNs wait are told of these, all that are asked of the least critical class.

--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -301,7 +301,8 @@
 
     /// Tells agents of a service that `waiting` SYNs wait for room, unless this was done just now.
     /// `by_class` has their numbers by class, if the service has classes.
-    /// Asks more agents the more SYNs wait, those first that were asked the longest time ago.
+    /// Asks more agents the more SYNs wait, those first that were asked the longest time ago, and not all
+    /// of them for room for the more critical classes.
     pub fn demand_room(
         &mut self,
         now: Instant,
@@ -324,7 +325,7 @@
         if due.len() > asked {
             due.select_nth_unstable_by_key(asked, |member| (member.probed_at, member.address));
         }
-        for member in due.into_iter().take(asked) {
+        for (index, member) in due.into_iter().take(asked).enumerate() {
             // An agent of an earlier build drops demands by class; it answers the next one.
             let has_answered = member
                 .probed_at
@@ -334,7 +335,7 @@
                 _ if !member.states_room() => Action::Probe(member.address),
                 Some(by_class) => Action::ClassDemand {
                     to: member.address,
-                    waiting: by_class.to_vec(),
+                    waiting: demand_at(index, by_class),
                 },
                 None => Action::Demand {
                     to: member.address,
@@ -462,3 +463,16 @@
         });
     }
 }
+
+/// The part of a demand that the agent at `index` among those asked is told. All are told of the least
+/// critical class, and one for each SYN of the others: agents keep a place for the most critical class
+/// that they were told of, and what is kept for a SYN at more than one agent is of use at one only.
+fn demand_at(index: usize, by_class: &[(Priority, u16)]) -> Vec<(Priority, u16)> {
+    let least_critical = by_class.last().map(|&(class, _)| class);
+    let mut waiting = 0;
+    let is_told = |&&(class, count): &&(Priority, u16)| {
+        waiting += usize::from(count);
+        index < waiting || Some(class) == least_critical
+    };
+    by_class.iter().filter(is_told).copied().collect()
+}
