--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -93,6 +93,14 @@
     let results = [
         change("", ""),
         change("cargo build", " "),
+        change(
+            "[roles.balancer]",
+            "production = \"29b1333e5478\"\n[roles.balancer]",
+        ),
+        change(
+            "[roles.balancer]",
+            "production = \"v0.1.0\"\n[roles.balancer]",
+        ),
         change("on = \"frontend\"", "on = \"frontend\"\nshare = 1.5"),
         change(
             "on = \"frontend\"",
@@ -108,6 +116,8 @@
     expect![[r#"
         system.toml: deploy file is valid
         system.toml: build: is empty
+        system.toml: deploy file is valid
+        system.toml: production: the hash of a commit is expected, not "v0.1.0"
         system.toml: roles.balancer: share: 1.5 is not above 0 and at most 1
         system.toml: roles.balancer: count: share is given as well
         system.toml: roles.balancer: metrics: PORT/PATH is expected, not "metrics"
