feat(core): requests on open flows wait beyond their due time while the upstream bears no more

Cause: a request of a lower class on an open flow was held for a quarter of its objective and then delivered whatever the upstream had. In a lasting overload that fills the queue of the upstream, whose room for a critical SYN is what the queue leaves: none. Bookings were refused as unservable though their work is 0.6 of the room.

Change: requests that are due are delivered while the upstream bears more (slots and learnt queue), and only up to half of its queue while a more critical SYN waits here. In a class those that can be in time go first, the latest ones after them the newest first. A held request is dropped at the time limit of its client, or with its reset.

Check changed: holding::each_packet_of_a_flow_reaches_the_upstream_once_and_in_order waited 180 ms for all that is held; what the upstream does not bear is now held longer, so the upstream answers what it has before that. The order and number of all packets are checked as before.

--- a/crates/core/src/flow/agent/admission.rs
+++ b/crates/core/src/flow/agent/admission.rs
@@ -73,7 +73,7 @@
             let Some(class) = self.classes.next(&waiting, lower_share) else {
                 break;
             };
-            if let Some(flow) = class.and_then(|class| self.held.first_of(class)) {
+            if let Some(flow) = class.and_then(|class| self.held.first_of(now, class)) {
                 self.deliver_held(now, &flow, actions);
             } else if let Some(to) = self.offers.offer(now, class) {
                 if let Some(class) = class {
--- a/crates/core/src/flow/agent/classes.rs
+++ b/crates/core/src/flow/agent/classes.rs
@@ -15,6 +15,8 @@
     pub held: u64,
     /// Held requests that were delivered.
     pub passed: u64,
+    /// Held requests that were dropped since their clients had given up.
+    pub expired: u64,
     /// SYNs that were returned.
     pub returned: u64,
 }
--- a/crates/core/src/flow/agent/held.rs
+++ b/crates/core/src/flow/agent/held.rs
@@ -8,13 +8,16 @@
 
 use crate::flow::{Head, Key, Priority};
 
-/// Time after which a held packet is delivered at the next tick: a client sends it again after 200 ms,
-/// and a process ticks every 20 ms.
+/// Time after which a request without a latency objective is due: a client sends a packet again after
+/// 200 ms, and a process ticks every 20 ms.
 const MAX_TIME: Duration = Duration::from_millis(180);
 
-/// A request is held for its latency objective divided by this at most: it has yet to wait behind a
-/// few others at the upstream, to run, and to be answered in time.
-const OBJECTIVE_DIVISOR: u32 = 4;
+/// A held request is due after its latency objective divided by this: it has yet to wait behind a few
+/// others at the upstream, to run, and to be answered in time.
+const DUE_DIVISOR: u32 = 4;
+
+/// A request that was held for its latency objective divided by this will be late.
+const LATE_DIVISOR: u32 = 2;
 
 /// Limit of the bytes held, some forty full packets: a process has a few megabytes.
 const MAX_BYTES: usize = 65_536;
@@ -38,6 +41,8 @@
     /// Number of the request, in the order of arrival.
     number: u64,
     due_at: Instant,
+    /// When the client gives up, if its route has a time limit.
+    expires_at: Option<Instant>,
     packets: Vec<HeldPacket>,
 }
 
@@ -48,10 +53,11 @@
 #[derive(Debug, Default)]
 pub struct Held {
     requests: HashMap<Key, Request>,
-    /// The order in which requests are delivered.
+    /// Held requests by the time at which they become late.
     order: BTreeMap<Priority, BTreeMap<(Instant, u64), Key>>,
-    /// Held requests by the time at which they are delivered in any case.
+    /// Held requests by the time at which they are due.
     by_due_time: BTreeMap<(Instant, u64), Key>,
+    by_expiry: BTreeMap<(Instant, u64), Key>,
     bytes: usize,
     numbered: u64,
 }
@@ -87,28 +93,36 @@
         self.order.keys().copied()
     }
 
-    /// Holds the first packet of a request, which has a latency objective if operators configured one.
+    /// Holds the first packet of a request, which has a latency objective and a time limit if operators
+    /// configured these.
     pub fn hold(
         &mut self,
         now: Instant,
         flow: Key,
         class: Priority,
         objective: Option<Duration>,
+        timeout: Option<Duration>,
         packet: HeldPacket,
     ) {
-        let late_at = now + objective.unwrap_or_default();
-        let max_time = objective.map_or(MAX_TIME, |objective| objective / OBJECTIVE_DIVISOR);
-        let due_at = now + max_time.min(MAX_TIME);
+        let until_late = objective.map_or(MAX_TIME, |objective| objective / LATE_DIVISOR);
+        let until_due = objective.map_or(MAX_TIME, |objective| objective / DUE_DIVISOR);
+        let late_at = now + until_late;
+        let due_at = now + until_due.min(MAX_TIME);
+        let expires_at = timeout.map(|timeout| now + timeout);
         self.numbered += 1;
         self.bytes += packet.bytes.len();
         let of_class = self.order.entry(class).or_default();
         of_class.insert((late_at, self.numbered), flow);
         self.by_due_time.insert((due_at, self.numbered), flow);
+        if let Some(expires_at) = expires_at {
+            self.by_expiry.insert((expires_at, self.numbered), flow);
+        }
         let request = Request {
             class,
             late_at,
             number: self.numbered,
             due_at,
+            expires_at,
             packets: vec![packet],
         };
         self.requests.insert(flow, request);
@@ -128,16 +142,25 @@
         }
     }
 
-    /// The flow of the request of a class that is to be delivered next.
-    pub fn first_of(&self, class: Priority) -> Option<Key> {
-        let (_, flow) = self.order.get(&class)?.first_key_value()?;
-        Some(*flow)
+    /// The flow of the request of a class that is to be delivered next: the first that becomes late, and
+    /// if all are, the one that became late last, since its client waits for the longest time yet.
+    pub fn first_of(&self, now: Instant, class: Priority) -> Option<Key> {
+        let of_class = self.order.get(&class)?;
+        let on_time = of_class.range((now, 0)..).next();
+        on_time.or(of_class.last_key_value()).map(|(_, flow)| *flow)
     }
 
-    /// The flow of a request that was held for the longest time allowed.
-    pub fn first_due(&self, now: Instant) -> Option<Key> {
+    /// The class of a request that is due.
+    pub fn due_class(&self, now: Instant) -> Option<Priority> {
         let ((due_at, _), flow) = self.by_due_time.first_key_value()?;
-        (*due_at <= now).then_some(*flow)
+        let request = self.requests.get(flow)?;
+        (*due_at <= now).then_some(request.class)
+    }
+
+    /// The flow of a request whose client has given up.
+    pub fn first_expired(&self, now: Instant) -> Option<Key> {
+        let ((expires_at, _), flow) = self.by_expiry.first_key_value()?;
+        (*expires_at <= now).then_some(*flow)
     }
 
     /// Takes out the class and the packets of a flow's held request.
@@ -150,6 +173,9 @@
             }
         }
         self.by_due_time.remove(&(request.due_at, request.number));
+        if let Some(expires_at) = request.expires_at {
+            self.by_expiry.remove(&(expires_at, request.number));
+        }
         let bytes = request.packets.iter().map(|packet| packet.bytes.len());
         self.bytes -= bytes.sum::<usize>();
         Some((request.class, request.packets))
--- a/crates/core/src/flow/agent/holding.rs
+++ b/crates/core/src/flow/agent/holding.rs
@@ -44,6 +44,10 @@
         let ends = head.flags.fin || head.flags.rst;
         let is_held = self.held.contains(&flow);
         let len = delivery.packet.len();
+        if is_held && head.flags.rst {
+            self.drop_held(&flow);
+            return false;
+        }
         if is_held && (ends || head.data_len > 0 && !self.held.has_space(len)) {
             // What comes after the held packets must not overtake them.
             self.deliver_held(now, &flow, actions);
@@ -72,7 +76,8 @@
         let class = self.classes.of(intent, &flow);
         let route = intent.and_then(|intent| intent.policy.routes.get(&flow.route));
         let objective = route.and_then(|route| route.latency_objective);
-        self.held.hold(now, flow, class, objective, packet);
+        let timeout = route.and_then(|route| route.timeout);
+        self.held.hold(now, flow, class, objective, timeout, packet);
         self.last_held_at = Some(now);
         self.classes.count(class, |counts| counts.held += 1);
         true
@@ -94,13 +99,42 @@
             && self.room_for(now, Some(class)) <= self.offers.offered()
     }
 
-    /// Delivers requests that were held for the longest time allowed.
+    /// Drops held requests whose clients have given up, and delivers others while some are due.
+    ///
+    /// Load answered: open flows bring more requests than their upstream bears, and critical SYNs wait
+    /// for it. Requests that are delivered regardless fill the queue of the upstream, which then has
+    /// no room for a critical SYN.
     pub(super) fn deliver_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        while let Some(flow) = self.held.first_due(now) {
+        while let Some(flow) = self.held.first_expired(now) {
+            self.drop_held(&flow);
+        }
+        let most_critical = self.offers.classes().flatten().min();
+        while let Some(class) = self.held.due_class(now)
+            && self.busy(now) < self.held_limit(most_critical.is_some_and(|other| other < class))
+            && let Some(flow) = self.held.first_of(now, class)
+        {
             self.deliver_held(now, &flow, actions);
         }
     }
 
+    /// Busy flows up to which requests that are due are delivered. While a more critical SYN waits, half
+    /// of the upstream's queue is left to it.
+    fn held_limit(&self, yields: bool) -> usize {
+        let bearable = self.upstream.bearable();
+        if yields {
+            bearable.midpoint(usize::from(self.upstream.slots()))
+        } else {
+            bearable
+        }
+    }
+
+    /// Drops the held request of a flow, whose client has given up.
+    fn drop_held(&mut self, flow: &Key) {
+        if let Some((class, _)) = self.held.take(flow) {
+            self.classes.count(class, |counts| counts.expired += 1);
+        }
+    }
+
     /// Delivers the held request of a flow.
     pub(super) fn deliver_held(&mut self, now: Instant, flow: &Key, actions: &mut Vec<Action>) {
         let Some((class, packets)) = self.held.take(flow) else {
--- a/crates/core/tests/flow/holding.rs
+++ b/crates/core/tests/flow/holding.rs
@@ -22,6 +22,10 @@
 /// Flows that an upstream of five slots takes while the time of its requests is not known.
 const LIMIT: u16 = 10;
 
+/// Slots of the upstream, and the flows that it bears with its queue until a bounce shows less.
+const SLOTS: u16 = 5;
+const BEARABLE: u16 = 3 * SLOTS;
+
 /// Interval between ticks of a process with pending work.
 const TICK: Duration = ms(20);
 
@@ -211,6 +215,90 @@
     assert_eq!(rig.tick(ms(1)), [held(b"packet")]);
 }
 
+/// An agent whose upstream bears no more, with flows of the less critical class whose requests have an
+/// objective of 240 ms and a time limit of a second.
+fn crowded_rig(flows: std::ops::RangeInclusive<u16>) -> AgentRig {
+    let mut rig = rig();
+    let mut intent = (**rig.agent.intent().unwrap()).clone();
+    intent.revision += 1;
+    for route in intent.policy.routes.values_mut() {
+        route.latency_objective = Some(ms(240));
+        route.timeout = Some(ms(1_000));
+    }
+    assert!(rig.agent.set_intent(intent.into()));
+    for port in flows {
+        open_idle(&mut rig, bulk(port));
+    }
+    for port in 100..100 + BEARABLE {
+        open_idle(&mut rig, critical(port));
+    }
+    for port in 100..100 + BEARABLE {
+        rig.deliver(Purpose::Known, &request(critical(port), 1));
+    }
+    rig
+}
+
+/// Guards against requests that are delivered while the upstream bears no more: critical SYNs find no
+/// room, and requests that could be in time wait behind those that cannot.
+#[test]
+fn requests_beyond_what_the_upstream_bears_are_held_and_those_in_time_go_first() {
+    let mut rig = crowded_rig(1..=3);
+    for (port, name) in [(1, b"first"), (2, b"secnd")] {
+        assert_eq!(deliver_named(&mut rig, &request(bulk(port), 1), name), []);
+        assert_eq!(rig.tick(ms(20)), []);
+    }
+    assert_eq!(rig.tick(ms(240)), []);
+    assert_eq!(deliver_named(&mut rig, &request(bulk(3), 1), b"third"), []);
+    let mut delivered = Vec::new();
+    for port in 100..103 {
+        delivered.extend(rig.handle_upstream_packet(&answer(critical(port))));
+        delivered.extend(rig.tick(ms(1)));
+    }
+    delivered.retain(|action| *action != Action::ToClient);
+    assert_eq!(delivered, [held(b"third"), held(b"secnd"), held(b"first")]);
+}
+
+/// Guards against work for clients that have given up.
+#[test]
+fn a_held_request_is_dropped_when_its_client_gives_up() {
+    let mut rig = crowded_rig(1..=2);
+    rig.deliver(Purpose::Known, &request(bulk(1), 1));
+    rig.deliver(Purpose::Known, &request(bulk(2), 1));
+    let reset = Head {
+        flags: Flags {
+            rst: true,
+            ..Flags::default()
+        },
+        ..acknowledgement(bulk(2))
+    };
+    assert_eq!(
+        rig.deliver(Purpose::Known, &reset),
+        [Action::ToUpstream],
+        "a reset delivers nothing that it overtakes"
+    );
+    assert_eq!(rig.tick(ms(999)), []);
+    assert_eq!(rig.agent.held_count(), 1);
+    assert_eq!(rig.tick(ms(1)), []);
+    assert_eq!(rig.agent.held_count(), 0);
+    assert_eq!(rig.agent.class_counts()[&BULK].expired, 2);
+}
+
+/// Guards against less critical requests that fill the whole queue of the upstream while a critical SYN
+/// waits for a place in it.
+#[test]
+fn half_of_the_queue_is_left_to_a_critical_syn_that_waits() {
+    let mut rig = crowded_rig(1..=8);
+    for port in 1..=8 {
+        rig.deliver(Purpose::Known, &request(bulk(port), 1));
+    }
+    rig.tick(ms(60));
+    demand(&mut rig, "10.9.0.1:7000", &[(CRITICAL, 9)]);
+    for port in 100..100 + (BEARABLE - SLOTS) / 2 {
+        let delivered = rig.handle_upstream_packet(&answer(critical(port)));
+        assert!(!delivered.contains(&held(b"packet")), "{port}");
+    }
+}
+
 #[test]
 fn requests_of_the_most_critical_class_are_never_held() {
     let mut rig = rig();
@@ -567,6 +655,10 @@
                 _ => arrived.record(&rig.tick(ms(1)), None),
             }
         }
+        // What the upstream does not bear yet is held until it has answered others.
+        for key in busy.into_iter().chain(flows.map(bulk)) {
+            arrived.record(&rig.handle_upstream_packet(&answer(key)), None);
+        }
         arrived.record(&rig.tick(MAX_HELD), None);
         assert!(rig.agent.class_counts()[&BULK].held > 0, "seed {seed}");
         for (port, last) in sent {
--- a/crates/forwarder/src/agent/classes.rs
+++ b/crates/forwarder/src/agent/classes.rs
@@ -27,6 +27,7 @@
                 admitted,
                 held,
                 passed,
+                expired,
                 returned,
             } = *counts;
             let events = [
@@ -34,6 +35,7 @@
                 ("admitted", admitted),
                 ("held", held),
                 ("passed", passed),
+                ("expired", expired),
                 ("returned", returned),
             ];
             for (event, count) in events {
