--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 root=../..
 [[ -x $root/target/review/standin && -x $root/target/release/sassafrasmast-forward ]] || exit 2
-exec $root/target/review/standin late-heartbeat $root/target/release/sassafrasmast-forward record.txt
+exec $root/target/review/standin born $root/target/release/sassafrasmast-forward record.txt
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -317,9 +317,14 @@
 
 /// Makes a call on a connection of its own; 0 if there is no response within a second.
 fn call(to: SocketAddrV4, method: &str, path: &str, body: &str) -> u16 {
+    call_within(1_000, to, method, path, body)
+}
+
+/// As [`call`], with another time limit in milliseconds.
+fn call_within(limit: u64, to: SocketAddrV4, method: &str, path: &str, body: &str) -> u16 {
     let exchange = || -> std::io::Result<u16> {
-        let mut stream = TcpStream::connect_timeout(&SocketAddr::V4(to), ms(1_000))?;
-        stream.set_read_timeout(Some(ms(1_000)))?;
+        let mut stream = TcpStream::connect_timeout(&SocketAddr::V4(to), ms(limit))?;
+        stream.set_read_timeout(Some(ms(limit)))?;
         write!(
             stream,
             "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
@@ -929,7 +934,9 @@
                 let mut misses = 0;
                 loop {
                     let (machine, in_rotation) = &router.balancers[index];
-                    let is_ready = call(run.at(*machine, READY), "GET", "/ready", "") == 200;
+                    let probed_at = run.now();
+                    let to = run.at(*machine, READY);
+                    let is_ready = call_within(450, to, "GET", "/ready", "") == 200;
                     misses = if is_ready { 0 } else { misses + 1 };
                     let before = in_rotation.load(Ordering::Relaxed);
                     let after = if is_ready { true } else { before && misses < 2 };
@@ -937,7 +944,7 @@
                         in_rotation.store(after, Ordering::Relaxed);
                         run.note(&format!("router: machine {machine} in rotation: {after}"));
                     }
-                    thread::sleep(ms(500));
+                    run.until(probed_at + 500);
                 }
             });
         }
@@ -1012,6 +1019,8 @@
     per_s: AtomicU64,
     feeds: u16,
     feed_pause: u64,
+    /// Time between the openings of feeds at the start.
+    feed_gap: u64,
     tally: Mutex<Tally>,
 }
 
@@ -1023,6 +1032,7 @@
         per_s: u64,
         feeds: u16,
         feed_pause: u64,
+        feed_gap: u64,
     ) -> Arc<Self> {
         let client = Arc::new(Self {
             machine,
@@ -1030,6 +1040,7 @@
             per_s: AtomicU64::new(per_s),
             feeds,
             feed_pause,
+            feed_gap,
             tally: Mutex::default(),
         });
         let socket = UdpSocket::bind(run.at(machine, DATA)).unwrap_or_else(|_| quit(2));
@@ -1091,7 +1102,11 @@
                 flows.insert(port, open(port, None, now));
             }
             feed_ports.retain(|port| flows.contains_key(port));
-            while feed_ports.len() < usize::from(self.feeds) {
+            let opened = match self.feed_gap {
+                0 => usize::MAX,
+                gap => ((now - begin) / gap) as usize,
+            };
+            while feed_ports.len() < usize::from(self.feeds).min(opened) {
                 port += 1;
                 feed_ports.push(port);
                 flows.insert(port, open(port, Some(self.feed_pause), now));
@@ -1304,12 +1319,18 @@
     }
 
     fn terminate(&self, run: &Run) {
+        self.signal(run, "TERM");
+    }
+
+    fn signal(&self, run: &Run, signal: &str) {
         run.note(&format!(
-            "SIGTERM to {} on machine {}",
+            "SIG{signal} to {} on machine {}",
             self.role, self.machine
         ));
         let id = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-TERM", &id]).status();
+        let _ = Command::new("kill")
+            .args([&format!("-{signal}"), &id])
+            .status();
     }
 
     fn kill(&mut self, run: &Run) {
@@ -1440,8 +1461,8 @@
         ms(39),
     );
     let routers = [Router::start(run, &[1]), Router::start(run, &[2])];
-    let client = Client::start(run, 21, &routers[0], 3, 0, 0);
-    let _other = Client::start(run, 22, &routers[1], 10, 0, 0);
+    let client = Client::start(run, 21, &routers[0], 3, 0, 0, 0);
+    let _other = Client::start(run, 22, &routers[1], 10, 0, 0, 0);
     let base = run.now() + 9_000;
     run.until(base);
     if run.trouble {
@@ -1491,8 +1512,8 @@
         ms(20),
     );
     let routers = [Router::start(run, &[1]), Router::start(run, &[2])];
-    let client = Client::start(run, 21, &routers[0], 50, 0, 0);
-    let _other = Client::start(run, 22, &routers[1], 10, 0, 0);
+    let client = Client::start(run, 21, &routers[0], 50, 0, 0, 0);
+    let _other = Client::start(run, 22, &routers[1], 10, 0, 0, 0);
     run.until(run.now() + 3_000);
     if run.trouble {
         fleet.store.put("op/evacuate/zone-a", "{}");
@@ -1576,7 +1597,7 @@
         run.now() + 600,
     );
     run.until(run.now() + 200);
-    let client = Client::start(run, 21, &router, 10, 0, 0);
+    let client = Client::start(run, 21, &router, 10, 0, 0, 0);
     run.until(run.now() + 5_000);
     run.note("the time of day of machine 3 is right again");
     run.until(run.now() + CONTACT_MS + 1_000);
@@ -1626,7 +1647,7 @@
         ms(20),
     );
     let router = Router::start(run, &[1, 2]);
-    let client = Client::start(run, 21, &router, 0, 60, 400);
+    let client = Client::start(run, 21, &router, 0, 80, 300, 0);
     run.until(run.now() + 3_000);
     let seeds = fleet.seeds.clone();
     let index_of = |fleet: &Fleet, machine: u8| {
@@ -1637,12 +1658,12 @@
             .unwrap()
     };
     let rounds: &[(u8, u8)] = &[(1, 3), (2, 4), (1, 5), (2, 6)];
-    for &(balancer, agent) in rounds {
+    for (round, &(balancer, agent)) in rounds.iter().enumerate() {
         // Both restarts take as long. The balancer's begins first and ends as the agent goes down.
         let begin = run.now();
         let balancer_index = index_of(&fleet, balancer);
         let agent_index = index_of(&fleet, agent);
-        let agent_term_at = begin + RESTART_MS - 50;
+        let agent_term_at = begin + RESTART_MS - 20;
         fleet.processes[balancer_index].terminate(run);
         run.until(agent_term_at);
         if run.trouble {
@@ -1661,7 +1682,8 @@
         if run.trouble {
             fleet.processes[agent_index] = Process::start(run, "agent", agent, "zone-a", &seeds);
         }
-        run.until(run.now() + 3_000);
+        // The rounds begin at different times between the router's probes.
+        run.until(run.now() + 3_000 + 125 * (round as u64 + 1));
     }
     let tally = client.tally.lock().unwrap();
     let broken: Vec<&Reset> = tally.resets.iter().filter(|reset| reset.was_open).collect();
@@ -1705,7 +1727,7 @@
     run.until(run.now() + 1_500);
     let present = Server::start(run, "i-3b", MACHINE, "zone-a", 0, ms(20), run.now() + 600);
     run.until(run.now() + 500);
-    let client = Client::start(run, 21, &router, 0, 40, 2_500);
+    let client = Client::start(run, 21, &router, 0, 40, 2_500, 0);
     run.until(run.now() + 5_000);
     let seeds = fleet.seeds.clone();
     let index = fleet
@@ -1746,6 +1768,75 @@
     )
 }
 
+/// A balancer stands still while clients open flows, so that it handles copies of SYNs after the flows
+/// were opened through another one. Later an agent is killed that holds none of these flows.
+fn late_copy(run: &Arc<Run>) -> i32 {
+    const KILLED: u8 = 4;
+    const FROZEN_MS: u64 = 4_000;
+    const DARK_MS: u64 = 3_500;
+    let agents = [3, 4, 5, 6].map(|machine| (machine, "zone-a"));
+    let mut fleet = Fleet::start(
+        run,
+        &config(3, "safe", 0.0),
+        &[(1, "zone-a"), (2, "zone-a")],
+        &agents,
+        ms(20),
+    );
+    let router = Router::start(run, &[1, 2]);
+    // Usual traffic beside the feeds.
+    let _other = Client::start(run, 22, &router, 0, 20, 300, 0);
+    run.until(run.now() + 3_000);
+    let begin = run.now();
+    if run.trouble {
+        fleet.processes[0].signal(run, "STOP");
+    }
+    run.until(begin + 200);
+    let client = Client::start(run, 21, &router, 0, 300, 9_500, 5);
+    run.until(begin + FROZEN_MS);
+    if run.trouble {
+        fleet.processes[0].signal(run, "CONT");
+    }
+    let killed_at = begin + FROZEN_MS + CONTACT_MS + 500;
+    run.until(killed_at);
+    let index = fleet
+        .processes
+        .iter()
+        .position(|process| process.machine == KILLED)
+        .unwrap();
+    let seeds = fleet.seeds.clone();
+    if run.trouble {
+        fleet.processes[index].kill(run);
+    }
+    run.until(killed_at + DARK_MS);
+    if run.trouble {
+        fleet.processes[index] = Process::start(run, "agent", KILLED, "zone-a", &seeds);
+    }
+    run.until(killed_at + DARK_MS + 500);
+    let tally = client.tally.lock().unwrap();
+    let own = format!("i-{KILLED}");
+    let broken: Vec<&Reset> = tally
+        .resets
+        .iter()
+        .filter(|reset| reset.was_open && reset.server != own)
+        .filter(|reset| reset.at > killed_at)
+        .collect();
+    finish(
+        run,
+        broken.len(),
+        &format!(
+            "FLOW: {} open flows at servers of other machines were reset by the system after the agent on machine {KILLED} was killed, {} at its own server; {} requests answered, {} not",
+            broken.len(),
+            tally
+                .resets
+                .iter()
+                .filter(|reset| reset.was_open && reset.server == own)
+                .count(),
+            tally.answered,
+            tally.unanswered
+        ),
+    )
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, program, record] = &arguments[..] else {
@@ -1786,6 +1877,7 @@
         "failback" => failback(&run),
         "born" => born(&run),
         "roll" => roll(&run),
+        "late-copy" => late_copy(&run),
         "late-heartbeat" => late_heartbeat(&run),
         _ => 2,
     };
