fix(forwarder): a watch whose reply was lost is noticed by revisions seen elsewhere

Cause: the store's reply to a pending watch was lost and the connection stayed open. Only the time limit of the long poll, 26.5 s, ends such a watch.

Ruled out: keep-alive (the store's host answers); frames of a later revision (the first one would have led to a pull, but balancer and agent exchanged frames with each other only).

Change: three kinds of evidence make a watch suspect, and it is then checked by a listing: another call of the watcher got no reply; a stale listing is at a later revision though no agent changed; a peer's intent differs at a later revision. Balancers probe one quiet agent of another zone each 0.25 s, so that frames show revisions across zones.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -417,6 +417,7 @@
         self.overload_changes.extend(self.admission.update(now));
         self.admission.returning.flush(now, actions);
         self.members.probe(now, actions);
+        self.members.probe_quiet(now, actions);
         self.members.check_path(now, actions);
         if now.saturating_duration_since(self.swept_at) >= SWEEP_INTERVAL {
             self.swept_at = now;
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -23,6 +23,13 @@
 /// are the only sign that it is alive.
 const UNLISTED_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between probes of quiet agents in other zones: each of four zones is reached within a
+/// second. Costs some 500 bytes a second.
+const QUIET_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time without a frame after which an agent in another zone counts as quiet.
+const QUIET_AFTER: Duration = Duration::from_secs(1);
+
 /// Interval at which agents are asked for room while SYNs are queued.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -66,6 +73,10 @@
     candidates: Candidates,
     speeds: Speeds,
     zones: Zones,
+    quiet_probed_at: Instant,
+    /// Zone of the quiet agent that was probed last, and in each zone the agent that was.
+    quiet_zone: Option<ZoneName>,
+    quiet_cursors: BTreeMap<ZoneName, SocketAddrV4>,
 }
 
 impl Members {
@@ -80,6 +91,9 @@
             candidates: Candidates::default(),
             speeds: Speeds::default(),
             zones: Zones::new(now, zone, DEFAULT_REMOTE_COST),
+            quiet_probed_at: now,
+            quiet_zone: None,
+            quiet_cursors: BTreeMap::new(),
         }
     }
 
@@ -426,6 +440,40 @@
         }
     }
 
+    /// Probes an agent in another zone that is not heard of otherwise, at intervals, the zones in turn.
+    ///
+    /// Failure answered: the store's replies to the watches of a balancer and of all agents that it uses
+    /// are lost, as when the store rejects the VMs of a zone. Frames of other zones show the revision.
+    pub fn probe_quiet(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if now.saturating_duration_since(self.quiet_probed_at) < QUIET_PROBE_INTERVAL {
+            return;
+        }
+        self.quiet_probed_at = now;
+        let mut quiet: BTreeMap<&ZoneName, Vec<SocketAddrV4>> = BTreeMap::new();
+        for member in self.by_address.values() {
+            let is_quiet = member
+                .last_frame_at
+                .is_some_and(|at| now.saturating_duration_since(at) >= QUIET_AFTER);
+            let is_remote = member.zone != *self.zones.own();
+            if is_remote && is_quiet && member.listed && !member.is_agent_silent(now) {
+                quiet.entry(&member.zone).or_default().push(member.address);
+            }
+        }
+        let last_zone = self.quiet_zone.as_ref();
+        let next = quiet.iter().find(|(zone, _)| Some(**zone) > last_zone);
+        let Some((zone, agents)) = next.or_else(|| quiet.iter().next()) else {
+            return;
+        };
+        let last_agent = self.quiet_cursors.get(*zone);
+        let next = agents.iter().find(|agent| Some(*agent) > last_agent);
+        if let Some(&agent) = next.or_else(|| agents.first()) {
+            actions.push(Action::Probe(agent));
+            let zone = (*zone).clone();
+            self.quiet_cursors.insert(zone.clone(), agent);
+            self.quiet_zone = Some(zone);
+        }
+    }
+
     /// While an agent is silent, probes agents that answer, to find out whether the balancer's own
     /// path is the cause.
     pub fn check_path(&mut self, now: Instant, actions: &mut Vec<Action>) {
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -1006,3 +1006,25 @@
     };
     assert_eq!(rig.packet(&syn(flow(1))), [reset]);
 }
+
+/// Guards against balancers that hear only of agents of their own zone, which may all miss the same
+/// change of operators' intent.
+#[test]
+fn quiet_agents_of_other_zones_are_probed_in_turn() {
+    let zones = [ZONE, OTHER_ZONE, "zone-c"];
+    let mut rig = Rig::new(&[(1, zones[0]), (2, zones[1]), (3, zones[1]), (4, zones[2])]);
+    rig.answering.extend((1..=4).map(agent));
+    rig.tick(5);
+    let mut probed: Vec<SocketAddrV4> = Vec::new();
+    for _ in 0..200 {
+        for action in rig.tick(20) {
+            if let Action::Probe(to) = action {
+                probed.push(to);
+            }
+        }
+    }
+    // Each is probed again a second after its answer, at most one in 250 ms.
+    assert_eq!(probed[..3], [agent(2), agent(4), agent(3)]);
+    assert!((9..=12).contains(&probed.len()), "{probed:?}");
+    assert!(!probed.contains(&agent(1)), "{probed:?}");
+}
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -29,6 +29,7 @@
 use crate::{
     event::Event,
     fallback::Fallback,
+    hints::Hints,
     inputs::{self, Inputs},
     log::{Log, unix_time_ms},
     peer::View,
@@ -74,6 +75,8 @@
     fallback: Fallback,
     reload: Reload,
     view: watch::Sender<Arc<View>>,
+    /// Tells the watcher of the store what it is to know.
+    hints: Hints,
     /// Whether the store matches `record`, according to the last call of the registration.
     registered: Arc<AtomicBool>,
     started_at: Instant,
@@ -101,14 +104,14 @@
         mut status_requests,
         pulls,
         view,
-        ..
+        hints,
     } = Inputs::start(&settings, &platform).await?;
     let (sender, mut upstream_calls) = mpsc::channel(inputs::EVENT_QUEUE_CAPACITY);
     announcements::serve(upstream.announcements, &platform, sender.clone()).await?;
     if settings.ready != upstream.announcements {
         announcements::serve(settings.ready, &platform, sender).await?;
     }
-    let mut process = Process::start(settings, upstream, platform, pulls, view)?;
+    let mut process = Process::start(settings, upstream, platform, pulls, view, hints)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -143,23 +146,12 @@
         platform: Arc<P>,
         pulls: mpsc::Sender<Pull>,
         view: watch::Sender<Arc<View>>,
+        hints: Hints,
     ) -> anyhow::Result<Self> {
         let now = Instant::now();
         // 0 means no incarnation.
         let incarnation = unix_time_ms().max(1);
-        let core = Agent::new(
-            now,
-            agent::Settings {
-                service: upstream.service.clone(),
-                zone: settings.zone.clone(),
-                incarnation,
-                cold_coverage: settings.cold_coverage,
-                cold_slack: settings.cold_slack,
-                lower_class_share: settings.lower_class_share,
-                reports_speed: settings.places_by_speed,
-                ..agent::Settings::default()
-            },
-        );
+        let core = Agent::new(now, core_settings(&settings, &upstream, incarnation));
         let (record, desired) = watch::channel(Some(Record {
             service: upstream.service.clone(),
             zone: settings.zone.clone(),
@@ -186,6 +178,7 @@
             fallback: Fallback::new(now, pulls, false, settings.peers.clone()),
             reload: Reload::new(now),
             view,
+            hints,
             registered,
             started_at: now,
             hello_sent_at: now,
@@ -371,7 +364,10 @@
         self.fallback.handle_event(now, &event);
         let intent = match event {
             Event::Intent(intent) => Some(intent),
-            Event::Snapshot(_, snapshot) => self.view.borrow().newer_intent(&snapshot),
+            Event::Snapshot(_, snapshot) => {
+                self.hints.record_snapshot(&snapshot);
+                self.view.borrow().newer_intent(&snapshot)
+            }
             _ => None,
         };
         if let Some(intent) = intent {
@@ -466,3 +462,17 @@
         status.reply(request);
     }
 }
+
+/// Settings of the agent's decisions.
+fn core_settings(settings: &Settings, upstream: &Upstream, incarnation: u64) -> agent::Settings {
+    agent::Settings {
+        service: upstream.service.clone(),
+        zone: settings.zone.clone(),
+        incarnation,
+        cold_coverage: settings.cold_coverage,
+        cold_slack: settings.cold_slack,
+        lower_class_share: settings.lower_class_share,
+        reports_speed: settings.places_by_speed,
+        ..agent::Settings::default()
+    }
+}
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -20,13 +20,14 @@
 use sassafrasmast_wire::flow::{Body, Frame, MAX_BYTES};
 use tokio::{
     net::UdpSocket,
-    sync::{Notify, mpsc, watch},
+    sync::{mpsc, watch},
 };
 
 use self::admission::Admission;
 use crate::{
     event::Event,
     fallback::Fallback,
+    hints::Hints,
     http_server::{self, Answer},
     inputs::Inputs,
     log::Log,
@@ -70,11 +71,9 @@
     reload: Reload,
     departures: Departures,
     view: watch::Sender<Arc<View>>,
-    /// Tells the watcher whether a service has no upstream.
-    starved: watch::Sender<bool>,
+    /// Tells the watcher of the store what it is to know.
+    hints: Hints,
     starved_checked_at: Instant,
-    /// Asks the watcher to confirm the list of agents.
-    list_requests: Arc<Notify>,
 }
 
 /// Runs a balancer until the process is killed.
@@ -89,20 +88,11 @@
         mut status_requests,
         pulls,
         view,
-        starved,
-        list_requests,
+        hints,
     } = Inputs::start(&settings, &platform).await?;
     let ready = Arc::new(AtomicBool::new(false));
     serve_ready(&settings, &platform, &ready).await?;
-    let mut process = Process::start(
-        settings,
-        platform,
-        ready,
-        pulls,
-        view,
-        starved,
-        list_requests,
-    )?;
+    let mut process = Process::start(settings, platform, ready, pulls, view, hints)?;
     let mut tick_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -156,8 +146,7 @@
         ready: Arc<AtomicBool>,
         pulls: mpsc::Sender<Pull>,
         view: watch::Sender<Arc<View>>,
-        starved: watch::Sender<bool>,
-        list_requests: Arc<Notify>,
+        hints: Hints,
     ) -> anyhow::Result<Self> {
         let now = Instant::now();
         let core = Balancer::new(
@@ -184,9 +173,8 @@
             reload: Reload::new(now),
             departures: Departures::default(),
             view,
-            starved,
+            hints,
             starved_checked_at: now,
-            list_requests,
             settings,
             platform,
             ready,
@@ -268,12 +256,14 @@
                 if let Some(intent) = newer_intent {
                     self.install_intent(now, intent);
                 }
+                self.hints.record_snapshot(&snapshot);
                 let members = snapshot.members.iter();
                 let members = members.map(|agent| agent.record.member(agent.address));
                 self.core.add_members(now, members.collect());
             }
             Event::PullFailed(..)
             | Event::AgentSource(_)
+            | Event::WatchChecked { .. }
             | Event::StoreReachable
             | Event::StoreRestored { .. }
             | Event::ValueRejected(_) => {}
@@ -324,7 +314,7 @@
             members.iter().next().is_none()
                 || services.any(|service| members.has_no_upstream(now, service, &all_zones))
         });
-        self.starved.send_if_modified(|starved| {
+        self.hints.starved.send_if_modified(|starved| {
             let differs = *starved != is_starved;
             *starved = is_starved;
             differs
--- a/crates/forwarder/src/balancer/output.rs
+++ b/crates/forwarder/src/balancer/output.rs
@@ -99,7 +99,7 @@
                     let sent = self.core.members().probe_timestamp(now);
                     self.send(to, Body::Probe { sent });
                 }
-                Action::List => self.list_requests.notify_one(),
+                Action::List => self.hints.list_requests.notify_one(),
                 Action::Demand { to, waiting } => self.send(to, Body::Demand { waiting }),
                 Action::ClassDemand { to, waiting } => self.send(to, Body::ClassDemand { waiting }),
                 Action::Ended { to, attempts } => self.send(to, Body::Ended { attempts }),
--- a/crates/forwarder/src/event.rs
+++ b/crates/forwarder/src/event.rs
@@ -26,6 +26,13 @@
     Listed(Box<Member>),
     /// An agent's entry was removed.
     Unlisted(SocketAddrV4),
+    /// The watch was silent and is checked by a listing.
+    WatchChecked {
+        /// Position up to which all changes are known.
+        known: Position,
+        /// Why the silence may not be a sign that nothing changes.
+        reason: &'static str,
+    },
     /// The list of agents now comes from this source.
     AgentSource(Source),
     /// The store has become reachable.
@@ -57,6 +64,7 @@
             Self::MembersConfirmed(_) => "members_confirmed",
             Self::Listed(_) => "member_listed",
             Self::Unlisted(_) => "member_unlisted",
+            Self::WatchChecked { .. } => "watch_checked",
             Self::AgentSource(_) => "members_source",
             Self::StoreReachable => "store_regained",
             Self::StoreRestored { .. } => "store_restored",
@@ -93,6 +101,10 @@
                 ("peer", from.to_string().into()),
                 ("reason", reason.as_str().into()),
             ],
+            Self::WatchChecked { known, reason } => vec![
+                ("known", position_field(*known)),
+                ("reason", (*reason).into()),
+            ],
             Self::AgentSource(source) => vec![("source", source.as_str().into())],
             Self::MembersConfirmed(_) | Self::StoreReachable => Vec::new(),
             Self::StoreRestored { from, to } => {
--- a/crates/forwarder/src/inputs.rs
+++ b/crates/forwarder/src/inputs.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use rand::Rng;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 
 use crate::{
     event::Event,
+    hints::Hints,
     membership::Schedule,
     metrics_server,
     peer::{self, View},
@@ -32,10 +33,8 @@
     pub(crate) pulls: mpsc::Sender<Pull>,
     /// Accepts the view from which requests of peers are answered.
     pub(crate) view: watch::Sender<Arc<View>>,
-    /// Accepts whether a service has no upstream, so that agents are learned of sooner.
-    pub(crate) starved: watch::Sender<bool>,
-    /// Asks the watcher to confirm the list of agents.
-    pub(crate) list_requests: Arc<Notify>,
+    /// Accepts what the watcher of the store is to know.
+    pub(crate) hints: Hints,
 }
 
 impl Inputs {
@@ -53,14 +52,12 @@
         let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let schedule = matches!(settings.role, Role::Balancer)
             .then(|| Schedule::new(settings.link_bytes_per_s, rand::rng().random()));
-        let (starved, starved_receiver) = watch::channel(false);
-        let list_requests = Arc::new(Notify::new());
+        let hints = Hints::default();
         let watcher = Watcher::new(
             Arc::clone(platform),
             settings.peers.clone(),
             schedule,
-            starved_receiver,
-            Arc::clone(&list_requests),
+            &hints,
             sender.clone(),
         );
         tokio::spawn(watcher.run());
@@ -75,8 +72,7 @@
             status_requests,
             pulls,
             view,
-            starved,
-            list_requests,
+            hints,
         })
     }
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod balancer;
 pub mod event;
 mod fallback;
+pub mod hints;
 pub mod http_server;
 mod inputs;
 pub mod log;
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -10,7 +10,7 @@
 };
 
 use rand::Rng;
-use sassafrasmast_core::flow::{Intent, ZoneName};
+use sassafrasmast_core::flow::{self, Intent, ZoneName};
 use sassafrasmast_store::{Entry, Error, Listing, Position, Range, Revision, Update};
 use tokio::{
     sync::{Notify, mpsc, watch},
@@ -20,7 +20,8 @@
 
 use crate::{
     event::Event,
-    membership::{AgentList, Change, Schedule, Source},
+    hints::Hints,
+    membership::{AgentList, Change, Schedule, Source, WatchMonitor},
     peer::{self, View},
     platform::{OperatorChange, Platform},
     position::position,
@@ -50,6 +51,12 @@
 /// Bytes of an entry in a listing besides its key and value, which is in base64.
 const ENTRY_OVERHEAD_BYTES: u64 = 110;
 
+/// Reason for a check of the watch: another call got no reply, so that the watch's may be lost too.
+const REPLY_LOST: &str = "no reply to another call";
+
+/// Reason for a check of the watch: another connection or process has shown a later revision.
+const LATER_REVISION: &str = "later revision elsewhere";
+
 /// A read of agents' entries that is due later.
 type StaleListing = Pin<Box<dyn Future<Output = Result<Listing, Error>> + Send>>;
 
@@ -70,6 +77,10 @@
     starved: watch::Receiver<bool>,
     /// Notified when the balancer needs a list of agents that is complete at present.
     list_requests: Arc<Notify>,
+    /// Revision up to which a peer knew a change that this process did not.
+    peer_changes: watch::Receiver<flow::Revision>,
+    /// Decides when a silent watch is checked.
+    monitor: WatchMonitor,
     /// The agents' entries.
     agents: AgentList,
     /// Whether the pending watch covers the agents' keys.
@@ -84,14 +95,12 @@
 
 impl<P: Platform> Watcher<P> {
     /// A watcher that sends its events to `events`: on operators' keys, and with a schedule also on
-    /// agents' keys. `starved` tells whether a service has no upstream, `list_requests` that the list
-    /// of agents is to be confirmed.
+    /// agents' keys.
     pub fn new(
         platform: Arc<P>,
         peers: Vec<SocketAddrV4>,
         schedule: Option<Schedule>,
-        starved: watch::Receiver<bool>,
-        list_requests: Arc<Notify>,
+        hints: &Hints,
         events: mpsc::Sender<Event>,
     ) -> Self {
         Self {
@@ -100,8 +109,10 @@
             intent: Intent::default(),
             events,
             schedule,
-            starved,
-            list_requests,
+            starved: hints.starved.subscribe(),
+            list_requests: Arc::clone(&hints.list_requests),
+            peer_changes: hints.peer_changes.subscribe(),
+            monitor: WatchMonitor::default(),
             agents: AgentList::default(),
             watches_agents: false,
             failures: 0,
@@ -208,12 +219,15 @@
             // nothing is written until then.
             intent.revision = intent.revision.saturating_sub(1);
         }
+        let mut has_changes = false;
         if has_policy && intent.revision >= self.intent.revision {
             intent.keep_newer_policy(&self.intent);
+            has_changes = intent.digest() != self.intent.digest();
             self.intent = intent;
             self.send(Event::Intent(Arc::new(self.intent.clone())))
                 .await;
         }
+        self.monitor.record_listing(listing.revision, has_changes);
         Ok(listing.revision)
     }
 
@@ -241,13 +255,13 @@
         }
     }
 
-    /// Lists the agents' keys afresh.
+    /// Lists the agents' keys afresh. Returns whether the store replied: the balancer does without
+    /// listings that fail.
     ///
     /// # Errors
     ///
-    /// When the store has come back from an older copy. The balancer does without other replies that
-    /// are missing.
-    async fn confirm_agents(&mut self) -> Result<(), Error> {
+    /// When the store has come back from an older copy.
+    async fn confirm_agents(&mut self) -> Result<bool, Error> {
         let asked_at = Instant::now();
         match self.platform.store().range(Record::range()).await {
             Ok(listing) => {
@@ -257,14 +271,14 @@
                     schedule.record_listing(asked_at.into_std(), bytes(&listing));
                 }
                 self.replace_agents(asked_at, &listing).await;
-                Ok(())
+                Ok(true)
             }
             Err(error) => {
                 metrics::counter!("sassafrasmast_listings_confirmed", "result" => "failed")
                     .increment(1);
                 match error {
                     Error::Restored { .. } => Err(error),
-                    _ => Ok(()),
+                    _ => Ok(!matches!(error, Error::Unreachable(_))),
                 }
             }
         }
@@ -371,6 +385,7 @@
         loop {
             let source_ends_at = self.schedule.as_ref().and_then(Schedule::watch_ends_at);
             let source_ends_at = source_ends_at.filter(|_| self.watches_agents);
+            let check_at = self.monitor.check_at().map(Instant::from_std);
             tokio::select! {
                 update = updates.recv() => match update {
                     Some(Ok(update)) => seen = self.handle_update(update).await,
@@ -378,9 +393,13 @@
                     None => return Ok(seen),
                 },
                 listing = &mut stale_listing => {
-                    self.handle_stale_listing(listing).await?;
+                    if !self.handle_stale_listing(listing).await? {
+                        return self.check_watch(REPLY_LOST).await;
+                    }
                     stale_listing = self.next_stale_listing();
                 }
+                Ok(()) = self.peer_changes.changed() => self.record_peer_change(),
+                () = at(check_at) => return self.check_watch(LATER_REVISION).await,
                 // A request that comes while the watch catches up is handled after that.
                 () = list_requests.notified(), if !is_catching_up => match self.record_list_request() {
                     Source::Watch if self.watches_agents => {
@@ -390,7 +409,9 @@
                     // A listing and a watch of all keys follow.
                     Source::Watch => return Ok(seen),
                     Source::StaleListings => {
-                        self.confirm_agents().await?;
+                        if !self.confirm_agents().await? {
+                            return self.check_watch(REPLY_LOST).await;
+                        }
                         stale_listing = self.next_stale_listing();
                     }
                 },
@@ -412,6 +433,22 @@
         }
     }
 
+    /// Records that a peer knew a change that this process did not.
+    fn record_peer_change(&mut self) {
+        let revision = *self.peer_changes.borrow_and_update();
+        let revision = Revision::try_from(revision).unwrap_or(Revision::MAX);
+        let now = Instant::now().into_std();
+        self.monitor.record_peer_change(now, revision);
+    }
+
+    /// Lists the watched keys, since the watch may be silent for `reason` and not because nothing
+    /// changes. Returns the revision after which it is opened again.
+    async fn check_watch(&mut self, reason: &'static str) -> Result<Revision, Error> {
+        let known = Position::unpack(self.monitor.known());
+        self.send(Event::WatchChecked { known, reason }).await;
+        self.list().await
+    }
+
     /// The next stale listing of agents' keys when it is due. Never ends while the watch covers them.
     fn next_stale_listing(&self) -> StaleListing {
         let Some(schedule) = self.schedule.as_ref().filter(|_| !self.watches_agents) else {
@@ -425,14 +462,17 @@
         })
     }
 
-    /// Handles the result of a stale listing.
+    /// Handles the result of a stale listing. Returns whether the store replied.
     ///
     /// # Errors
     ///
     /// When the store is lost or has come back from an older copy.
-    async fn handle_stale_listing(&mut self, result: Result<Listing, Error>) -> Result<(), Error> {
+    async fn handle_stale_listing(
+        &mut self,
+        result: Result<Listing, Error>,
+    ) -> Result<bool, Error> {
         let Some(schedule) = &mut self.schedule else {
-            return Ok(());
+            return Ok(true);
         };
         let now = Instant::now().into_std();
         let listing = match result {
@@ -444,7 +484,7 @@
                 return if is_lost || matches!(error, Error::Restored { .. }) {
                     Err(error)
                 } else {
-                    Ok(())
+                    Ok(!matches!(error, Error::Unreachable(_)))
                 };
             }
         };
@@ -452,9 +492,12 @@
         let records = self.records(&listing.entries).await;
         let Some(changes) = self.agents.apply_stale(listing.revision, records) else {
             metrics::counter!("sassafrasmast_stale_listings", "result" => "older").increment(1);
-            return Ok(());
+            return Ok(true);
         };
         metrics::counter!("sassafrasmast_stale_listings", "result" => "applied").increment(1);
+        if changes.is_empty() {
+            self.monitor.record_position(now, listing.revision);
+        }
         for change in changes {
             let event = match change {
                 Change::Listed(address, record) => Event::Listed(Box::new(record.member(address))),
@@ -462,7 +505,7 @@
             };
             self.send(event).await;
         }
-        Ok(())
+        Ok(true)
     }
 
     /// Handles one update of the watch. Returns its revision.
@@ -476,6 +519,7 @@
             }) => (key, Some(value.as_slice()), *mod_revision),
             Update::Delete { key, revision } => (key, None, *revision),
         };
+        self.monitor.record_update(revision);
         if let Some(address) = Record::address(key) {
             match value.map(Record::decode) {
                 Some(Ok(record)) => {
--- a/crates/forwarder/tests/membership.rs
+++ b/crates/forwarder/tests/membership.rs
@@ -12,8 +12,8 @@
 };
 use sassafrasmast_forwarder::{
     membership::{
-        AgentList, Change, LISTING_INTERVAL, MAX_STARVED_TIME, RETRY_DELAY, SETTLE_TIME, Schedule,
-        Source,
+        AgentList, Change, DELIVERY_TIME, LISTING_INTERVAL, MAX_STARVED_TIME, RETRY_DELAY,
+        SETTLE_TIME, Schedule, Source, WatchMonitor,
     },
     registration::Record,
 };
@@ -290,3 +290,34 @@
         prop_assert_eq!(Some(&known), history.last());
     }
 }
+
+/// Guards against a silent watch that is taken for one without changes, and against listings without
+/// end while keys change that the watch does not cover.
+#[test]
+fn a_watch_is_checked_after_a_later_revision_and_less_often_while_that_finds_nothing() {
+    let start = Instant::now();
+    let mut monitor = WatchMonitor::default();
+    monitor.record_listing(5, true);
+    monitor.record_position(start, 5);
+    assert_eq!(monitor.check_at(), None);
+
+    monitor.record_position(start, 6);
+    assert_eq!(monitor.check_at(), Some(start + DELIVERY_TIME));
+    monitor.record_update(6);
+    assert_eq!(monitor.check_at(), None);
+
+    let mut now = start;
+    for (revision, factor) in (7..).zip([1, 2, 4, 8, 8]) {
+        monitor.record_position(now, revision);
+        assert_eq!(monitor.check_at(), Some(now + DELIVERY_TIME * factor));
+        now += DELIVERY_TIME * factor;
+        monitor.record_listing(revision, false);
+    }
+    // A change that a peer knows is not one of other keys.
+    monitor.record_position(now, 20);
+    monitor.record_peer_change(now, 20);
+    assert_eq!(monitor.check_at(), Some(now + DELIVERY_TIME));
+    monitor.record_listing(20, true);
+    monitor.record_position(now, 21);
+    assert_eq!(monitor.check_at(), Some(now + DELIVERY_TIME));
+}
