fix(core): incarnations of an upstream are ordered by which one goes on announcing itself

Cause: incarnations were ordered by the start that upstreams state, a time of the wall clock. After a step back an announcement of the new incarnation counted as late for good, and was acknowledged.

Change: an incarnation with an earlier start is in force with its third announcement, 0.5 s apart at least, if none of the other one came between. Only one of them runs beside the agent, so that is proof. Until then the upstream counts as draining or cold if either says so. The reset of a restart spares flows opened since the first announcement. An incarnation that was in force before counts as late, also if its start is later.

None makes calls to the store. The kept way needs 2.4 s to notice the restart in this case; flows of the earlier incarnation are returned by the upstream meanwhile, as before.

Related paths: the QUIC entry refused announcements of an earlier incarnation for good, now until the other one has expired.

Tests: an_upstream_that_started_before_its_predecessor_by_the_clock_is_in_force_after_two_intervals, an_unconfirmed_upstream_that_drains_gets_no_new_flows and an_agent_that_started_earlier_by_the_clock_is_kept_once_its_predecessor_has_expired failed before (with the new name of the change replaced by Stale in the first two), and pass now.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -98,14 +98,17 @@
     }
 
     /// Stores an announcement, replacing an earlier one from the same agent address. Returns
-    /// `false` if it comes from an older incarnation or the table is full of live announcements.
+    /// `false` if it comes from an older incarnation than a live one or the table is full of live
+    /// announcements. A process whose clock was set back is admitted once the other one has expired.
     pub fn insert_announcement(&self, now: Instant, announcement: Announcement) -> bool {
         let mut table = self
             .announcements
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         match table.get(&announcement.agent) {
-            Some(known) if known.incarnation > announcement.incarnation => return false,
+            Some(known) if known.incarnation > announcement.incarnation && known.is_live(now) => {
+                return false;
+            }
             Some(_) => {}
             None if table.len() >= MAX_ANNOUNCEMENTS => table.retain(|_, known| known.is_live(now)),
             None => {}
--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -19,6 +19,7 @@
 mod service_time;
 mod settings;
 mod speed_reports;
+mod successor;
 mod upstream;
 mod work;
 
@@ -43,6 +44,7 @@
     service_time::ServiceTime,
     settings::Settings,
     speed_reports::SpeedReports,
+    successor::Successor,
     upstream::{Change, Upstream},
     work::Work,
 };
@@ -182,7 +184,8 @@
         }
         if change == Change::Restarted {
             self.work.reset();
-            self.reset_flows(now, actions);
+            let since = self.upstream.incarnation_since().unwrap_or(now);
+            self.reset_flows(now, since, actions);
         }
         change
     }
@@ -196,7 +199,7 @@
     ) -> Change {
         let change = self.upstream.apply_deregistration(id);
         if change == Change::Left {
-            self.reset_flows(now, actions);
+            self.reset_flows(now, now, actions);
         }
         change
     }
--- a/crates/core/src/flow/agent/recovery.rs
+++ b/crates/core/src/flow/agent/recovery.rs
@@ -94,10 +94,12 @@
         true
     }
 
-    /// Resets the flows of an earlier incarnation of the upstream, which are lost.
-    pub(super) fn reset_flows(&mut self, now: Instant, actions: &mut Vec<Action>) {
+    /// Resets the flows of an earlier incarnation of the upstream, which are lost. The present one
+    /// announced itself first at `since`.
+    pub(super) fn reset_flows(&mut self, now: Instant, since: Instant, actions: &mut Vec<Action>) {
+        let kept = now.saturating_duration_since(since) + MAX_ANNOUNCEMENT_LAG;
         self.flows.retain(|&key, flow| {
-            if flow.is_younger_than(now, MAX_ANNOUNCEMENT_LAG) {
+            if flow.is_younger_than(now, kept) {
                 return true;
             }
             if flow.phase() == Phase::Open && !flow.is_closing() {
--- /dev/null
+++ b/crates/core/src/flow/agent/successor.rs
@@ -0,0 +1,84 @@
+//! An incarnation of the upstream that may have followed the one in force.
+
+use std::time::{Duration, Instant};
+
+use super::Announcement;
+
+/// Announcements after which a successor is in force, if the incarnation in force sent none between
+/// them: two intervals, in which an upstream that lives announces itself.
+const CONFIRMING_ANNOUNCEMENTS: u32 = 3;
+
+/// Shortest time between announcements that count. Those that were held up on the way arrive together.
+const MIN_SPACING: Duration = Duration::from_millis(500);
+
+/// An incarnation of the upstream that announces itself although its stated start is not later than
+/// that of the one in force. Either the clock was set back between the two, or its announcements are
+/// late. Start times cannot tell, as the clock may be set at any time; that it goes on announcing itself
+/// while the other one is silent does, since only one of them runs beside the agent.
+#[derive(Debug)]
+pub struct Successor {
+    announcement: Announcement,
+    first_at: Instant,
+    last_at: Instant,
+    counted_at: Instant,
+    counted: u32,
+    /// Whether the incarnation was in force before, so that it is late unless it is confirmed.
+    is_former: bool,
+}
+
+impl Successor {
+    /// A successor with its first announcement.
+    pub fn new(now: Instant, announcement: &Announcement, is_former: bool) -> Self {
+        Self {
+            announcement: announcement.clone(),
+            first_at: now,
+            last_at: now,
+            counted_at: now,
+            counted: 1,
+            is_former,
+        }
+    }
+
+    /// Records a further announcement of the same incarnation.
+    pub fn record(&mut self, now: Instant, announcement: &Announcement) {
+        if announcement.sequence <= self.announcement.sequence {
+            return;
+        }
+        self.announcement = announcement.clone();
+        self.last_at = now;
+        if now.saturating_duration_since(self.counted_at) >= MIN_SPACING {
+            self.counted_at = now;
+            self.counted += 1;
+        }
+    }
+
+    /// The last announcement.
+    pub fn announcement(&self) -> &Announcement {
+        &self.announcement
+    }
+
+    /// When the first announcement arrived.
+    pub fn first_at(&self) -> Instant {
+        self.first_at
+    }
+
+    /// Whether the announcements prove that this incarnation runs.
+    pub fn is_confirmed(&self) -> bool {
+        self.counted >= CONFIRMING_ANNOUNCEMENTS
+    }
+
+    /// Records that an upstream of this name has deregistered, so that it takes no new flows.
+    pub fn leave(&mut self) {
+        self.announcement.draining = true;
+    }
+
+    /// Whether the upstream takes no new flows, if it is this incarnation that runs.
+    pub fn is_draining(&self) -> bool {
+        !self.is_former && self.announcement.draining
+    }
+
+    /// Until when the upstream is cold, if it is this incarnation that runs.
+    pub fn cold_until(&self) -> Option<Instant> {
+        (!self.is_former).then(|| self.last_at + self.announcement.cold_left)
+    }
+}
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -1,10 +1,13 @@
 //! An agent's state of its upstream.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 use sassafrasmast_wire::Incarnation;
 
-use super::Announcement;
+use super::{Announcement, Successor};
 use crate::flow::State;
 
 /// Interval at which a silent upstream is sent one SYN, to detect whether it answers again.
@@ -32,6 +35,10 @@
 /// Requests per slot that an upstream is taken to queue until a bounce shows its queue.
 const INITIAL_QUEUE_PER_SLOT: usize = 2;
 
+/// Earlier incarnations that are remembered, so that their late announcements are recognized: an upstream
+/// that restarts each second is forgotten after as many seconds as announcements are delayed.
+const MAX_FORMER: usize = 8;
+
 /// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -39,6 +46,9 @@
     Nothing,
     /// The announcement was out of order or of an earlier incarnation, and was ignored.
     Stale,
+    /// It is of another incarnation with an earlier start, which is in force once it is confirmed. Until
+    /// then the upstream gets new flows only if both incarnations take them.
+    Unconfirmed,
     /// It is the first one that this agent received.
     First,
     /// The upstream has restarted.
@@ -60,6 +70,12 @@
     gone: bool,
     cold_until: Option<Instant>,
     announced_from_start: bool,
+    /// When the first announcement of the incarnation arrived.
+    incarnation_since: Option<Instant>,
+    /// Another incarnation that announces itself.
+    successor: Option<Successor>,
+    /// Earlier incarnations with their names, the latest last.
+    former: VecDeque<(String, Incarnation)>,
     consecutive_lost_syns: u32,
     syn_sent_at: Option<Instant>,
     /// SYNs that were bounced since the upstream last accepted one.
@@ -102,66 +118,134 @@
 
     /// The upstream's state at `now`.
     pub fn state(&self, now: Instant) -> State {
+        let successor = self.successor.as_ref();
+        let is_successor_draining = successor.is_some_and(Successor::is_draining);
+        let cold_until = self
+            .cold_until
+            .max(successor.and_then(Successor::cold_until));
         if self.gone {
             State::Gone
-        } else if self.draining {
+        } else if self.draining || is_successor_draining {
             State::Draining
         } else if self.consecutive_lost_syns >= SILENT_AFTER_LOST_SYNS {
             State::Silent
         } else if self.incarnation == 0 {
             State::Unknown
-        } else if self.cold_until.is_some_and(|until| now < until) {
+        } else if cold_until.is_some_and(|until| now < until) {
             State::Cold
         } else {
             State::Ready
         }
     }
 
+    /// When the first announcement of the incarnation in force arrived.
+    pub fn incarnation_since(&self) -> Option<Instant> {
+        self.incarnation_since
+    }
+
     /// Applies an announcement and returns what changed.
     pub fn apply_announcement(&mut self, now: Instant, announcement: &Announcement) -> Change {
-        let first = self.incarnation == 0;
-        let is_earlier = announcement.incarnation < self.incarnation
-            || (announcement.incarnation == self.incarnation
-                && announcement.sequence <= self.sequence);
-        if !first && is_earlier {
-            return Change::Stale;
+        let is_in_force =
+            announcement.incarnation == self.incarnation && announcement.id == self.id;
+        if self.incarnation == 0 {
+            self.begin_incarnation(now, announcement.sequence <= 1);
+            self.accept(now, announcement);
+            Change::First
+        } else if !is_in_force {
+            self.apply_other(now, announcement)
+        } else if announcement.sequence <= self.sequence {
+            Change::Stale
+        } else {
+            self.successor = None;
+            let starts_draining = announcement.draining && !self.draining;
+            self.accept(now, announcement);
+            if starts_draining {
+                Change::Draining
+            } else {
+                Change::Nothing
+            }
+        }
+    }
+
+    /// Applies an announcement of another incarnation than the one in force. A later start shows a
+    /// restart, unless the incarnation was in force before. Otherwise its further announcements do.
+    fn apply_other(&mut self, now: Instant, announcement: &Announcement) -> Change {
+        let mut former = self.former.iter();
+        let is_former = former.any(|(id, incarnation)| {
+            *incarnation == announcement.incarnation && *id == announcement.id
+        });
+        let is_later = announcement.incarnation > self.incarnation && !is_former;
+        let mut since = now;
+        if !is_later {
+            let is_same = |known: &Announcement| {
+                known.incarnation == announcement.incarnation && known.id == announcement.id
+            };
+            let successor = match self.successor.take() {
+                Some(mut known) if is_same(known.announcement()) => {
+                    known.record(now, announcement);
+                    known
+                }
+                _ => Successor::new(now, announcement, is_former),
+            };
+            if !successor.is_confirmed() {
+                self.successor = Some(successor);
+                return if is_former {
+                    Change::Stale
+                } else {
+                    Change::Unconfirmed
+                };
+            }
+            since = successor.first_at();
+        }
+        if self.former.len() >= MAX_FORMER {
+            self.former.pop_front();
         }
+        let id = std::mem::take(&mut self.id);
+        self.former.push_back((id, self.incarnation));
+        self.begin_incarnation(since, true);
+        self.accept(now, announcement);
+        Change::Restarted
+    }
+
+    /// Forgets what was observed of an earlier incarnation.
+    fn begin_incarnation(&mut self, since: Instant, announced_from_start: bool) {
+        self.successor = None;
+        self.incarnation_since = Some(since);
+        self.consecutive_bounces = 0;
+        self.bounced_at = None;
+        self.queue = None;
+        self.announced_from_start = announced_from_start;
+        self.gone = false;
+    }
+
+    /// Stores what the incarnation in force announces.
+    fn accept(&mut self, now: Instant, announcement: &Announcement) {
         self.last_contact_at = Some(now);
         self.consecutive_lost_syns = 0;
         if let Some(before) = self.announced_at.replace(now) {
             self.announcement_interval = now.saturating_duration_since(before);
         }
-        let restarted = !first && announcement.incarnation > self.incarnation;
-        if first || restarted {
-            self.consecutive_bounces = 0;
-            self.bounced_at = None;
-            self.queue = None;
-            self.announced_from_start = restarted || announcement.sequence <= 1;
-            self.gone = false;
-            self.draining = false;
-        }
-        let starts_draining = announcement.draining && !self.draining;
         self.id.clone_from(&announcement.id);
         self.incarnation = announcement.incarnation;
         self.sequence = announcement.sequence;
         self.slots = announcement.slots;
         self.draining = announcement.draining;
         self.cold_until = (!announcement.cold_left.is_zero()).then(|| now + announcement.cold_left);
-        match (first, restarted, starts_draining) {
-            (_, true, _) => Change::Restarted,
-            (true, ..) => Change::First,
-            (.., true) => Change::Draining,
-            _ => Change::Nothing,
-        }
     }
 
     /// Applies the deregistration of the upstream named `id`.
     pub fn apply_deregistration(&mut self, id: &str) -> Change {
-        if self.id != id {
-            return Change::Stale;
+        if self.id == id {
+            self.gone = true;
+            return Change::Left;
+        }
+        match &mut self.successor {
+            Some(successor) if successor.announcement().id == id => {
+                successor.leave();
+                Change::Unconfirmed
+            }
+            _ => Change::Stale,
         }
-        self.gone = true;
-        Change::Left
     }
 
     /// Records a packet from the upstream.
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::fixture::{
-    AgentRig, OTHER_SERVICE, SERVICE, address, announcement, bounced, data, flow, intent, ms, syn,
-    syn_ack, upstream_head,
+    AgentRig, OTHER_SERVICE, SERVICE, address, announcement, bounced, data, flow, intent, ms,
+    simple_intent, syn, syn_ack, upstream_head,
 };
 
 #[test]
@@ -569,3 +569,96 @@
     // One runs, two open within the time of an opening, five more follow within 10 ms.
     assert!(rig.agent.report(rig.now).headroom >= 7);
 }
+
+/// An agent whose upstream started at 5,000 ms by its clock.
+fn agent_of_incarnation_5000() -> AgentRig {
+    let mut rig = AgentRig::unannounced();
+    rig.agent.set_intent(simple_intent());
+    rig.announce(&announcement(5_000, 1));
+    rig
+}
+
+/// Announces the incarnation that started at 2,600 ms, after `pause`. Returns what that changed.
+fn announce_2600(rig: &mut AgentRig, pause: u64, sequence: u64, draining: bool) -> Change {
+    rig.now += ms(pause);
+    let announcement = Announcement {
+        draining,
+        ..announcement(2_600, sequence)
+    };
+    let mut actions = Vec::new();
+    rig.agent
+        .handle_announcement(rig.now, &announcement, &mut actions)
+}
+
+/// Guards against an upstream that is ignored for good because the clock of its VM was set back between
+/// its predecessor's start and its own.
+#[test]
+fn an_upstream_that_started_before_its_predecessor_by_the_clock_is_in_force_after_two_intervals() {
+    let mut rig = agent_of_incarnation_5000();
+    rig.now += ms(3_000);
+    rig.open(flow(1), 7);
+    rig.now += ms(2_000);
+    assert_eq!(announce_2600(&mut rig, 0, 1, false), Change::Unconfirmed);
+    rig.open(flow(2), 9);
+    assert_eq!(
+        announce_2600(&mut rig, 1_200, 2, false),
+        Change::Unconfirmed
+    );
+    rig.now += ms(1_200);
+    // The flow that was opened since the first announcement is at the upstream.
+    let reset = Action::Reset {
+        flow: flow(1),
+        sequence: 8,
+        cause: ResetCause::Restarted,
+    };
+    assert_eq!(rig.announce(&announcement(2_600, 3)), [reset]);
+    assert_eq!(announce_2600(&mut rig, 1_200, 4, true), Change::Draining);
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Draining);
+    // The predecessor's late announcements change nothing, although its start is later.
+    let mut actions = Vec::new();
+    let late = announcement(5_000, 9);
+    let change = rig.agent.handle_announcement(rig.now, &late, &mut actions);
+    assert_eq!((change, actions), (Change::Stale, Vec::new()));
+}
+
+/// Guards against new flows to an upstream that drains or is gone before it is confirmed: its
+/// announcement was acknowledged.
+#[test]
+fn an_unconfirmed_upstream_that_drains_gets_no_new_flows() {
+    let mut rig = agent_of_incarnation_5000();
+    assert_eq!(announce_2600(&mut rig, 2_000, 1, true), Change::Unconfirmed);
+    assert_eq!(
+        rig.deliver(Purpose::Open, &syn(flow(1))),
+        rig.return_actions(Reason::Leaving)
+    );
+    let mut rig = agent_of_incarnation_5000();
+    announce_2600(&mut rig, 2_000, 1, false);
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
+    let mut actions = Vec::new();
+    rig.agent
+        .handle_deregistration(rig.now, "i-2600", &mut actions);
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Draining);
+    assert_eq!(actions, []);
+}
+
+/// Guards against late announcements that end the flows of an upstream that runs: those that were held
+/// up arrive together, and the upstream announces itself between others.
+#[test]
+fn late_announcements_of_an_unknown_incarnation_reset_no_flows() {
+    let mut rig = agent_of_incarnation_5000();
+    rig.open(flow(1), 7);
+    rig.now += ms(4_000);
+    for sequence in 1..=5 {
+        let change = announce_2600(&mut rig, 50, sequence, false);
+        assert_eq!(change, Change::Unconfirmed);
+    }
+    for sequence in 6..=12 {
+        rig.now += ms(600);
+        assert_eq!(rig.announce(&announcement(5_000, sequence)), []);
+        let change = announce_2600(&mut rig, 600, sequence, false);
+        assert_eq!(change, Change::Unconfirmed);
+    }
+    assert_eq!(rig.agent.upstream().incarnation(), 5_000);
+    let to = rig.balancer;
+    assert_eq!(rig.locate(flow(1)), [Action::Found { to, flow: flow(1) }]);
+}
