fix(core): silence of an agent is no proof that its flows are lost

Planned work only: a balancer starts while an agent is down for its restart.

Cause: an agent that is stopped says so in frames to balancers that sent it one within 20 s. A balancer that starts meanwhile never gets one, and 0.55 s of silence counted as a failure. Evidence (log of the balancer): flow_missing from each agent that answers, flow_reset cause=lost 0.6 s after its start, 0.1 s before the start of the agent.

Change: what proves a failure is asked instead. The agent's entry tells of a planned restart (field restarting); a silent agent has failed if a frame within the grace period before its silence, or its entry in a confirmed list, did not speak of one, or if it is no longer listed. Otherwise its flows wait for 4 s of silence, as those of an agent that said so did before; no time limit has changed. The entry of a new incarnation ends the silence of the one before. The same holds for owners that are known (cause=unreachable).

Ways: the frame's word alone (before); 4 s for each agent that was not heard of lately, no calls, but lost flows wait at balancers that have just started or take over from another zone; the entry, one write for each planned restart, which keeps these resets (kept).

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -17,6 +17,7 @@
 mod members;
 mod path_monitor;
 mod placement;
+mod reachability;
 mod response_times;
 mod search;
 mod searches;
@@ -41,6 +42,7 @@
     listing::Listing,
     members::Members,
     path_monitor::PathMonitor,
+    reachability::Reachability,
     response_times::ResponseTimes,
     search::{Search, Status},
     settings::Settings,
@@ -87,6 +89,7 @@
         let rate = settings.questions_per_second;
         let mut members = Members::new(now, settings.zone.clone());
         members.set_remote_cost(settings.remote_cost);
+        members.set_stop_grace(settings.stop_grace);
         Self {
             members,
             question_limiter: Bucket::new(now, rate, rate / QUESTION_BURST_DIVISOR),
@@ -185,6 +188,7 @@
     /// that it said since is known here.
     pub fn confirm_members(&mut self, now: Instant, at: Instant, actions: &mut Vec<Action>) {
         self.listing.confirm(at);
+        self.members.confirm(at);
         self.finish_visited_searches(now, actions);
     }
 
@@ -205,8 +209,8 @@
     }
 
     /// Adds or updates an agent that the store lists.
-    pub fn add_listed_member(&mut self, member: Member) {
-        self.members.add_listed(member);
+    pub fn add_listed_member(&mut self, now: Instant, member: Member) {
+        self.members.add_listed(now, member);
     }
 
     /// Records that the store no longer lists an agent, which may still be running.
@@ -263,14 +267,18 @@
             search.buffer(bytes);
             return;
         }
-        if self.members.check_unreachable(now, to, actions) && self.is_safe(&flow) {
-            self.flows.remove(&flow);
-            actions.push(Action::Reset {
-                flow,
-                sequence: head.acknowledgement,
-                cause: ResetCause::Unreachable,
-            });
-            return;
+        match self.members.check_owner(now, to, actions) {
+            Reachability::Failed if self.is_safe(&flow) => {
+                self.flows.remove(&flow);
+                actions.push(Action::Reset {
+                    flow,
+                    sequence: head.acknowledgement,
+                    cause: ResetCause::Unreachable,
+                });
+                return;
+            }
+            Reachability::Silent if self.is_safe(&flow) => self.confirm_owner(now, to, actions),
+            _ => {}
         }
         actions.push(Action::Forward {
             to,
@@ -279,6 +287,16 @@
         });
     }
 
+    /// Asks for the list of agents as of the owner's silence, which tells whether it is being restarted.
+    fn confirm_owner(&mut self, now: Instant, owner: SocketAddrV4, actions: &mut Vec<Action>) {
+        let member = self.members.get(owner);
+        let silent_since = member.and_then(|member| member.unanswered_since);
+        if silent_since.is_some_and(|since| !self.listing.covers(now, since)) {
+            self.listing.want(now);
+            self.request_list(now, actions);
+        }
+    }
+
     /// Whether the requests of a flow may be executed more than once.
     fn is_safe(&self, flow: &Key) -> bool {
         self.route(flow)
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Action, PathMonitor, Speeds, Zones, candidates::Candidates};
+use super::{Action, PathMonitor, Reachability, Speeds, Zones, candidates::Candidates};
 use crate::flow::{
     Key, Member, Priority, Report, ServiceName, State, ZoneName, intent::Route, ranking,
 };
@@ -65,6 +65,8 @@
 pub struct Members {
     by_address: BTreeMap<SocketAddrV4, Member>,
     additions: u64,
+    /// Time from the order to stop until an agent's process ends, in which it says that it stops.
+    stop_grace: Duration,
     /// When this balancer started.
     started_at: Instant,
     path_monitor: PathMonitor,
@@ -85,6 +87,7 @@
         Self {
             by_address: BTreeMap::new(),
             additions: 0,
+            stop_grace: Duration::ZERO,
             started_at: now,
             path_monitor: PathMonitor::default(),
             last_frame_at: None,
@@ -117,6 +120,18 @@
         self.zones.set_remote_cost(remote_cost);
     }
 
+    /// Changes the time from the order to stop until an agent's process ends.
+    pub fn set_stop_grace(&mut self, stop_grace: Duration) {
+        self.stop_grace = stop_grace;
+    }
+
+    /// Records that the entries of listed agents are as they are known here in a list of `at`.
+    pub fn confirm(&mut self, at: Instant) {
+        for member in self.by_address.values_mut() {
+            member.confirm_entry(at);
+        }
+    }
+
     /// Records the time that an agent's upstream takes for a request in a slot.
     pub fn record_speed(&mut self, now: Instant, from: SocketAddrV4, time: Duration) {
         if let Some(member) = self.by_address.get_mut(&from) {
@@ -173,17 +188,19 @@
             self.unlist(now, address);
         }
         for member in listed {
-            self.add_listed(member);
+            self.add_listed(now, member);
         }
     }
 
     /// Adds or updates an agent that the store lists.
-    pub fn add_listed(&mut self, member: Member) {
+    pub fn add_listed(&mut self, now: Instant, member: Member) {
         match self.by_address.get_mut(&member.address) {
             // A report from the agent itself is newer than the store's.
             Some(known) if known.service == member.service => {
                 known.listed = true;
+                known.listed_restarting = member.listed_restarting;
                 known.unlisted_at = None;
+                known.record_incarnation(now, member.report.agent);
                 if known.last_frame_at.is_none() {
                     known.report = member.report;
                 }
@@ -393,27 +410,40 @@
             .collect()
     }
 
-    /// Probes an agent that owns open flows if no frame arrived from it for `PROBE_AFTER_QUIET`,
-    /// and returns whether it is unreachable.
-    pub fn check_unreachable(
+    /// Probes an agent that owns open flows if no frame arrived from it for `PROBE_AFTER_QUIET`, and
+    /// returns what is known of it.
+    pub fn check_owner(
         &mut self,
         now: Instant,
         address: SocketAddrV4,
         actions: &mut Vec<Action>,
-    ) -> bool {
+    ) -> Reachability {
+        if let Some(member) = self.by_address.get_mut(&address) {
+            let is_quiet = member
+                .last_frame_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= PROBE_AFTER_QUIET);
+            if is_quiet && member.unanswered_since.is_none() {
+                member.expect_answer(now);
+                member.probed_at = Some(now);
+                actions.push(Action::Probe(address));
+            }
+        }
+        match self.get(address) {
+            Some(member) => self.reachability(member, OWNER_UNREACHABLE_AFTER),
+            None => Reachability::Reachable,
+        }
+    }
+
+    /// What is known of an agent that may own a flow. It counts as unreachable after `timeout`.
+    pub fn reachability(&self, member: &Member, timeout: Duration) -> Reachability {
         let path_good_until = self.path_good_until();
-        let Some(member) = self.by_address.get_mut(&address) else {
-            return false;
-        };
-        let is_quiet = member
-            .last_frame_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= PROBE_AFTER_QUIET);
-        if is_quiet && member.unanswered_since.is_none() {
-            member.expect_answer(now);
-            member.probed_at = Some(now);
-            actions.push(Action::Probe(address));
+        if !member.is_unreachable(path_good_until, timeout) {
+            Reachability::Reachable
+        } else if member.has_failed(path_good_until, self.stop_grace) {
+            Reachability::Failed
+        } else {
+            Reachability::Silent
         }
-        member.is_unreachable(path_good_until, OWNER_UNREACHABLE_AFTER)
     }
 
     /// Probes new agents, so that their load is known before flows are placed; silent agents, to
--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Action, Candidate, Members};
+use super::{Action, Candidate, Members, Reachability};
 use crate::{
     balancer::Bucket,
     flow::{Key, Purpose, intent::Kind},
@@ -44,7 +44,9 @@
 pub enum Status {
     /// Agents that may own the flow have not answered yet.
     Running,
-    /// No agent owns the flow, except possibly unreachable ones if its requests are idempotent.
+    /// No agent owns the flow, except possibly silent ones that may be restarted as planned.
+    Unproven,
+    /// No agent owns the flow, except possibly failed ones if its requests are idempotent.
     Lost,
     /// The time limit is reached.
     TimedOut,
@@ -244,25 +246,33 @@
 
     /// Status of the search. A flow does not count as lost before the list of agents is `settled`.
     pub fn status(&self, now: Instant, members: &Members, settled: bool) -> Status {
-        let is_ruled_out_or_unreachable = |candidate: &Candidate| {
-            let member = members.get(candidate.address);
-            candidate.ruled_out
-                || member.is_none_or(|member| {
-                    member.is_unreachable(members.path_good_until(), SEARCH_UNREACHABLE_AFTER)
-                })
-        };
-        let has_no_owner = || {
-            self.is_exhausted()
-                || (self.kind == Kind::Safe
-                    && self.candidates.iter().all(is_ruled_out_or_unreachable))
-        };
-        if settled && !self.candidates.is_empty() && self.has_visited_all() && has_no_owner() {
-            Status::Lost
-        } else if now.saturating_duration_since(self.started_at) >= MAX_SEARCH_TIME {
-            Status::TimedOut
-        } else {
-            Status::Running
+        let is_done = settled && !self.candidates.is_empty() && self.has_visited_all();
+        match self.best_reachability(members) {
+            Some(Reachability::Failed) | None if is_done => Status::Lost,
+            _ if now.saturating_duration_since(self.started_at) >= MAX_SEARCH_TIME => {
+                Status::TimedOut
+            }
+            Some(Reachability::Silent) if is_done => Status::Unproven,
+            _ => Status::Running,
+        }
+    }
+
+    /// The best that is known of the agents that are not ruled out; `None` if there are none. All count
+    /// as reachable if the flow's requests must not be executed twice.
+    fn best_reachability(&self, members: &Members) -> Option<Reachability> {
+        if self.is_exhausted() {
+            return None;
+        }
+        if self.kind != Kind::Safe {
+            return Some(Reachability::Reachable);
         }
+        let left = self.candidates.iter();
+        let left = left.filter(|candidate| !candidate.ruled_out);
+        left.map(|candidate| match members.get(candidate.address) {
+            Some(member) => members.reachability(member, SEARCH_UNREACHABLE_AFTER),
+            None => Reachability::Failed,
+        })
+        .min()
     }
 
     /// Sends the buffered packets to the flow's owner. The first one is left out if that agent
--- a/crates/core/src/flow/balancer/searches.rs
+++ b/crates/core/src/flow/balancer/searches.rs
@@ -193,11 +193,13 @@
         search.add_new_members(&self.members);
         match search.status(now, &self.members, settled) {
             Status::Running => {}
-            // Another balancer may have opened the flow at an agent that is not known here yet.
-            Status::Lost if !self.listing.covers(now, search.started_at()) => {
+            // Another balancer may have opened the flow at an agent that is not known here yet, and the
+            // list tells which silent agents are being restarted.
+            Status::Unproven | Status::Lost if !self.listing.covers(now, search.started_at()) => {
                 self.listing.want(now);
                 self.request_list(now, actions);
             }
+            Status::Unproven => {}
             Status::Lost => {
                 let sequence = search.acknowledgement();
                 self.searches.remove(&flow);
--- a/crates/core/src/flow/balancer/settings.rs
+++ b/crates/core/src/flow/balancer/settings.rs
@@ -31,6 +31,8 @@
     /// Time after the first list of agents before the list is taken to be complete: an agent whose
     /// store entry was lost writes it again within this time.
     pub settle_time: Duration,
+    /// Time from the order to stop until an agent's process ends, in which it says that it stops.
+    pub stop_grace: Duration,
     /// What a flow that leaves this balancer's zone costs beside the longer path. It leaves if it is
     /// expected to complete earlier by more than both.
     pub remote_cost: Duration,
@@ -49,6 +51,7 @@
             idle_timeout: Duration::from_secs(15),
             max_flow_age: Duration::from_secs(60),
             settle_time: Duration::from_millis(600),
+            stop_grace: Duration::from_secs(6),
             remote_cost: DEFAULT_REMOTE_COST,
         }
     }
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use sassafrasmast_wire::Incarnation;
+
 use super::{Report, ServiceName, State, ZoneName};
 
 /// An agent counts as silent if it has sent no frame for this long after a packet that it should
@@ -14,7 +16,7 @@
 /// An agent that sent a frame within this time counts as alive, even if the store does not list it.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Longest time from the end of an agent that reported to be stopping until it runs again.
+/// Longest time from the end of an agent that is restarted as planned until it runs again.
 const MAX_RESTART_TIME: Duration = Duration::from_secs(4);
 
 /// Time for which a report's load is used in full: about the duration of two requests.
@@ -59,6 +61,11 @@
     pub report: Report,
     /// When the agent's last frame arrived.
     pub last_frame_at: Option<Instant>,
+    /// When the agent last stated that it is not about to be restarted: by a frame, or by its entry in a
+    /// list that the store has confirmed.
+    pub steady_at: Option<Instant>,
+    /// Whether the agent's entry says that it is being restarted as planned; `None` if it does not tell.
+    pub listed_restarting: Option<bool>,
     /// Whether the store lists the agent.
     pub listed: bool,
     /// When the store stopped listing the agent.
@@ -90,6 +97,8 @@
             zone,
             report,
             last_frame_at: None,
+            steady_at: None,
+            listed_restarting: None,
             listed: true,
             unlisted_at: None,
             unanswered_since: None,
@@ -111,12 +120,32 @@
         if report.upstream != self.report.upstream {
             self.time_in_slot = None;
         }
+        if !report.stopping {
+            self.steady_at = Some(now);
+        }
         self.report = Report { state, ..report };
         self.placed_since_report = 0;
         self.last_frame_at = Some(now);
         self.unanswered_since = None;
     }
 
+    /// Records the agent's incarnation by its entry. The silence of an earlier one says nothing of a process
+    /// that has started meanwhile.
+    pub fn record_incarnation(&mut self, now: Instant, incarnation: Incarnation) {
+        if incarnation != self.report.agent {
+            self.report.agent = incarnation;
+            self.report.stopping = false;
+            self.unanswered_since = self.unanswered_since.map(|_| now);
+        }
+    }
+
+    /// Records that the agent's entry stands as it is known in a list of `at`.
+    pub fn confirm_entry(&mut self, at: Instant) {
+        if self.listed && self.listed_restarting == Some(false) {
+            self.steady_at = self.steady_at.max(Some(at));
+        }
+    }
+
     /// Stores the time that the upstream takes for a request in a slot.
     pub fn record_service_time(&mut self, now: Instant, time: Duration) {
         self.time_in_slot = Some((time, now));
@@ -163,18 +192,28 @@
     }
 
     /// Whether the agent left packets unanswered for `timeout` while this balancer's path to other
-    /// agents worked, as known up to `path_good_until`; otherwise the balancer itself may be cut
-    /// off. An agent that is being restarted as planned has more time, in which its flows wait.
+    /// agents worked, as known up to `path_good_until`; otherwise the balancer itself may be cut off.
     pub fn is_unreachable(&self, path_good_until: Option<Instant>, timeout: Duration) -> bool {
-        let timeout = if self.report.stopping {
-            MAX_RESTART_TIME
-        } else {
-            timeout
-        };
         self.unanswered_since
             .is_some_and(|since| path_good_until >= Some(since + timeout))
     }
 
+    /// Whether the flows at an agent that is unreachable are lost: it was not stopped as planned, or it
+    /// would run again by now. An agent that is stopped says so for `stop_grace` before it ends, in its
+    /// frames and in its entry. So one that did not say so within that time before its silence has
+    /// failed; of one that was not heard of, nothing is known. One that is no longer listed has ended.
+    pub fn has_failed(&self, path_good_until: Option<Instant>, stop_grace: Duration) -> bool {
+        let Some(silent_since) = self.unanswered_since else {
+            return false;
+        };
+        let is_restarting = self.report.stopping || self.listed_restarting == Some(true);
+        let was_steady = self
+            .steady_at
+            .is_some_and(|at| at + stop_grace >= silent_since);
+        !is_restarting && (was_steady || !self.listed)
+            || self.is_unreachable(path_good_until, MAX_RESTART_TIME)
+    }
+
     /// Whether the agent has not answered for `timeout`, whether the agent or this balancer's own
     /// path is the cause.
     pub fn is_unanswered_for(&self, now: Instant, timeout: Duration) -> bool {
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -116,6 +116,18 @@
         assert!(self.balancer.set_intent(safe.into()));
     }
 
+    /// Lists the agent at `address` with what its entry says of a restart, and confirms the list.
+    fn confirm(&mut self, address: SocketAddrV4, restarting: Option<bool>) -> Vec<Action> {
+        let member = Member {
+            listed_restarting: restarting,
+            ..member(address.port(), ZONE)
+        };
+        self.balancer.add_listed_member(self.now, member);
+        let (at, mut actions) = (self.now, Vec::new());
+        self.balancer.confirm_members(at, at, &mut actions);
+        actions
+    }
+
     /// Ticks every 20 ms for `millis` and counts the resets.
     fn resets_within(&mut self, millis: u64) -> usize {
         (0..millis / 20)
@@ -421,7 +433,7 @@
 fn a_flow_to_a_service_without_upstreams_is_reset_at_once() {
     let mut rig = Rig::new(&[]);
     let other = Member::listed(agent(1), "other".into(), ZONE.into(), ready_report());
-    rig.balancer.add_listed_member(other);
+    rig.balancer.add_listed_member(rig.now, other);
     let reset = Action::Reset {
         flow: flow(1),
         sequence: 0,
@@ -766,6 +778,7 @@
     let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
     rig.answering = vec![agent(1)];
     rig.make_requests_safe();
+    rig.confirm(agent(2), Some(false));
     rig.packet(&data(flow(1), 8));
     rig.answer_absent(agent(1), flow(1));
     // The same time as for a flow whose owner is known, see
@@ -1028,3 +1041,126 @@
     assert!((9..=12).contains(&probed.len()), "{probed:?}");
     assert!(!probed.contains(&agent(1)), "{probed:?}");
 }
+
+/// Guards against resets of open flows by a balancer that starts while their agent is restarted as
+/// planned, and so has not heard from it that it stops.
+#[test]
+fn a_flow_is_not_reset_while_the_agent_that_may_own_it_may_be_restarting() {
+    // The entry says that the agent is restarting; or it is of an earlier build and does not tell.
+    for restarting in [Some(true), None] {
+        let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+        rig.answering = vec![agent(1)];
+        rig.make_requests_safe();
+        for _ in 0..3 {
+            rig.confirm(agent(2), restarting);
+            rig.packet(&data(flow(1), 8));
+            rig.answer_absent(agent(1), flow(1));
+            assert_eq!(rig.resets_within(1_000), 0, "{restarting:?}");
+        }
+        rig.frame(
+            agent(2),
+            &Body::Found {
+                flow: flow(1),
+                report: ready_report(),
+            },
+            None,
+        );
+        assert_eq!(target(&rig.packet(&data(flow(1), 8))), agent(2));
+    }
+}
+
+/// Guards against lost flows that wait for an agent that is not restarted as planned: the list tells so,
+/// also of one that this balancer never heard from.
+#[test]
+fn the_list_of_agents_tells_that_a_silent_agent_has_failed() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.answering = vec![agent(1)];
+    rig.make_requests_safe();
+    rig.confirm(agent(1), Some(false));
+    rig.now += ms(1_000);
+    rig.packet(&data(flow(1), 8));
+    rig.answer_absent(agent(1), flow(1));
+    let asked = |actions: Vec<Action>| actions.contains(&Action::List);
+    assert!((0..40).any(|_| asked(rig.tick(20))));
+    assert_eq!(rig.resets_within(500), 0);
+    let reset = Action::Reset {
+        flow: flow(1),
+        sequence: 8,
+        cause: ResetCause::Lost,
+    };
+    assert_eq!(rig.confirm(agent(2), Some(false)), [reset]);
+}
+
+/// Guards against resets by a balancer that has not heard for long from an agent that is restarted as
+/// planned: the agent tells only balancers that sent it a frame lately.
+#[test]
+fn an_owner_that_was_not_heard_of_within_its_grace_period_may_be_restarting() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.make_requests_safe();
+    let owner = rig.open(flow(1));
+    rig.accept(owner, flow(1), 7);
+    rig.packet(&data(flow(1), 8));
+    let other = if owner == agent(1) {
+        agent(2)
+    } else {
+        agent(1)
+    };
+    rig.report_from(other, ready_report());
+    rig.answering = vec![other];
+    rig.confirm(owner, None);
+    rig.now += ms(7_000);
+    rig.packet(&data(flow(1), 8));
+    assert_eq!(rig.resets_within(700), 0);
+    let packet = rig.packet(&data(flow(1), 8));
+    assert!(packet.contains(&Action::List), "{packet:?}");
+    rig.resets_within(60);
+    rig.confirm(owner, Some(true));
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), owner);
+    rig.resets_within(60);
+    rig.confirm(owner, Some(false));
+    let reset = Action::Reset {
+        flow: flow(1),
+        sequence: 8,
+        cause: ResetCause::Unreachable,
+    };
+    assert_eq!(rig.packet(&data(flow(1), 8)), [reset]);
+}
+
+/// Guards against resets of open flows just after their agent has started again: its entry is new, and
+/// what was silent until now is the process before it.
+#[test]
+fn the_entry_of_a_process_that_has_just_started_is_no_proof_of_a_failure() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.answering = vec![agent(1)];
+    rig.make_requests_safe();
+    rig.confirm(agent(2), Some(true));
+    rig.packet(&data(flow(1), 8));
+    rig.answer_absent(agent(1), flow(1));
+    assert_eq!(rig.resets_within(1_000), 0);
+    let started = Member {
+        listed_restarting: Some(false),
+        ..Member::listed(
+            agent(2),
+            SERVICE.into(),
+            ZONE.into(),
+            Report {
+                agent: 2,
+                ..ready_report()
+            },
+        )
+    };
+    rig.balancer.add_listed_member(rig.now, started);
+    let mut actions = Vec::new();
+    rig.balancer.confirm_members(rig.now, rig.now, &mut actions);
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, Action::Reset { .. }))
+    );
+    assert_eq!(rig.resets_within(400), 0);
+    let probes = rig.tick(20);
+    assert!(
+        probes.contains(&Action::Probe(agent(2)))
+            || rig.tick(100).contains(&Action::Probe(agent(2)))
+    );
+}
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -247,12 +247,10 @@
     let mut members = Members::new(now, "zone-a".into());
     for (index, report) in (0_u8..).zip(reports) {
         let zone = ["zone-a", "zone-b", "zone-c"][usize::from(index % 3)];
-        members.add_listed(Member::listed(
-            agent(index),
-            SERVICE.into(),
-            zone.into(),
-            *report,
-        ));
+        members.add_listed(
+            now,
+            Member::listed(agent(index), SERVICE.into(), zone.into(), *report),
+        );
         members.record_report(now, agent(index), *report);
     }
     members
@@ -336,12 +334,10 @@
     let mut alone = Members::new(now, "zone-a".into());
     for index in 0..3 {
         let zone = "zone-a".into();
-        alone.add_listed(Member::listed(
-            agent(index),
-            SERVICE.into(),
-            zone,
-            reports[0],
-        ));
+        alone.add_listed(
+            now,
+            Member::listed(agent(index), SERVICE.into(), zone, reports[0]),
+        );
         alone.record_report(now, agent(index), reports[0]);
         let millis = if index == 0 { 10 } else { 40 };
         alone.record_speed(now, agent(index), ms(millis));
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -157,6 +157,7 @@
             zone: settings.zone.clone(),
             incarnation,
             draining: false,
+            restarting: Some(false),
         }));
         let registered = Arc::new(AtomicBool::new(false));
         let registration = Registration::new(
@@ -350,6 +351,7 @@
                 zone: self.settings.zone.clone(),
                 incarnation: report.agent,
                 draining: state == State::Draining,
+                restarting: Some(report.stopping),
             });
             let differs = *record != desired;
             *record = desired;
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -158,6 +158,7 @@
                 lower_class_share: settings.lower_class_share,
                 fair_shares: settings.fair_shares,
                 remote_cost: settings.remote_cost,
+                stop_grace: settings.stop_grace,
                 ..balancer::Settings::default()
             },
         );
@@ -249,7 +250,7 @@
                 self.core.confirm_members(now, at, &mut self.actions);
                 self.execute_actions(now, None);
             }
-            Event::Listed(member) => self.core.add_listed_member(*member),
+            Event::Listed(member) => self.core.add_listed_member(now, *member),
             Event::Unlisted(address) => self.core.unlist_member(now, address),
             Event::Snapshot(_, snapshot) => {
                 let newer_intent = self.view.borrow().newer_intent(&snapshot);
@@ -258,7 +259,7 @@
                 }
                 self.hints.record_snapshot(&snapshot);
                 let members = snapshot.members.iter();
-                let members = members.map(|agent| agent.record.member(agent.address));
+                let members = members.map(|agent| agent.member());
                 self.core.add_members(now, members.collect());
             }
             Event::PullFailed(..)
--- a/crates/forwarder/src/peer.rs
+++ b/crates/forwarder/src/peer.rs
@@ -11,7 +11,7 @@
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use anyhow::{Context, bail};
-use sassafrasmast_core::flow::{Intent, Member, Revision};
+use sassafrasmast_core::flow::{Intent, Member, Revision, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -40,18 +40,36 @@
 pub struct KnownAgent {
     /// Where the agent takes frames.
     pub address: SocketAddrV4,
-    /// Its entry in the store, or what balancers learned from its frames.
-    pub record: Record,
+    service: ServiceName,
+    zone: ZoneName,
+    incarnation: u64,
+    draining: bool,
 }
 
 impl KnownAgent {
     /// The agent of a member.
     pub fn of(member: &Member) -> Self {
+        let record = Record::of(member);
         Self {
             address: member.address,
-            record: Record::of(member),
+            service: record.service,
+            zone: record.zone,
+            incarnation: record.incarnation,
+            draining: record.draining,
         }
     }
+
+    /// The member, before its first frame. A peer does not tell whether it is being restarted.
+    pub fn member(&self) -> Member {
+        let record = Record {
+            service: self.service.clone(),
+            zone: self.zone.clone(),
+            incarnation: self.incarnation,
+            draining: self.draining,
+            restarting: None,
+        };
+        record.member(self.address)
+    }
 }
 
 /// Request for a [`Snapshot`].
--- a/crates/forwarder/src/registration.rs
+++ b/crates/forwarder/src/registration.rs
@@ -41,6 +41,10 @@
     pub incarnation: u64,
     /// Whether the upstream is draining.
     pub draining: bool,
+    /// Whether the agent is being restarted as planned, so that it is expected back. Entries of earlier
+    /// builds do not tell.
+    #[serde(default)]
+    pub restarting: Option<bool>,
 }
 
 impl Record {
@@ -51,6 +55,7 @@
             zone: member.zone.clone(),
             incarnation: member.report.agent,
             draining: member.report.state == State::Draining,
+            restarting: member.listed_restarting,
         }
     }
 
@@ -98,7 +103,10 @@
             headroom: INITIAL_HEADROOM_FLOWS,
             ..Report::default()
         };
-        Member::listed(address, self.service.clone(), self.zone.clone(), report)
+        Member {
+            listed_restarting: self.restarting,
+            ..Member::listed(address, self.service.clone(), self.zone.clone(), report)
+        }
     }
 }
 
--- a/crates/forwarder/src/settings.rs
+++ b/crates/forwarder/src/settings.rs
@@ -68,6 +68,8 @@
     pub fair_shares: bool,
     /// Age from which a flow may be discarded.
     pub max_flow_age: Duration,
+    /// Time from the platform's order to stop until it ends the process; zero if it is not known.
+    pub stop_grace: Duration,
     /// Time to live of an agent's entry in the store. The entry of a VM that is gone keeps lost flows
     /// waiting for that long: searches wait for listed agents.
     pub lease_ttl: Duration,
@@ -111,6 +113,7 @@
                 self.places_by_speed != new.places_by_speed,
             ),
             ("max_flow_age", self.max_flow_age != new.max_flow_age),
+            ("stop_grace", self.stop_grace != new.stop_grace),
         ];
         self.peers = new.peers;
         self.cold_coverage = new.cold_coverage;
@@ -140,6 +143,7 @@
             places_by_speed: false,
             fair_shares: false,
             max_flow_age: Duration::from_secs(60),
+            stop_grace: Duration::ZERO,
             lease_ttl: Duration::from_secs(9),
             link_bytes_per_s: 1_250_000,
             remote_cost: balancer::Settings::default().remote_cost,
--- a/crates/forwarder/tests/membership.rs
+++ b/crates/forwarder/tests/membership.rs
@@ -198,6 +198,7 @@
         zone: "zone-a".into(),
         incarnation,
         draining: false,
+        restarting: Some(false),
     }
 }
 
