fix(core): an agent that was sent a copy of a SYN is not the owner of the flow

Cause: a balancer that handles a late copy of a SYN places it on an agent and took that one for the owner, whatever the client acknowledged. When it failed, the flow was reset without a search. Evidence (log of the balancer): flow_reset cause=unreachable for flows that other agents hold.

Change: an owner is proven if it said so or the client acknowledged its upstream's SYN-ACK. An agent whose SYN-ACK is known and not acknowledged is not taken for the owner; one that is only assumed is asked for like any other once it is silent, and the flow is reset by what the search shows.

Ways: reset by the assumption (before); a search for each flow of a failed agent, with a question to each agent for each of its flows, and later resets; a search where the owner is not proven (kept).

Tests: a_flow_is_not_reset_because_the_agent_of_a_late_copy_fails failed before (a reset at the assertion for accepted: false) and passes now; a_flow_whose_assumed_owner_fails_is_reset_once_all_others_deny_it guards the other side.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -267,18 +267,26 @@
             search.buffer(bytes);
             return;
         }
-        match self.members.check_owner(now, to, actions) {
-            Reachability::Failed if self.is_safe(&flow) => {
-                self.flows.remove(&flow);
-                actions.push(Action::Reset {
-                    flow,
-                    sequence: head.acknowledgement,
-                    cause: ResetCause::Unreachable,
-                });
-                return;
+        let reachability = self.members.check_owner(now, to, actions);
+        if reachability > Reachability::Reachable && self.is_safe(&flow) {
+            let is_proven = self.flows.get(&flow).is_some_and(Flow::is_owner_proven);
+            match reachability {
+                // The flow may be open at another agent.
+                _ if !is_proven => {
+                    self.search(now, flow, head, bytes, &[to], actions);
+                    return;
+                }
+                Reachability::Failed => {
+                    self.flows.remove(&flow);
+                    actions.push(Action::Reset {
+                        flow,
+                        sequence: head.acknowledgement,
+                        cause: ResetCause::Unreachable,
+                    });
+                    return;
+                }
+                _ => self.confirm_owner(now, to, actions),
             }
-            Reachability::Silent if self.is_safe(&flow) => self.confirm_owner(now, to, actions),
-            _ => {}
         }
         actions.push(Action::Forward {
             to,
--- a/crates/core/src/flow/balancer/flow.rs
+++ b/crates/core/src/flow/balancer/flow.rs
@@ -28,11 +28,29 @@
     returned: bool,
 }
 
+/// The agent that is taken to be the owner of a flow.
+#[derive(Debug, Clone, Copy)]
+struct Owner {
+    agent: SocketAddrV4,
+    /// What the client acknowledged, if the agent is the owner only because no other one is known to
+    /// have been sent the SYN; `None` if it is proven. Another balancer may have placed a copy.
+    assumed_from: Option<u32>,
+}
+
+impl Owner {
+    fn proven(agent: SocketAddrV4) -> Self {
+        Self {
+            agent,
+            assumed_from: None,
+        }
+    }
+}
+
 /// A balancer's state of a flow.
 #[derive(Debug, Clone)]
 pub struct Flow {
     syn_recipients: Vec<SynRecipient>,
-    owner: Option<SocketAddrV4>,
+    owner: Option<Owner>,
     opened_at: Instant,
     last_packet_at: Instant,
     /// When the client sent its first SYN, as far as the copies that arrived tell.
@@ -52,6 +70,12 @@
     answered: bool,
 }
 
+/// Whether a client that acknowledges this has chosen the SYN-ACK with this sequence number and has
+/// received no data since.
+fn acknowledges(acknowledgement: u32, syn_ack_sequence: u32) -> bool {
+    acknowledgement.wrapping_sub(syn_ack_sequence) <= 1
+}
+
 impl Flow {
     /// A flow first seen at `now`.
     pub fn new(now: Instant) -> Self {
@@ -190,6 +214,12 @@
                 recipient.returned = false;
             }
         }
+        self.owner = self.owner.and_then(|owner| match owner.assumed_from {
+            Some(acknowledgement) if owner.agent == agent => {
+                acknowledges(acknowledgement, sequence).then(|| Owner::proven(agent))
+            }
+            _ => Some(owner),
+        });
     }
 
     /// Records that an agent returned the flow's SYN. An upstream that is only silent may have received
@@ -225,12 +255,17 @@
 
     /// The owner of the flow, if known.
     pub fn owner(&self) -> Option<SocketAddrV4> {
-        self.owner
+        self.owner.map(|owner| owner.agent)
+    }
+
+    /// Whether the owner is proven: it said so, or the client acknowledged its upstream's SYN-ACK.
+    pub fn is_owner_proven(&self) -> bool {
+        self.owner.is_some_and(|owner| owner.assumed_from.is_none())
     }
 
     /// Records that the flow is at this agent's upstream.
     pub fn set_owner(&mut self, agent: SocketAddrV4) {
-        self.owner = Some(agent);
+        self.owner = Some(Owner::proven(agent));
     }
 
     /// Records that the flow is not at this agent's upstream.
@@ -240,28 +275,30 @@
             .retain(|recipient| recipient.agent != agent);
     }
 
-    /// The owner of the flow. If it is not known yet, it is the only agent that may have accepted
-    /// the SYN, or the one whose upstream's SYN-ACK the client acknowledges.
+    /// The owner of the flow. If it is not known yet, it is the agent whose upstream's SYN-ACK the client
+    /// acknowledges, or the only one that may have accepted the SYN and has not told its SYN-ACK.
     pub fn resolve_owner(&mut self, head: &Head) -> Option<SocketAddrV4> {
         if self.owner.is_none() {
+            let mut recipients = self.syn_recipients.iter();
+            let chosen = recipients.find(|recipient| {
+                recipient
+                    .syn_ack_sequence
+                    .is_some_and(|sequence| acknowledges(head.acknowledgement, sequence))
+            });
             let mut pending = self
                 .syn_recipients
                 .iter()
                 .filter(|recipient| !recipient.returned);
-            self.owner = match (pending.next(), pending.next()) {
-                (Some(only), None) => Some(only.agent),
-                _ => self
-                    .syn_recipients
-                    .iter()
-                    .find(|recipient| {
-                        recipient.syn_ack_sequence.is_some_and(|sequence| {
-                            head.acknowledgement.wrapping_sub(sequence) <= 1
-                        })
-                    })
-                    .map(|recipient| recipient.agent),
+            self.owner = match (chosen, pending.next(), pending.next()) {
+                (Some(chosen), ..) => Some(Owner::proven(chosen.agent)),
+                (None, Some(only), None) if only.syn_ack_sequence.is_none() => Some(Owner {
+                    agent: only.agent,
+                    assumed_from: Some(head.acknowledgement),
+                }),
+                _ => None,
             };
         }
-        self.owner
+        self.owner()
     }
 
     /// If the client's packet is the first one to acknowledge an answer of the flow's owner, the
@@ -270,7 +307,7 @@
         if self.answered {
             return None;
         }
-        let owner = self.owner?;
+        let owner = self.owner()?;
         let of_owner = |recipient: &&SynRecipient| recipient.agent == owner;
         let recipient = self.syn_recipients.iter().find(of_owner)?;
         let syn_ack_sequence = recipient.syn_ack_sequence?;
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -1164,3 +1164,83 @@
             || rig.tick(100).contains(&Action::Probe(agent(2)))
     );
 }
+
+/// A balancer that was sent a late copy of the SYN of a flow, and the other agent than the one that it
+/// placed the copy on, which says nothing more.
+fn rig_with_late_copy(accepted: bool) -> (Rig, SocketAddrV4) {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    rig.make_requests_safe();
+    let placed = target(&rig.packet(&syn_copy(flow(1), 1)));
+    let owner = if placed == agent(1) {
+        agent(2)
+    } else {
+        agent(1)
+    };
+    if accepted {
+        rig.accept(placed, flow(1), 7);
+    }
+    rig.report_from(placed, ready_report());
+    rig.report_from(owner, ready_report());
+    rig.answering = vec![owner];
+    (rig, owner)
+}
+
+/// Guards against resets of open flows because of an agent that never held them: it was sent a late copy
+/// of the SYN, and fails later.
+#[test]
+fn a_flow_is_not_reset_because_the_agent_of_a_late_copy_fails() {
+    for accepted in [false, true] {
+        let (mut rig, owner) = rig_with_late_copy(accepted);
+        // The client acknowledges a SYN-ACK that this balancer has not heard of.
+        let mut actions = rig.packet(&data(flow(1), 90_001));
+        let found = Body::Found {
+            flow: flow(1),
+            report: ready_report(),
+        };
+        let mut is_found = false;
+        for _ in 0..50 {
+            let asked = actions
+                .iter()
+                .any(|action| matches!(action, Action::Locate { to, .. } if *to == owner));
+            if asked && !is_found {
+                is_found = true;
+                actions = rig.frame(owner, &found, None);
+                continue;
+            }
+            actions = rig.tick(20);
+            actions.extend(rig.packet(&data(flow(1), 90_001)));
+            assert!(
+                !actions
+                    .iter()
+                    .any(|action| matches!(action, Action::Reset { .. })),
+                "accepted: {accepted}"
+            );
+        }
+        assert!(is_found, "accepted: {accepted}");
+        assert_eq!(target(&rig.packet(&data(flow(1), 90_001))), owner);
+    }
+}
+
+/// Guards against lost flows that wait because their owner is only assumed: once all others deny the
+/// flow, it can only have been at the agent that failed.
+#[test]
+fn a_flow_whose_assumed_owner_fails_is_reset_once_all_others_deny_it() {
+    let (mut rig, other) = rig_with_late_copy(false);
+    let mut resets = 0;
+    for _ in 0..100 {
+        let mut actions = rig.packet(&data(flow(1), 90_001));
+        actions.extend(rig.tick(20));
+        let asked = actions
+            .iter()
+            .any(|action| matches!(action, Action::Locate { to, .. } if *to == other));
+        if asked {
+            actions.extend(rig.answer_absent(other, flow(1)));
+        }
+        let is_reset = |action: &&Action| matches!(action, Action::Reset { .. });
+        resets = actions.iter().filter(is_reset).count();
+        if resets > 0 {
+            break;
+        }
+    }
+    assert_eq!(resets, 1);
+}
