fix(core): an upstream counts as cold from the return of its zone to its next announcement

Cause: a server that becomes cold just before its zone is taken back says so with its next heartbeat, up to 1.2 s later. Until then its agent went by the one before.

Change: from the return of its own zone to the next announcement an agent limits its upstream to the cold rate, if one is configured for the service.

Ways: the last announcement (before); no new flows until the next one, which leaves a warm zone empty for up to 1.2 s; the cold rate until then (kept). No calls to the store; nothing changes where no cold rate is configured.

Test: an_upstream_counts_as_cold_from_the_return_of_its_zone_to_its_next_announcement failed before (left: Ready, right: Cold) and passes now.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -136,7 +136,12 @@
 
     /// Merges `intent` into the intent in force, and returns whether that changed it.
     pub fn set_intent(&mut self, intent: Arc<Intent>) -> bool {
+        let was_out = self.is_zone_out();
         let is_newer = Intent::replace_if_newer(&mut self.intent, intent);
+        // Upstreams of a zone that is out may become cold just before it is taken back.
+        if was_out && !self.is_zone_out() && self.cold_limit().is_some() {
+            self.upstream.suspect_cold();
+        }
         if is_newer && let Some(intent) = &self.intent {
             self.latency_objective = intent.policy.latency_objective(&self.settings.service);
             self.classes.set_intent(intent, &self.settings.service);
@@ -144,6 +149,13 @@
         is_newer
     }
 
+    /// Whether operators have taken the agent's zone out of service.
+    fn is_zone_out(&self) -> bool {
+        self.intent
+            .as_ref()
+            .is_some_and(|intent| intent.is_zone_out(&self.settings.zone))
+    }
+
     /// Handles a balancer's message that attempts of callers ended without an answer.
     pub fn handle_ended(&mut self, now: Instant, attempts: &[Attempt]) {
         let Some(intent) = &self.intent else {
--- a/crates/core/src/flow/agent/admission.rs
+++ b/crates/core/src/flow/agent/admission.rs
@@ -265,7 +265,7 @@
         if self.flows.len() >= self.settings.max_flows {
             return Some(Reason::Busy);
         }
-        if own.is_some_and(|intent| intent.is_zone_out(&self.settings.zone)) {
+        if self.is_zone_out() {
             return Some(Reason::ZoneOut);
         }
         match self.upstream.state(now) {
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -69,6 +69,8 @@
     draining: bool,
     gone: bool,
     cold_until: Option<Instant>,
+    /// Whether it may have become cold since its last announcement.
+    may_be_cold: bool,
     announced_from_start: bool,
     /// When the first announcement of the incarnation arrived.
     incarnation_since: Option<Instant>,
@@ -131,7 +133,7 @@
             State::Silent
         } else if self.incarnation == 0 {
             State::Unknown
-        } else if cold_until.is_some_and(|until| now < until) {
+        } else if self.may_be_cold || cold_until.is_some_and(|until| now < until) {
             State::Cold
         } else {
             State::Ready
@@ -230,9 +232,15 @@
         self.sequence = announcement.sequence;
         self.slots = announcement.slots;
         self.draining = announcement.draining;
+        self.may_be_cold = false;
         self.cold_until = (!announcement.cold_left.is_zero()).then(|| now + announcement.cold_left);
     }
 
+    /// Takes the upstream for cold until its next announcement.
+    pub fn suspect_cold(&mut self) {
+        self.may_be_cold = true;
+    }
+
     /// Applies the deregistration of the upstream named `id`.
     pub fn apply_deregistration(&mut self, id: &str) -> Change {
         if self.id == id {
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -662,3 +662,40 @@
     let to = rig.balancer;
     assert_eq!(rig.locate(flow(1)), [Action::Found { to, flow: flow(1) }]);
 }
+
+/// Guards against the whole load of a zone on an upstream that has become cold just before the zone was
+/// taken back, and has not announced it yet.
+#[test]
+fn an_upstream_counts_as_cold_from_the_return_of_its_zone_to_its_next_announcement() {
+    let mut rig = AgentRig::ready();
+    let zone_out = |revision, zones: &[&str]| {
+        let mut intent = (*intent(revision, &[(SERVICE, 1)], 12.0)).clone();
+        intent.zones_out = zones.iter().map(|zone| (*zone).into()).collect();
+        std::sync::Arc::new(intent)
+    };
+    rig.agent.set_intent(zone_out(2, &["zone-a"]));
+    rig.now += ms(8_000);
+    rig.announce(&announcement(1, 2));
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
+    rig.now += ms(200);
+    rig.agent.set_intent(zone_out(3, &[]));
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Cold);
+    // 12 a second times 1.5, and 5.
+    let mut admitted = 0;
+    for port in 1..=50 {
+        rig.now += ms(20);
+        if rig.deliver(Purpose::Open, &syn(flow(port))) == [Action::ToUpstream] {
+            admitted += 1;
+            rig.handle_upstream_packet(&syn_ack(flow(port), 7));
+            let mut end = data(flow(port), 8);
+            end.flags.rst = true;
+            rig.deliver(Purpose::Known, &end);
+        }
+    }
+    assert!((1..=23).contains(&admitted), "{admitted} admitted");
+    rig.announce(&announcement(1, 3));
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
+    // The zone stays in service: nothing is suspected.
+    rig.agent.set_intent(zone_out(4, &[]));
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
+}
