fix(core): a late heartbeat after an agent's start is no proof that its upstream restarted

Cause: the first heartbeat at a restarted agent was a late one of an earlier incarnation. The next one, of the incarnation that ran all the time, counted as a restart that the agent had noticed, so that it knew all flows of the upstream and denied those that it had not seen.

Change: a restart proves that only if the earlier incarnation is confirmed, by the same three announcements without another one between them as a successor.

Ways: each restart is proof (before); none is, which asks the upstream about each unknown flow for as long as it runs; one that is confirmed (kept). No calls to the store.

Test: a_late_announcement_after_the_start_of_an_agent_is_no_proof_of_a_restart failed before (left: Absent, right: Unconfirmed) and passes now.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -9,6 +9,7 @@
 mod announcement;
 mod attempts;
 mod classes;
+mod confirmation;
 mod delivery;
 mod flow;
 mod held;
@@ -37,6 +38,7 @@
     announcement::Announcement,
     attempts::Attempts,
     classes::{Classes, Counts},
+    confirmation::Confirmation,
     delivery::Delivery,
     flow::{Flow, Phase},
     held::{Held, HeldPacket},
--- a/crates/core/src/flow/agent/successor.rs
+++ b/crates/core/src/flow/agent/successor.rs
@@ -1,15 +1,8 @@
 //! An incarnation of the upstream that may have followed the one in force.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use super::Announcement;
-
-/// Announcements after which a successor is in force, if the incarnation in force sent none between
-/// them: two intervals, in which an upstream that lives announces itself.
-const CONFIRMING_ANNOUNCEMENTS: u32 = 3;
-
-/// Shortest time between announcements that count. Those that were held up on the way arrive together.
-const MIN_SPACING: Duration = Duration::from_millis(500);
+use super::{Announcement, Confirmation};
 
 /// An incarnation of the upstream that announces itself although its stated start is not later than
 /// that of the one in force. Either the clock was set back between the two, or its announcements are
@@ -20,8 +13,7 @@
     announcement: Announcement,
     first_at: Instant,
     last_at: Instant,
-    counted_at: Instant,
-    counted: u32,
+    confirmation: Confirmation,
     /// Whether the incarnation was in force before, so that it is late unless it is confirmed.
     is_former: bool,
 }
@@ -33,8 +25,7 @@
             announcement: announcement.clone(),
             first_at: now,
             last_at: now,
-            counted_at: now,
-            counted: 1,
+            confirmation: Confirmation::new(now),
             is_former,
         }
     }
@@ -46,10 +37,7 @@
         }
         self.announcement = announcement.clone();
         self.last_at = now;
-        if now.saturating_duration_since(self.counted_at) >= MIN_SPACING {
-            self.counted_at = now;
-            self.counted += 1;
-        }
+        self.confirmation.record(now);
     }
 
     /// The last announcement.
@@ -64,7 +52,7 @@
 
     /// Whether the announcements prove that this incarnation runs.
     pub fn is_confirmed(&self) -> bool {
-        self.counted >= CONFIRMING_ANNOUNCEMENTS
+        self.confirmation.is_complete()
     }
 
     /// Records that an upstream of this name has deregistered, so that it takes no new flows.
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -7,7 +7,7 @@
 
 use sassafrasmast_wire::Incarnation;
 
-use super::{Announcement, Successor};
+use super::{Announcement, Confirmation, Successor};
 use crate::flow::State;
 
 /// Interval at which a silent upstream is sent one SYN, to detect whether it answers again.
@@ -74,6 +74,8 @@
     announced_from_start: bool,
     /// When the first announcement of the incarnation arrived.
     incarnation_since: Option<Instant>,
+    /// The announcements of the incarnation; `None` before the first.
+    confirmation: Option<Confirmation>,
     /// Another incarnation that announces itself.
     successor: Option<Successor>,
     /// Earlier incarnations with their names, the latest last.
@@ -204,7 +206,12 @@
         }
         let id = std::mem::take(&mut self.id);
         self.former.push_back((id, self.incarnation));
-        self.begin_incarnation(since, true);
+        // One that has not been confirmed may have ended before this process started; its announcement
+        // was late, and the new incarnation may have flows of which this process knows nothing.
+        let was_running = self
+            .confirmation
+            .is_some_and(|confirmation| confirmation.is_complete());
+        self.begin_incarnation(since, was_running || announcement.sequence <= 1);
         self.accept(now, announcement);
         Change::Restarted
     }
@@ -213,6 +220,7 @@
     fn begin_incarnation(&mut self, since: Instant, announced_from_start: bool) {
         self.successor = None;
         self.incarnation_since = Some(since);
+        self.confirmation = None;
         self.consecutive_bounces = 0;
         self.bounced_at = None;
         self.queue = None;
@@ -222,6 +230,9 @@
 
     /// Stores what the incarnation in force announces.
     fn accept(&mut self, now: Instant, announcement: &Announcement) {
+        self.confirmation
+            .get_or_insert(Confirmation::new(now))
+            .record(now);
         self.last_contact_at = Some(now);
         self.consecutive_lost_syns = 0;
         if let Some(before) = self.announced_at.replace(now) {
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -699,3 +699,27 @@
     rig.agent.set_intent(zone_out(4, &[]));
     assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
 }
+
+/// Guards against an agent that denies flows which its upstream holds: the first announcement after the
+/// agent's start was a late one of an earlier incarnation, so that the present one looked like a
+/// restart of the upstream.
+#[test]
+fn a_late_announcement_after_the_start_of_an_agent_is_no_proof_of_a_restart() {
+    let mut rig = AgentRig::unannounced();
+    rig.announce(&announcement(1, 7));
+    rig.now += ms(300);
+    rig.announce(&announcement(2, 40));
+    let to = rig.balancer;
+    let unconfirmed = [Action::Unconfirmed { to, flow: flow(1) }];
+    assert_eq!(rig.locate(flow(1)), unconfirmed);
+
+    // An upstream that was heard of for two intervals ran beside this process.
+    let mut rig = AgentRig::unannounced();
+    for sequence in 7..=9 {
+        rig.announce(&announcement(1, sequence));
+        rig.now += ms(1_200);
+    }
+    rig.announce(&announcement(2, 2));
+    let absent = [Action::Absent { to, flow: flow(1) }];
+    assert_eq!(rig.locate(flow(1)), absent);
+}
