--- a/crates/core/src/flow/agent/successor.rs
+++ b/crates/core/src/flow/agent/successor.rs
@@ -20,6 +20,21 @@
 
 impl Successor {
     /// A successor with its first announcement.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use sassafrasmast_core::flow::agent::{Announcement, Successor};
+    /// let announcement = Announcement {
+    ///     id: "i-1".into(),
+    ///     incarnation: 2_600,
+    ///     sequence: 1,
+    ///     draining: true,
+    ///     slots: 5,
+    ///     cold_left: Duration::ZERO,
+    /// };
+    /// let successor = Successor::new(Instant::now(), &announcement, false);
+    /// assert!(successor.is_draining() && !successor.is_confirmed());
+    /// ```
     pub fn new(now: Instant, announcement: &Announcement, is_former: bool) -> Self {
         Self {
             announcement: announcement.clone(),
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -35,8 +35,8 @@
 /// Requests per slot that an upstream is taken to queue until a bounce shows its queue.
 const INITIAL_QUEUE_PER_SLOT: usize = 2;
 
-/// Earlier incarnations that are remembered, so that their late announcements are recognized: an upstream
-/// that restarts each second is forgotten after as many seconds as announcements are delayed.
+/// Earlier incarnations that are remembered, so that their late announcements are recognized. Those of
+/// still earlier ones count as announcements of an unknown incarnation.
 const MAX_FORMER: usize = 8;
 
 /// What an announcement changed.
--- a/crates/core/src/flow/balancer/members.rs
+++ b/crates/core/src/flow/balancer/members.rs
@@ -23,8 +23,8 @@
 /// are the only sign that it is alive.
 const UNLISTED_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval between probes of quiet agents in other zones: each of four zones is reached within a
-/// second. Costs some 500 bytes a second.
+/// Interval between probes of quiet agents in other zones, so that each of four zones is reached within a
+/// second.
 const QUIET_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time without a frame after which an agent in another zone counts as quiet.
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -202,6 +202,20 @@
     /// would run again by now. An agent that is stopped says so for `stop_grace` before it ends, in its
     /// frames and in its entry. So one that did not say so within that time before its silence has
     /// failed; of one that was not heard of, nothing is known. One that is no longer listed has ended.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use sassafrasmast_core::flow::{Member, Report};
+    /// let address = "10.0.0.1:7000".parse().unwrap();
+    /// let mut agent = Member::listed(address, "booking".into(), "zone-a".into(), Report::default());
+    /// let (now, grace) = (Instant::now(), Duration::from_secs(6));
+    /// agent.expect_answer(now);
+    /// let later = Some(now + Duration::from_secs(1));
+    /// assert!(!agent.has_failed(later, grace));
+    /// agent.listed_restarting = Some(false);
+    /// agent.confirm_entry(now);
+    /// assert!(agent.has_failed(later, grace));
+    /// ```
     pub fn has_failed(&self, path_good_until: Option<Instant>, stop_grace: Duration) -> bool {
         let Some(silent_since) = self.unanswered_since else {
             return false;
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -178,6 +178,15 @@
     Member::listed(agent(port), SERVICE.into(), zone.into(), ready_report())
 }
 
+/// The other one of the agents 1 and 2.
+fn other_than(address: SocketAddrV4) -> SocketAddrV4 {
+    if address == agent(1) {
+        agent(2)
+    } else {
+        agent(1)
+    }
+}
+
 /// A retransmitted SYN.
 fn syn_copy(flow: Key, copy: u32) -> Head {
     Head {
@@ -802,11 +811,7 @@
     let owner = rig.open(flow(1));
     rig.accept(owner, flow(1), 7);
     assert_eq!(target(&rig.packet(&data(flow(1), 8))), owner);
-    let other = if owner == agent(1) {
-        agent(2)
-    } else {
-        agent(1)
-    };
+    let other = other_than(owner);
     rig.report_from(other, ready_report());
     rig.answering = vec![other];
     rig.now += ms(1_000);
@@ -849,11 +854,7 @@
     rig.make_requests_safe();
     let owner = rig.open(flow(1));
     rig.accept(owner, flow(1), 7);
-    let other = if owner == agent(1) {
-        agent(2)
-    } else {
-        agent(1)
-    };
+    let other = other_than(owner);
     rig.report_from(other, ready_report());
     // Frames arrive in order with a delay of 800 ms.
     let mut in_flight = VecDeque::new();
@@ -1100,11 +1101,7 @@
     let owner = rig.open(flow(1));
     rig.accept(owner, flow(1), 7);
     rig.packet(&data(flow(1), 8));
-    let other = if owner == agent(1) {
-        agent(2)
-    } else {
-        agent(1)
-    };
+    let other = other_than(owner);
     rig.report_from(other, ready_report());
     rig.answering = vec![other];
     rig.confirm(owner, None);
@@ -1171,11 +1168,7 @@
     let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
     rig.make_requests_safe();
     let placed = target(&rig.packet(&syn_copy(flow(1), 1)));
-    let owner = if placed == agent(1) {
-        agent(2)
-    } else {
-        agent(1)
-    };
+    let owner = other_than(placed);
     if accepted {
         rig.accept(placed, flow(1), 7);
     }
