fix(forwarder): signals that arrive while a process starts do not end it

Cause: the handlers were installed after the settings had been read, so that SIGTERM and SIGHUP had their default effect until then. Ruled out: an error of the start, which is printed and has exit code 2.

Change: handlers are installed first; what arrives meanwhile is handled once the role runs.

--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -39,7 +39,7 @@
     registration::{Record, Registration},
     reload::Reload,
     settings::{Settings, Upstream},
-    signals::Command,
+    signals::{Command, Signals},
     status::{self, Status},
     udp,
 };
@@ -93,13 +93,13 @@
 /// # Errors
 ///
 /// When an address of the settings cannot be bound.
-pub async fn run<P: Platform>(
+pub(crate) async fn run<P: Platform>(
     settings: Settings,
     upstream: Upstream,
     platform: Arc<P>,
+    mut signals: Signals,
 ) -> anyhow::Result<()> {
     let Inputs {
-        mut signals,
         mut events,
         mut status_requests,
         pulls,
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -37,7 +37,7 @@
     puller::Pull,
     reload::Reload,
     settings::Settings,
-    signals::Command,
+    signals::{Command, Signals},
     status::{self, Status},
     udp,
     zone_status::{Departures, ServicePlacement},
@@ -81,9 +81,12 @@
 /// # Errors
 ///
 /// When an address of the settings cannot be bound.
-pub async fn run<P: Platform>(settings: Settings, platform: Arc<P>) -> anyhow::Result<()> {
+pub(crate) async fn run<P: Platform>(
+    settings: Settings,
+    platform: Arc<P>,
+    mut signals: Signals,
+) -> anyhow::Result<()> {
     let Inputs {
-        mut signals,
         mut events,
         mut status_requests,
         pulls,
--- a/crates/forwarder/src/inputs.rs
+++ b/crates/forwarder/src/inputs.rs
@@ -14,7 +14,6 @@
     platform::Platform,
     puller::{self, Pull},
     settings::{Role, Settings},
-    signals::Signals,
     status,
     watcher::Watcher,
 };
@@ -24,7 +23,6 @@
 
 /// Channels of a process's event loop, the same for both roles.
 pub(crate) struct Inputs {
-    pub(crate) signals: Signals,
     /// Events of the store's watcher and results of pulls from peers.
     pub(crate) events: mpsc::Receiver<Event>,
     /// Status requests of operators.
@@ -48,7 +46,6 @@
         platform: &Arc<P>,
     ) -> anyhow::Result<Self> {
         let metrics_handle = metrics_server::install()?;
-        let signals = Signals::new()?;
         let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let schedule = matches!(settings.role, Role::Balancer)
             .then(|| Schedule::new(settings.link_bytes_per_s, rand::rng().random()));
@@ -67,7 +64,6 @@
         let status_requests =
             metrics_server::serve(settings.metrics, metrics_handle, view_receiver).await?;
         Ok(Self {
-            signals,
             events,
             status_requests,
             pulls,
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -44,6 +44,7 @@
 
 use anyhow::Context;
 
+use self::signals::Signals;
 pub use self::{
     log::Log,
     platform::Platform,
@@ -51,21 +52,27 @@
     status::Status,
 };
 
-/// Runs the role that the settings name until the process is killed.
+/// Runs the role that the settings name until the process is killed. `prepare` reads the settings; signals
+/// that arrive meanwhile are handled once the role runs, as the platform may reload or stop a process that
+/// is starting.
 ///
 /// # Errors
 ///
-/// When an address of the settings cannot be bound.
-pub fn run<P: Platform>(settings: Settings, platform: P) -> anyhow::Result<()> {
+/// When `prepare` fails, or an address of the settings cannot be bound.
+pub fn run<P: Platform>(
+    prepare: impl FnOnce() -> anyhow::Result<(Settings, P)>,
+) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot start the tokio runtime")?;
     runtime.block_on(async {
+        let signals = Signals::new()?;
+        let (settings, platform) = prepare()?;
         let platform = Arc::new(platform);
         match settings.role.clone() {
-            Role::Balancer => balancer::run(settings, platform).await,
-            Role::Agent(upstream) => agent::run(settings, upstream, platform).await,
+            Role::Balancer => balancer::run(settings, platform, signals).await,
+            Role::Agent(upstream) => agent::run(settings, upstream, platform, signals).await,
         }
     })
 }
