fix(core): a restart of an upstream is proven, not read from starts and ages

What callers saw: open feeds were reset after a late heartbeat, while their upstream served them.

Cause: an unknown incarnation with a later start counted as a restart at once, and flows older than 1.5 s at the first announcement of an incarnation as those of the one before, which fits an interval of 1.2 s.

Change: another incarnation is in force if the one before deregistered, if the upstream bounced packets of two flows that it held, or with its third announcement. Only flows from before the last but one announcement of a confirmed incarnation are reset then. A first announcement proves that all flows were observed only once it is confirmed, and the age of an upstream by the clock is no longer used.

Two ways weighed: three announcements in each case (no restart is shown before two intervals have passed), and a bounce as proof. Calls to the store: none in either, as today. True resets: with the bounce they come with the second packet of a lost flow.

--- a/crates/core/src/flow/agent/announcement.rs
+++ b/crates/core/src/flow/agent/announcement.rs
@@ -20,3 +20,25 @@
     /// Remaining time of the cold period.
     pub cold_left: Duration,
 }
+
+impl Announcement {
+    /// Whether another announcement is of the same incarnation of the same upstream.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sassafrasmast_core::flow::agent::Announcement;
+    /// let first = Announcement {
+    ///     id: "i-1".into(),
+    ///     incarnation: 2_600,
+    ///     sequence: 1,
+    ///     draining: false,
+    ///     slots: 5,
+    ///     cold_left: Duration::ZERO,
+    /// };
+    /// let next = Announcement { sequence: 2, ..first.clone() };
+    /// assert!(first.is_same_upstream(&next));
+    /// ```
+    pub fn is_same_upstream(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation && self.id == other.id
+    }
+}
--- a/crates/core/src/flow/agent/delivery.rs
+++ b/crates/core/src/flow/agent/delivery.rs
@@ -172,6 +172,7 @@
             self.pending_syns.retain(|key| *key != flow);
             return;
         }
+        let was_held = known.phase() == Phase::Open && !known.is_closing();
         let to = known.last_sender();
         let requester = known.take_requester();
         self.flows.remove(&flow);
@@ -179,5 +180,8 @@
             Some(to) => Action::Absent { to, flow },
             None => Action::Missing { to, flow },
         });
+        if was_held && self.upstream.record_lost_flow() {
+            self.handle_restart(actions);
+        }
     }
 }
--- a/crates/core/src/flow/agent/flow.rs
+++ b/crates/core/src/flow/agent/flow.rs
@@ -290,6 +290,11 @@
         now.saturating_duration_since(self.age_since)
     }
 
+    /// Whether the flow was first observed before `at`.
+    pub fn is_older_than(&self, at: Instant) -> bool {
+        self.age_since < at
+    }
+
     /// Whether [`Self::age`] is less than `age`.
     pub fn is_younger_than(&self, now: Instant, age: Duration) -> bool {
         self.age(now) < age
--- a/crates/core/src/flow/agent/successor.rs
+++ b/crates/core/src/flow/agent/successor.rs
@@ -4,14 +4,13 @@
 
 use super::{Announcement, Confirmation};
 
-/// An incarnation of the upstream that announces itself although its stated start is not later than
-/// that of the one in force. Either the clock was set back between the two, or its announcements are
-/// late. Start times cannot tell, as the clock may be set at any time; that it goes on announcing itself
-/// while the other one is silent does, since only one of them runs beside the agent.
+/// An incarnation of the upstream that announces itself beside the one in force. Either the upstream has
+/// restarted, or the announcements are late. Start times cannot tell, as the clock may be set at any time;
+/// that it goes on announcing itself while the other one is silent does, since only one of them runs
+/// beside the agent.
 #[derive(Debug)]
 pub struct Successor {
     announcement: Announcement,
-    first_at: Instant,
     last_at: Instant,
     confirmation: Confirmation,
     /// Whether the incarnation was in force before, so that it is late unless it is confirmed.
@@ -38,7 +37,6 @@
     pub fn new(now: Instant, announcement: &Announcement, is_former: bool) -> Self {
         Self {
             announcement: announcement.clone(),
-            first_at: now,
             last_at: now,
             confirmation: Confirmation::new(now),
             is_former,
@@ -60,9 +58,14 @@
         &self.announcement
     }
 
-    /// When the first announcement arrived.
-    pub fn first_at(&self) -> Instant {
-        self.first_at
+    /// When the last announcement arrived.
+    pub fn last_at(&self) -> Instant {
+        self.last_at
+    }
+
+    /// The announcements that count as proof.
+    pub fn confirmation(&self) -> Confirmation {
+        self.confirmation
     }
 
     /// Whether the announcements prove that this incarnation runs.
@@ -70,6 +73,11 @@
         self.confirmation.is_complete()
     }
 
+    /// Whether the incarnation was in force before.
+    pub fn is_former(&self) -> bool {
+        self.is_former
+    }
+
     /// Records that an upstream of this name has deregistered, so that it takes no new flows.
     pub fn leave(&mut self) {
         self.announcement.draining = true;
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -39,6 +39,10 @@
 /// still earlier ones count as announcements of an unknown incarnation.
 const MAX_FORMER: usize = 8;
 
+/// Open flows of which the upstream bounces a packet that prove a restart: it has forgotten them. A single
+/// one may have been discarded for another reason, such as its age.
+const PROVING_LOST_FLOWS: u32 = 2;
+
 /// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -46,8 +50,8 @@
     Nothing,
     /// The announcement was out of order or of an earlier incarnation, and was ignored.
     Stale,
-    /// It is of another incarnation with an earlier start, which is in force once it is confirmed. Until
-    /// then the upstream gets new flows only if both incarnations take them.
+    /// It is of another incarnation, which is in force once it is proven to run. Until then the upstream
+    /// gets new flows only if both incarnations take them.
     Unconfirmed,
     /// It is the first one that this agent received.
     First,
@@ -71,9 +75,14 @@
     cold_until: Option<Instant>,
     /// Whether it may have become cold since its last announcement.
     may_be_cold: bool,
-    announced_from_start: bool,
-    /// When the first announcement of the incarnation arrived.
-    incarnation_since: Option<Instant>,
+    /// Whether the incarnation follows one that ran beside this agent process.
+    follows_observed: bool,
+    /// Whether the first announcement of the incarnation was received.
+    first_received: bool,
+    /// Flows that were opened before this time were those of the incarnation before, which has ended.
+    lost_before: Option<Instant>,
+    /// Open flows that the upstream has forgotten since the last announcement.
+    lost_flows: u32,
     /// The announcements of the incarnation; `None` before the first.
     confirmation: Option<Confirmation>,
     /// Another incarnation that announces itself.
@@ -114,10 +123,17 @@
         self.gone
     }
 
-    /// Whether this agent process received the first announcement of this incarnation or noticed
-    /// the restart to it, and so has observed all its flows.
-    pub fn is_announced_from_start(&self) -> bool {
-        self.announced_from_start
+    /// Whether this agent process has observed all flows of the incarnation: it received the first
+    /// announcement or noticed the restart. A first announcement may be late, and another incarnation run,
+    /// until further ones confirm it.
+    pub fn is_observed_from_start(&self) -> bool {
+        self.follows_observed || self.first_received && self.is_confirmed()
+    }
+
+    /// Whether the announcements prove that the incarnation in force runs.
+    fn is_confirmed(&self) -> bool {
+        self.confirmation
+            .is_some_and(|confirmation| confirmation.is_complete())
     }
 
     /// The upstream's state at `now`.
@@ -142,9 +158,9 @@
         }
     }
 
-    /// When the first announcement of the incarnation in force arrived.
-    pub fn incarnation_since(&self) -> Option<Instant> {
-        self.incarnation_since
+    /// Flows that were opened before this time are lost: they were those of an incarnation that has ended.
+    pub fn lost_before(&self) -> Option<Instant> {
+        self.lost_before
     }
 
     /// Applies an announcement and returns what changed.
@@ -152,7 +168,7 @@
         let is_in_force =
             announcement.incarnation == self.incarnation && announcement.id == self.id;
         if self.incarnation == 0 {
-            self.begin_incarnation(now, announcement.sequence <= 1);
+            self.first_received = announcement.sequence <= 1;
             self.accept(now, announcement);
             Change::First
         } else if !is_in_force {
@@ -171,61 +187,69 @@
         }
     }
 
-    /// Applies an announcement of another incarnation than the one in force. A later start shows a
-    /// restart, unless the incarnation was in force before. Otherwise its further announcements do.
+    /// Applies an announcement of another incarnation than the one in force. It may be late, whatever its
+    /// start: the clock may be set between two starts.
     fn apply_other(&mut self, now: Instant, announcement: &Announcement) -> Change {
-        let mut former = self.former.iter();
-        let is_former = former.any(|(id, incarnation)| {
-            *incarnation == announcement.incarnation && *id == announcement.id
-        });
-        let is_later = announcement.incarnation > self.incarnation && !is_former;
-        let mut since = now;
-        if !is_later {
-            let is_same = |known: &Announcement| {
-                known.incarnation == announcement.incarnation && known.id == announcement.id
-            };
-            let successor = match self.successor.take() {
-                Some(mut known) if is_same(known.announcement()) => {
-                    known.record(now, announcement);
-                    known
-                }
-                _ => Successor::new(now, announcement, is_former),
-            };
-            if !successor.is_confirmed() {
-                self.successor = Some(successor);
-                return if is_former {
-                    Change::Stale
-                } else {
-                    Change::Unconfirmed
-                };
+        match &mut self.successor {
+            Some(known) if known.announcement().is_same_upstream(announcement) => {
+                known.record(now, announcement);
+            }
+            successor => {
+                let mut former = self.former.iter();
+                let is_former = former.any(|(id, incarnation)| {
+                    *incarnation == announcement.incarnation && *id == announcement.id
+                });
+                *successor = Some(Successor::new(now, announcement, is_former));
             }
-            since = successor.first_at();
         }
+        if self.replace_if_proven() {
+            return Change::Restarted;
+        }
+        match &self.successor {
+            Some(successor) if successor.is_former() => Change::Stale,
+            _ => Change::Unconfirmed,
+        }
+    }
+
+    /// Puts the other incarnation that announces itself in force if the one in force has ended: it has
+    /// deregistered, the upstream has forgotten its flows, or only the other one still announces itself.
+    fn replace_if_proven(&mut self) -> bool {
+        let has_lost_flows = self.lost_flows >= PROVING_LOST_FLOWS;
+        let is_proven = |successor: &mut Successor| {
+            self.gone || successor.is_confirmed() || has_lost_flows && !successor.is_former()
+        };
+        let Some(successor) = self.successor.take_if(is_proven) else {
+            return false;
+        };
         if self.former.len() >= MAX_FORMER {
             self.former.pop_front();
         }
         let id = std::mem::take(&mut self.id);
         self.former.push_back((id, self.incarnation));
-        // One that has not been confirmed may have ended before this process started; its announcement
-        // was late, and the new incarnation may have flows of which this process knows nothing.
-        let was_running = self
-            .confirmation
-            .is_some_and(|confirmation| confirmation.is_complete());
-        self.begin_incarnation(since, was_running || announcement.sequence <= 1);
-        self.accept(now, announcement);
-        Change::Restarted
-    }
-
-    /// Forgets what was observed of an earlier incarnation.
-    fn begin_incarnation(&mut self, since: Instant, announced_from_start: bool) {
-        self.successor = None;
-        self.incarnation_since = Some(since);
-        self.confirmation = None;
+        let announcement = successor.announcement();
+        let was_confirmed = self.is_confirmed();
+        self.follows_observed = was_confirmed || has_lost_flows;
+        self.first_received = announcement.sequence <= 1;
+        // An announcement is sent after the one before it has arrived, so that the incarnation ran then.
+        let ran_at = self
+            .announced_at
+            .and_then(|at| at.checked_sub(self.announcement_interval));
+        self.lost_before = ran_at.filter(|_| was_confirmed);
+        self.confirmation = Some(successor.confirmation());
+        self.announced_at = None;
         self.consecutive_bounces = 0;
         self.bounced_at = None;
         self.queue = None;
-        self.announced_from_start = announced_from_start;
         self.gone = false;
+        self.accept(successor.last_at(), announcement);
+        true
+    }
+
+    /// Records that the upstream bounced a packet of a flow that it held. Returns whether that proves a
+    /// restart that was announced.
+    pub fn record_lost_flow(&mut self) -> bool {
+        self.lost_flows = self.lost_flows.saturating_add(1);
+        self.replace_if_proven()
     }
 
     /// Stores what the incarnation in force announces.
@@ -233,6 +257,7 @@
         self.confirmation
             .get_or_insert(Confirmation::new(now))
             .record(now);
+        self.lost_flows = 0;
         self.last_contact_at = Some(now);
         self.consecutive_lost_syns = 0;
         if let Some(before) = self.announced_at.replace(now) {
@@ -277,7 +302,9 @@
     /// has listened since `listening_since`. Packets are no sign of life here: an upstream of a VM
     /// that is being removed still bounces what it does not know.
     pub fn has_stopped_announcing(&self, now: Instant, listening_since: Instant) -> bool {
-        let last = self.announced_at.unwrap_or(listening_since);
+        let successor = self.successor.as_ref().map(Successor::last_at);
+        let last = self.announced_at.max(successor);
+        let last = last.unwrap_or(listening_since);
         let allowed = MIN_ENDED_AFTER.max(self.announcement_interval * MISSED_INTERVALS);
         now.saturating_duration_since(last) >= allowed
     }
--- a/crates/core/tests/flow/fixture.rs
+++ b/crates/core/tests/flow/fixture.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddrV4,
+    ops::RangeInclusive,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -210,6 +211,34 @@
         rig
     }
 
+    /// An agent that received its upstream's first announcements, 600 ms apart, which prove that it runs.
+    pub fn confirmed() -> Self {
+        let mut rig = Self::ready();
+        rig.announce_each(600, 1, 2..=3);
+        rig
+    }
+
+    /// Announces an incarnation with each sequence number after a pause, and returns the actions.
+    pub fn announce_each(
+        &mut self,
+        pause: u64,
+        incarnation: u64,
+        sequences: RangeInclusive<u64>,
+    ) -> Vec<Action> {
+        let announce = |sequence| {
+            self.now += ms(pause);
+            self.announce(&announcement(incarnation, sequence))
+        };
+        sequences.flat_map(announce).collect()
+    }
+
+    /// Delivers a packet of a flow, which the upstream bounces.
+    pub fn deliver_bounced(&mut self, flow: Key) -> Vec<Action> {
+        let packet = data(flow, 8);
+        self.deliver(Purpose::Known, &packet);
+        self.handle_upstream_packet(&bounced(packet))
+    }
+
     pub fn announce(&mut self, announcement: &Announcement) -> Vec<Action> {
         let mut actions = Vec::new();
         self.agent
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -217,9 +217,14 @@
                 self.platform.clear_bounce_marks(packet);
             }
             let now = Instant::now();
+            let incarnation = self.core.upstream().incarnation();
             self.core
                 .handle_upstream_packet(now, &head, &mut self.actions);
             self.execute_actions(now, packet);
+            if self.core.upstream().incarnation() != incarnation {
+                let id = self.core.upstream().id().to_owned();
+                self.log_upstream_change(now, id, Change::Restarted);
+            }
         }
     }
 
@@ -317,22 +322,27 @@
         };
         self.execute_actions(now, &[]);
         if change != Change::Nothing {
-            let upstream = self.core.upstream();
-            self.log.line(now, "upstream_changed", || {
-                [
-                    ("upstream", id.into()),
-                    ("change", format!("{change:?}").into()),
-                    ("started", upstream.incarnation().into()),
-                    ("cold_limit", self.core.cold_limit().into()),
-                    ("upstream_state", upstream.state(now).as_str().into()),
-                ]
-            });
+            self.log_upstream_change(now, id, change);
         }
         self.report_changes(now);
         // The upstream may have closed the connection.
         let _ = done.send(());
     }
 
+    /// Logs what changed at the upstream named `id`.
+    fn log_upstream_change(&mut self, now: Instant, id: String, change: Change) {
+        let upstream = self.core.upstream();
+        self.log.line(now, "upstream_changed", || {
+            [
+                ("upstream", id.into()),
+                ("change", format!("{change:?}").into()),
+                ("started", upstream.incarnation().into()),
+                ("cold_limit", self.core.cold_limit().into()),
+                ("upstream_state", upstream.state(now).as_str().into()),
+            ]
+        });
+    }
+
     /// Reports a changed state to balancers and updates the entry in the store.
     fn report_changes(&mut self, now: Instant) {
         if !self.core.has_unreported_change(now) {
