fix(platform): a late deregistration of an earlier start does not end an upstream

What callers would see: all open flows of an upstream are reset, and it gets no new ones, while it serves. Found by reading beside the order of incarnations; not seen on a deployment.

Cause: a deregistration was matched by name, and an upstream may start again under its name while a call of its predecessor is on the way.

Ruled out: announcements, which are compared by name and start.

Change: the start is read if the call states it, and has to match. Two ways weighed: to ignore a deregistration while announcements go on would delay true resets by two intervals. No calls to the store in either.

Measured: a_late_deregistration_of_an_earlier_incarnation_is_ignored fails before (the three flows of the rig are reset), passes now.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -196,14 +196,15 @@
         change
     }
 
-    /// Handles the upstream's deregistration and returns what changed.
+    /// Handles the upstream's deregistration, which may state its incarnation, and returns what changed.
     pub fn handle_deregistration(
         &mut self,
         now: Instant,
         id: &str,
+        incarnation: Option<Incarnation>,
         actions: &mut Vec<Action>,
     ) -> Change {
-        let change = self.upstream.apply_deregistration(id);
+        let change = self.upstream.apply_deregistration(id, incarnation);
         if change == Change::Left {
             self.reset_flows(now, actions);
         }
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -277,14 +277,23 @@
         self.may_be_cold = true;
     }
 
-    /// Applies the deregistration of the upstream named `id`.
-    pub fn apply_deregistration(&mut self, id: &str) -> Change {
-        if self.id == id {
+    /// Applies the deregistration of the upstream named `id`. An upstream may start again under its name, so
+    /// that one which states another incarnation is late.
+    pub fn apply_deregistration(&mut self, id: &str, incarnation: Option<Incarnation>) -> Change {
+        let is_of = |name: &str, started| {
+            name == id && incarnation.is_none_or(|incarnation| incarnation == started)
+        };
+        if is_of(&self.id, self.incarnation) {
             self.gone = true;
             return Change::Left;
         }
         match &mut self.successor {
-            Some(successor) if successor.announcement().id == id => {
+            Some(successor)
+                if is_of(
+                    &successor.announcement().id,
+                    successor.announcement().incarnation,
+                ) =>
+            {
                 successor.leave();
                 Change::Unconfirmed
             }
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -271,6 +271,22 @@
     assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
 }
 
+/// Guards against the end of all flows of an upstream that has started again under its name: the
+/// deregistration of the one before arrives late.
+#[test]
+fn a_late_deregistration_of_an_earlier_incarnation_is_ignored() {
+    let mut rig = agent_with_flows();
+    let mut deregister = |incarnation| {
+        let mut actions = Vec::new();
+        let id = announcement(1, 1).id;
+        let agent = &mut rig.agent;
+        let change = agent.handle_deregistration(rig.now, &id, incarnation, &mut actions);
+        (change, actions.len())
+    };
+    assert_eq!(deregister(Some(7)), (Change::Stale, 0));
+    assert_eq!(deregister(Some(1)), (Change::Left, 3));
+}
+
 #[test]
 fn a_syn_is_returned_if_a_newer_intent_routes_it_to_another_service() {
     let mut rig = AgentRig::ready();
@@ -508,7 +524,7 @@
     let mut actions = Vec::new();
     deregistered
         .agent
-        .handle_deregistration(deregistered.now, &id, &mut actions);
+        .handle_deregistration(deregistered.now, &id, None, &mut actions);
     assert!(!is_expected_back(&mut deregistered));
 }
 
@@ -693,7 +709,7 @@
     assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
     let mut actions = Vec::new();
     rig.agent
-        .handle_deregistration(rig.now, "i-2600", &mut actions);
+        .handle_deregistration(rig.now, "i-2600", None, &mut actions);
     assert_eq!(rig.agent.upstream().state(rig.now), State::Draining);
     assert_eq!(actions, []);
 }
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -314,11 +314,12 @@
                     .handle_announcement(now, &announcement, &mut self.actions);
                 (change, done, announcement.id)
             }
-            UpstreamCall::Deregistration(id, done) => (
-                self.core.handle_deregistration(now, &id, &mut self.actions),
-                done,
-                id,
-            ),
+            UpstreamCall::Deregistration(id, incarnation, done) => {
+                let change =
+                    self.core
+                        .handle_deregistration(now, &id, incarnation, &mut self.actions);
+                (change, done, id)
+            }
         };
         self.execute_actions(now, &[]);
         if change != Change::Nothing {
--- a/crates/forwarder/src/agent/announcements.rs
+++ b/crates/forwarder/src/agent/announcements.rs
@@ -4,6 +4,7 @@
 
 use ::http::StatusCode;
 use sassafrasmast_core::flow::agent::Announcement;
+use sassafrasmast_wire::Incarnation;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
@@ -15,7 +16,7 @@
 /// once the call was handled.
 pub(super) enum UpstreamCall {
     Announcement(Announcement, oneshot::Sender<()>),
-    Deregistration(String, oneshot::Sender<()>),
+    Deregistration(String, Option<Incarnation>, oneshot::Sender<()>),
 }
 
 /// Serves the upstream's announcements, and readiness of the agent.
@@ -33,7 +34,9 @@
             let upstream_call = match call {
                 Call::Ready => return Answer::new(StatusCode::OK, ""),
                 Call::Announce(announcement) => UpstreamCall::Announcement(announcement, done),
-                Call::Deregister(id) => UpstreamCall::Deregistration(id, done),
+                Call::Deregister(id, incarnation) => {
+                    UpstreamCall::Deregistration(id, incarnation, done)
+                }
                 Call::Invalid(reason) => return Answer::new(StatusCode::BAD_REQUEST, reason),
                 Call::Unknown => return Answer::new(StatusCode::NOT_FOUND, ""),
             };
--- a/crates/forwarder/src/platform.rs
+++ b/crates/forwarder/src/platform.rs
@@ -4,6 +4,7 @@
 
 use sassafrasmast_core::flow::{Head, Key, ZoneName, agent::Announcement, intent::Policy};
 use sassafrasmast_store::Store;
+use sassafrasmast_wire::Incarnation;
 
 use crate::settings::Settings;
 
@@ -25,8 +26,8 @@
     Ready,
     /// An announcement of the upstream.
     Announce(Announcement),
-    /// The upstream with this id deregisters, and will not come back.
-    Deregister(String),
+    /// The upstream with this id deregisters, and will not come back. The call may state its incarnation.
+    Deregister(String, Option<Incarnation>),
     /// The request cannot be parsed, for this reason.
     Invalid(String),
     /// The path or method is unknown.
