fix(forwarder): a silent watch of all keys is noticed by the revision of stale listings

Cause: balancers watch all keys then, for up to 60 s, and read no stale listings, so that nothing showed the later revision before the limit of the poll, 26.5 s.

Change: listings go on while all keys are watched; only their revision is used. Two ways weighed: to watch for 5 s only, which makes the first upstream of a planned service known 2 s later. The listings cost 0.05 calls a second and balancer while the watch of all keys lasts. No true resets given up.

--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -367,8 +367,7 @@
         records
     }
 
-    /// Watches for changes after `revision`, and reads stale listings of agents' keys unless the watch
-    /// covers them. Returns the last revision seen when the watch is to be opened again, or an error
+    /// Watches for changes after `revision`, and reads stale listings of agents' keys. Returns the last revision seen when the watch is to be opened again, or an error
     /// after which the keys have to be listed again.
     async fn watch(&mut self, revision: Revision) -> Result<Revision, Error> {
         let mut updates = self
@@ -449,9 +448,10 @@
         self.list().await
     }
 
-    /// The next stale listing of agents' keys when it is due. Never ends while the watch covers them.
+    /// The next stale listing of agents' keys when it is due. While the watch covers them, it only shows
+    /// whether that is silent.
     fn next_stale_listing(&self) -> StaleListing {
-        let Some(schedule) = self.schedule.as_ref().filter(|_| !self.watches_agents) else {
+        let Some(schedule) = &self.schedule else {
             return Box::pin(std::future::pending());
         };
         let due_at = schedule.listing_due_at().map(Instant::from_std);
@@ -489,6 +489,11 @@
             }
         };
         schedule.record_listing(now, bytes(&listing));
+        if self.watches_agents {
+            metrics::counter!("sassafrasmast_stale_listings", "result" => "compared").increment(1);
+            self.monitor.record_position(now, listing.revision);
+            return Ok(true);
+        }
         let records = self.records(&listing.entries).await;
         let Some(changes) = self.agents.apply_stale(listing.revision, records) else {
             metrics::counter!("sassafrasmast_stale_listings", "result" => "older").increment(1);
