--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -80,7 +80,12 @@
     attempts: Attempts,
     /// The shortest latency objective of the routes that lead to this agent's service.
     latency_objective: Option<Duration>,
+    /// Time in which a packet of each open flow passes: the idle timeout and the longest time limit of
+    /// the service's requests.
+    observation_time: Option<Duration>,
     flows: HashMap<Key, Flow>,
+    /// Flows that are not open at the upstream, while this process may not know all that are.
+    absent: HashSet<Key>,
     /// Flows whose SYN the upstream has not answered yet.
     pending_syns: Vec<Key>,
     /// Flows that had a request in progress after their last packet.
@@ -108,7 +113,9 @@
             last_held_at: None,
             attempts: Attempts::default(),
             latency_objective: None,
+            observation_time: None,
             flows: HashMap::new(),
+            absent: HashSet::new(),
             pending_syns: Vec::new(),
             busy_flows: HashSet::new(),
             started_at: now,
@@ -142,7 +149,10 @@
             self.upstream.suspect_cold();
         }
         if is_newer && let Some(intent) = &self.intent {
-            self.latency_objective = intent.policy.latency_objective(&self.settings.service);
+            let service = &self.settings.service;
+            self.latency_objective = intent.policy.latency_objective(service);
+            let time_limit = intent.policy.time_limit(service);
+            self.observation_time = time_limit.map(|limit| intent.policy.idle_timeout + limit);
             self.classes.set_intent(intent, &self.settings.service);
         }
         is_newer
@@ -249,6 +259,7 @@
                     intent.policy.idle_timeout
                 });
             self.flows.retain(|_, flow| !flow.is_expired(now, idle));
+            self.sweep_absent(now);
             let flows = &self.flows;
             self.busy_flows.retain(|key| {
                 flows
--- a/crates/core/src/flow/agent/admission.rs
+++ b/crates/core/src/flow/agent/admission.rs
@@ -237,6 +237,7 @@
         self.classes.record_admission(class);
         self.cold_limiter.admit(now);
         self.upstream.syn_sent(now);
+        self.absent.remove(&flow);
         self.flows
             .insert(flow, Flow::opening(now, from, delivery.packet));
         self.pending_syns.push(flow);
--- a/crates/core/src/flow/agent/delivery.rs
+++ b/crates/core/src/flow/agent/delivery.rs
@@ -54,7 +54,7 @@
         if self.hold(now, from, flow, delivery, actions) {
             return;
         }
-        let knows_all_flows = self.knows_all_flows();
+        let is_absent = self.is_absent(now, &flow);
         let has_room = self.flows.len() < self.settings.max_flows;
         // Counted for packets that may bring a request, not for acknowledgements.
         let in_progress = match delivery.head.data_len {
@@ -79,7 +79,7 @@
                 }
                 actions.push(Action::ToUpstream);
             }
-            None if knows_all_flows => {
+            None if is_absent => {
                 actions.push(Action::Missing { to: from, flow });
             }
             None if !has_room => actions.push(Action::ToUpstream),
@@ -112,7 +112,7 @@
     /// Forwards a packet of the upstream to its client and updates the flow.
     fn forward_to_client(&mut self, now: Instant, head: &Head, actions: &mut Vec<Action>) {
         let flow = head.upstream_flow();
-        if head.flags.rst && self.handle_unconfirmed_reset(flow, actions) {
+        if head.flags.rst && self.handle_unconfirmed_reset(now, flow, actions) {
             return;
         }
         actions.push(Action::ToClient);
@@ -176,6 +176,7 @@
         let to = known.last_sender();
         let requester = known.take_requester();
         self.flows.remove(&flow);
+        self.record_absent(now, flow);
         actions.push(match requester {
             Some(to) => Action::Absent { to, flow },
             None => Action::Missing { to, flow },
--- a/crates/core/src/flow/agent/recovery.rs
+++ b/crates/core/src/flow/agent/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery of flows that this process has not observed from their start, and loss of the flows of
 //! an earlier incarnation of the upstream.
 
-use std::{net::SocketAddrV4, time::Instant};
+use std::{collections::HashSet, net::SocketAddrV4, time::Instant};
 
 use super::{Action, Agent, Flow, Phase};
 use crate::flow::{Key, balancer::ResetCause};
@@ -11,6 +11,7 @@
     /// last acknowledged sequence number.
     pub fn locate(
         &self,
+        now: Instant,
         from: SocketAddrV4,
         flow: Key,
         acknowledgement: u32,
@@ -21,14 +22,43 @@
             Some(known) if known.is_held_elsewhere(acknowledgement) => Action::Absent { to, flow },
             Some(known) if known.phase() == Phase::Unconfirmed => Action::Unconfirmed { to, flow },
             Some(_) => Action::Found { to, flow },
-            None if self.knows_all_flows() => Action::Absent { to, flow },
+            None if self.is_absent(now, &flow) => Action::Absent { to, flow },
             None => Action::Unconfirmed { to, flow },
         });
     }
 
+    /// Whether a flow that is not in the table is known not to be open at the upstream. One whose packet
+    /// the upstream bounced can only be opened there by a SYN.
+    pub(super) fn is_absent(&self, now: Instant, flow: &Key) -> bool {
+        self.knows_all_flows(now) || self.absent.contains(flow)
+    }
+
     /// Whether all open flows of the upstream are in the table.
-    pub(super) fn knows_all_flows(&self) -> bool {
-        self.upstream.is_gone() || self.upstream.is_observed_from_start()
+    fn knows_all_flows(&self, now: Instant) -> bool {
+        self.upstream.is_gone()
+            || self.upstream.is_observed_from_start()
+            || self.has_observed_each_flow(now)
+    }
+
+    /// Whether this process has run for so long that a packet of each open flow has passed: a client sends
+    /// one within the idle timeout, and gives up when its time limit is over.
+    fn has_observed_each_flow(&self, now: Instant) -> bool {
+        self.observation_time
+            .is_some_and(|time| now.saturating_duration_since(self.started_at) >= time)
+    }
+
+    /// Records that a flow is not open at the upstream, which has returned or reset a packet of it.
+    pub(super) fn record_absent(&mut self, now: Instant, flow: Key) {
+        if !self.knows_all_flows(now) && self.absent.len() < self.settings.max_flows {
+            self.absent.insert(flow);
+        }
+    }
+
+    /// Forgets which flows are absent once all that are open are known.
+    pub(super) fn sweep_absent(&mut self, now: Instant) {
+        if !self.absent.is_empty() && self.knows_all_flows(now) {
+            self.absent = HashSet::new();
+        }
     }
 
     /// Handles a reset that the upstream sent for an unconfirmed flow: the flow is not here and may
@@ -36,6 +66,7 @@
     /// unconfirmed.
     pub(super) fn handle_unconfirmed_reset(
         &mut self,
+        now: Instant,
         flow: Key,
         actions: &mut Vec<Action>,
     ) -> bool {
@@ -43,6 +74,7 @@
         if !self.flows.get(&flow).is_some_and(is_unconfirmed) {
             return false;
         }
+        self.record_absent(now, flow);
         if let Some(mut known) = self.flows.remove(&flow) {
             let to = known.last_sender();
             match (known.take_requester(), known.take_buffered()) {
--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -383,9 +383,7 @@
             }
             Body::Unconfirmed { flows, .. } => {
                 for flow in flows {
-                    if let Some(search) = self.searches.get_mut(flow) {
-                        search.send_first_packet(from, actions);
-                    }
+                    self.handle_unconfirmed(now, *flow, from, actions);
                 }
             }
             Body::Answer { sent, report } => {
--- a/crates/core/src/flow/intent/policy.rs
+++ b/crates/core/src/flow/intent/policy.rs
@@ -45,6 +45,28 @@
             .min()
     }
 
+    /// The longest time limit of the requests of a service; `None` if a route to it states none.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sassafrasmast_core::flow::intent::{Backend, Policy, Route};
+    /// let mut policy = Policy::default();
+    /// for millis in [1_000, 3_000] {
+    ///     let backend = Backend { service: "booking".into(), weight: 1 };
+    ///     let timeout = Some(Duration::from_millis(millis));
+    ///     let route = Route { timeout, backends: vec![backend], ..Route::default() };
+    ///     policy.routes.insert(format!("198.18.0.1:{millis}").parse().unwrap(), route);
+    /// }
+    /// assert_eq!(policy.time_limit("booking"), Some(Duration::from_secs(3)));
+    /// ```
+    pub fn time_limit(&self, service: &str) -> Option<Duration> {
+        let routes = self.routes.values();
+        let mut routes = routes.filter(|route| route.routes_to(service));
+        routes.try_fold(Duration::ZERO, |longest, route| {
+            route.timeout.map(|timeout| longest.max(timeout))
+        })
+    }
+
     /// The distinct priorities of the routes that lead to a service. Requests of the service are told
     /// apart by priority only if there are two or more.
     ///
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -58,7 +58,13 @@
     let to = rig.balancer;
     let actions = rig.handle_upstream_packet(&upstream_head(flow, flags, 0, 0));
     assert_eq!(actions, [Action::Absent { to, flow }]);
-    // The balancer has this agent recorded as the flow's owner.
+    // The flow is known not to be here then.
+    assert_eq!(
+        rig.deliver(Purpose::Find, &data(flow, 8)),
+        [Action::Missing { to, flow }]
+    );
+    // The balancer has this agent recorded as the owner of another flow.
+    let flow = self::flow(2);
     rig.deliver(Purpose::Known, &data(flow, 8));
     let actions = rig.handle_upstream_packet(&upstream_head(flow, flags, 0, 0));
     let packet = b"packet".as_slice().into();
@@ -85,6 +91,42 @@
     );
 }
 
+/// Guards against packets of a flow that reach an upstream again and again which does not hold it.
+#[test]
+fn a_flow_whose_packet_was_bounced_is_absent_until_its_next_syn() {
+    let mut rig = AgentRig::unannounced();
+    rig.announce(&announcement(1, 40));
+    let flow = flow(1);
+    let to = rig.balancer;
+    assert_eq!(rig.locate(flow), [Action::Unconfirmed { to, flow }]);
+    rig.deliver(Purpose::Find, &data(flow, 8));
+    rig.handle_upstream_packet(&bounced(data(flow, 8)));
+    assert_eq!(rig.locate(flow), [Action::Absent { to, flow }]);
+    assert_eq!(
+        rig.deliver(Purpose::Find, &data(flow, 8)),
+        [Action::Missing { to, flow }]
+    );
+    rig.open(flow, 7);
+    assert_eq!(rig.locate(flow), [Action::Found { to, flow }]);
+}
+
+/// Guards against an agent that asks its upstream about unknown flows for as long as the upstream runs.
+#[test]
+fn an_agent_knows_all_flows_after_the_idle_timeout_and_the_longest_time_limit() {
+    let mut rig = AgentRig::unannounced();
+    let mut intent = (*intent(2, &[(SERVICE, 1)], 0.0)).clone();
+    let routes = intent.policy.routes.values_mut();
+    routes.for_each(|route| route.timeout = Some(ms(3_000)));
+    rig.agent.set_intent(intent.into());
+    rig.announce(&announcement(1, 40));
+    let to = rig.balancer;
+    let flow = flow(1);
+    rig.tick(ms(17_900));
+    assert_eq!(rig.locate(flow), [Action::Unconfirmed { to, flow }]);
+    rig.tick(ms(100));
+    assert_eq!(rig.locate(flow), [Action::Absent { to, flow }]);
+}
+
 #[test]
 fn an_unknown_flow_is_missing_at_an_upstream_observed_from_its_start() {
     let mut rig = AgentRig::confirmed();
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -951,6 +951,7 @@
             Body::Locate { questions } => {
                 for question in questions {
                     self.agents[agent].locate(
+                        now,
                         from,
                         question.flow,
                         question.acknowledgement,
--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -280,6 +280,7 @@
     fn locate(&mut self, now: Instant, from: SocketAddrV4, questions: Vec<Question>) {
         for question in questions {
             self.core.locate(
+                now,
                 from,
                 question.flow,
                 question.acknowledgement,
