fix(core): restarted agents are tried by rank at once, and a first announcement counts

A first announcement counted only once it was confirmed, so that for two intervals after a common start each lost flow was asked for at each upstream.

Neither makes calls to the store.

--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -124,10 +124,9 @@
     }
 
     /// Whether this agent process has observed all flows of the incarnation: it received the first
-    /// announcement or noticed the restart. A first announcement may be late, and another incarnation run,
-    /// until further ones confirm it.
+    /// announcement or noticed the restart.
     pub fn is_observed_from_start(&self) -> bool {
-        self.follows_observed || self.first_received && self.is_confirmed()
+        self.follows_observed || self.first_received
     }
 
     /// Whether the announcements prove that the incarnation in force runs.
--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -36,11 +36,6 @@
 /// counts as unreachable. Clients with a time limit of 1.5 s can still use a new flow then.
 const SEARCH_UNREACHABLE_AFTER: Duration = Duration::from_millis(550);
 
-/// Time since all agents were asked after which those are tried that cannot tell whether their upstream
-/// holds the flow, although others have not answered: a round trip through a busy link. The owner
-/// usually knows the flow, and a packet of the flow need not reach other upstreams then.
-const TRY_UNCONFIRMED_AFTER: Duration = Duration::from_millis(60);
-
 /// Limit of buffered packets per flow; a client has no more than 16 in flight.
 const MAX_BUFFERED_PACKETS: usize = 16;
 
@@ -82,11 +77,8 @@
     last_wave_at: Instant,
     kind: Kind,
     acknowledgement: u32,
-    /// When all candidates had been visited for the first time.
-    visited_at: Option<Instant>,
-    /// Number of agents that are tried next.
-    try_wave_size: usize,
-    last_try_at: Instant,
+    /// When the first agent was tried.
+    first_tried_at: Option<Instant>,
     /// Packets that wait for the owner to be known.
     buffered: Vec<Box<[u8]>>,
 }
@@ -115,9 +107,7 @@
             last_wave_at: now,
             kind,
             acknowledgement,
-            visited_at: None,
-            try_wave_size: FIRST_WAVE,
-            last_try_at: now,
+            first_tried_at: None,
             buffered: vec![packet.into()],
         }
     }
@@ -216,9 +206,6 @@
             });
         }
         self.visited = end;
-        if self.has_visited_all() {
-            self.visited_at.get_or_insert(now);
-        }
         self.wave_size = wave_size.saturating_mul(2);
         self.last_wave_at = now;
     }
@@ -238,28 +225,22 @@
         self.candidates.iter().any(Candidate::is_untried)
     }
 
-    /// Sends the first buffered packet to agents that do not know whether their upstream holds the flow,
-    /// in waves by their rank: the upstream's response shows it. Begins once all other agents have
-    /// answered or had [`TRY_UNCONFIRMED_AFTER`] for it.
+    /// Sends the first buffered packet to agents that do not know whether their upstream holds the flow, by
+    /// rank: the upstream's response shows it. Few are tried at a time at first, since the owner's agent
+    /// may answer that it knows the flow.
     pub fn try_unconfirmed(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let Some(visited_at) = self.visited_at else {
-            return;
-        };
-        let have_answered = self.candidates.iter().all(Candidate::has_answered);
-        let is_over = now.saturating_duration_since(visited_at) >= TRY_UNCONFIRMED_AFTER;
-        let is_waiting = now.saturating_duration_since(self.last_try_at) < WAVE_INTERVAL
-            && self.candidates.iter().any(Candidate::is_being_tried);
         let Some(packet) = self.buffered.first() else {
             return;
         };
-        if !(have_answered || is_over) || is_waiting {
-            return;
-        }
+        let candidates = self.candidates.iter();
+        let being_tried = candidates.filter(|candidate| candidate.is_being_tried());
+        let allowed = self
+            .tries_at_a_time(now)
+            .saturating_sub(being_tried.count());
         let untried = self.candidates.iter_mut();
         let untried = untried.filter(|candidate| candidate.is_untried());
-        let mut tried = false;
-        for candidate in untried.take(self.try_wave_size) {
-            tried = true;
+        for candidate in untried.take(allowed) {
+            self.first_tried_at.get_or_insert(now);
             candidate.tried_at = Some(now);
             actions.push(Action::Send {
                 to: candidate.address,
@@ -268,10 +249,16 @@
                 packet: packet.clone(),
             });
         }
-        if tried {
-            self.last_try_at = now;
-            self.try_wave_size = self.try_wave_size.saturating_mul(2);
-        }
+    }
+
+    /// Agents that are tried at a time: twice as many after each [`WAVE_INTERVAL`].
+    fn tries_at_a_time(&self, now: Instant) -> usize {
+        let trying_for = self
+            .first_tried_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let waves = trying_for.as_micros() / WAVE_INTERVAL.as_micros();
+        let doublings = u32::try_from(waves).unwrap_or(u32::MAX);
+        FIRST_WAVE.saturating_mul(2_usize.saturating_pow(doublings))
     }
 
     /// Whether the next wave is due.
--- a/crates/core/src/flow/balancer/searches.rs
+++ b/crates/core/src/flow/balancer/searches.rs
@@ -134,8 +134,7 @@
         }
     }
 
-    /// Asks further agents if all that were asked have answered, and tries those that cannot tell once no
-    /// other is left to ask.
+    /// Asks further agents if all that were asked have answered, and tries those that cannot tell.
     fn advance_search(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
         let batched = self.is_batching();
         let Some(search) = self.searches.get_mut(&flow) else {
