test(experiments): the soak crashes upstreams, sets their clocks and sends late announcements

The rule of resets took a flow for open at each upstream that had accepted a copy of its SYN. Trace of seed 1: three copies were accepted, the client chose the one whose upstream crashed 60 ms later, and the reset was reported since another one lives. A flow is held by the upstream that got a request of it; before that, by any that accepted a copy, as before. That the holder lives is still reported although others ended, which a new check shows.

--- a/crates/experiments/src/soak.rs
+++ b/crates/experiments/src/soak.rs
@@ -38,12 +38,13 @@
 soak: runs real processes under seeded faults and checks what clients and upstreams see
 
 USAGE:
-    soak --seed N --seconds S [--history] [--logs DIR]
+    soak --seed N --seconds S [--history] [--crashes] [--logs DIR]
 
 OPTIONS:
     --seed N       faults and load are drawn from this number
     --seconds S    duration; at least 10
     --history      the store also loses leases and history and comes back from older copies
+    --crashes      upstreams also crash, their clocks are set, and announcements arrive late
     --logs DIR     keeps the logs of the processes, as `sassafrasmast explain` reads them
 
 Exits with 1 if a rule was broken.
@@ -59,7 +60,7 @@
 const MIN_ANSWERED: f64 = 0.5;
 
 /// What to run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Settings {
     /// Seed of faults and load.
     pub seed: u64,
@@ -67,6 +68,8 @@
     pub duration: Duration,
     /// Whether the store also loses what it held.
     pub history: bool,
+    /// Whether upstreams also crash and start again by clocks that were set.
+    pub crashes: bool,
     /// Directory for the logs of the processes.
     pub logs: Option<PathBuf>,
 }
@@ -93,6 +96,7 @@
     let seed = arguments.value_from_str("--seed")?;
     let seconds = arguments.value_from_str("--seconds")?;
     let history = arguments.contains("--history");
+    let crashes = arguments.contains("--crashes");
     let logs = arguments.opt_value_from_str("--logs")?;
     let rest = arguments.finish();
     ensure!(rest.is_empty(), "unexpected arguments: {rest:?}");
@@ -104,6 +108,7 @@
         seed,
         duration: Duration::from_secs(seconds),
         history,
+        crashes,
         logs,
     }))
 }
--- a/crates/experiments/src/soak/checker.rs
+++ b/crates/experiments/src/soak/checker.rs
@@ -64,6 +64,8 @@
 pub struct Checker {
     /// Upstreams that accepted a flow.
     accepted: HashMap<Key, HashSet<Upstream>>,
+    /// The upstream that got a request of a flow, and so holds it.
+    holders: HashMap<Key, Upstream>,
     /// Requests by flow and sequence number, with their packets.
     sent: HashMap<(Key, u32), (Request, Vec<u8>)>,
     /// The flow and upstream in which a request arrived.
@@ -194,6 +196,7 @@
             ));
         };
         let request = *request;
+        self.holders.entry(flow).or_insert_with(|| upstream.clone());
         let execution = (flow, upstream);
         let first = self
             .executed
@@ -210,13 +213,17 @@
         })
     }
 
-    /// An open flow is not reset while an upstream that accepted it lives.
+    /// An open flow is not reset while the upstream lives that holds it: the one that got a request, or
+    /// before that one that accepted a copy of its SYN.
     fn reset(&mut self, flow: Key) -> Option<String> {
-        let accepted = self.accepted.get(&flow);
-        let alive = accepted
-            .into_iter()
-            .flatten()
-            .find(|upstream| !self.stopped.contains(*upstream));
+        let is_alive = |upstream: &&Upstream| !self.stopped.contains(*upstream);
+        let alive = match self.holders.get(&flow) {
+            Some(holder) => Some(holder).filter(is_alive),
+            None => {
+                let accepted = self.accepted.get(&flow).into_iter().flatten();
+                accepted.into_iter().find(is_alive)
+            }
+        };
         if alive.is_none() {
             self.summary.resets += 1;
         }
--- a/crates/experiments/src/soak/fleet.rs
+++ b/crates/experiments/src/soak/fleet.rs
@@ -87,6 +87,8 @@
     name: String,
     server: Server,
     draining: bool,
+    /// The upstream that crashed last beside the same agent.
+    crashed: Option<Server>,
 }
 
 /// Processes, upstreams and the store.
@@ -101,6 +103,8 @@
     upstreams: Vec<Arc<Mutex<Upstream>>>,
     /// Upstreams started so far.
     births: u64,
+    /// Seconds by which the clocks of upstreams were set.
+    clock_offset_s: i64,
     stopped: Arc<AtomicBool>,
 }
 
@@ -118,6 +122,7 @@
             agents: Default::default(),
             upstreams: Vec::new(),
             births: 0,
+            clock_offset_s: 0,
             stopped: Arc::default(),
         };
         for index in 0..AGENTS {
@@ -158,6 +163,8 @@
             Step::Resume(target) => self.signal(target, Process::resume),
             Step::Drain(index) => lock(&self.upstreams[index]).draining = true,
             Step::Replace(index) => self.replace(index),
+            Step::Crash(index, clock_step_s) => self.crash(index, clock_step_s),
+            Step::LateAnnouncement(index) => self.announce_late(index),
             Step::Store(mode) => self.kv.set_mode(mode),
             Step::CopyStore => self.kv.copy(),
             Step::RestoreStore => self.kv.restore(),
@@ -213,7 +220,8 @@
 
     fn start_upstream(&mut self, index: usize) -> Upstream {
         let name = format!("upstream-{}-{index}", self.births);
-        let born = FIRST_BIRTH_MS + 1_000 * self.births;
+        let clock = 1_000 * self.clock_offset_s;
+        let born = (FIRST_BIRTH_MS + 1_000 * self.births).saturating_add_signed(clock);
         self.births += 1;
         let (journal, own_name) = (self.journal.clone(), name.clone());
         let observer = Box::new(
@@ -235,17 +243,37 @@
             server: vm(FIRST_AGENT, index).observed_server(&name, born, observer),
             name,
             draining: false,
+            crashed: None,
         }
     }
 
     fn replace(&mut self, index: usize) {
         let upstream = Arc::clone(&self.upstreams[index]);
         let mut upstream = lock(&upstream);
-        self.journal.record(Event::Stopped(upstream.name.clone()));
-        upstream.server.stop();
+        self.stop(&upstream);
         upstream.server.deregister();
         *upstream = self.start_upstream(index);
     }
+
+    fn crash(&mut self, index: usize, clock_step_s: i64) {
+        let upstream = Arc::clone(&self.upstreams[index]);
+        let mut upstream = lock(&upstream);
+        self.stop(&upstream);
+        self.clock_offset_s = clock_step_s;
+        let crashed = std::mem::replace(&mut *upstream, self.start_upstream(index));
+        upstream.crashed = Some(crashed.server);
+    }
+
+    fn stop(&self, upstream: &Upstream) {
+        self.journal.record(Event::Stopped(upstream.name.clone()));
+        upstream.server.stop();
+    }
+
+    fn announce_late(&self, index: usize) {
+        if let Some(crashed) = &lock(&self.upstreams[index]).crashed {
+            crashed.announce("ready");
+        }
+    }
 }
 
 impl Drop for Fleet {
--- a/crates/experiments/src/soak/plan.rs
+++ b/crates/experiments/src/soak/plan.rs
@@ -44,6 +44,11 @@
     Drain(usize),
     /// The upstream beside this agent ends, and another one starts.
     Replace(usize),
+    /// The upstream beside this agent ends without a word, and another one starts whose clock was set by
+    /// this many seconds.
+    Crash(usize, i64),
+    /// The last announcement of the upstream that crashed beside this agent arrives.
+    LateAnnouncement(usize),
     /// The store handles calls in this way.
     Store(Mode),
     /// The store is copied.
@@ -66,6 +71,12 @@
     }
 }
 
+/// Largest step of a clock, in seconds.
+const MAX_CLOCK_STEP_S: i64 = 10;
+
+/// Marks the random numbers of crashes, so that other faults are the same with and without them.
+const CRASH_SEED: u64 = 1 << 63;
+
 /// Steps by the time since the start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Plan {
@@ -104,11 +115,30 @@
             }
             at += Duration::from_millis(random.random_range(100..800));
         }
+        if settings.crashes {
+            let mut random = StdRng::seed_from_u64(settings.seed ^ CRASH_SEED);
+            steps.extend(draw_crashes(&mut random, end));
+        }
         steps.sort_by_key(|(at, _)| *at);
         Self { steps }
     }
 }
 
+/// Crashes of upstreams, which overlap with all other faults, and a late announcement of each.
+fn draw_crashes(random: &mut StdRng, end: Duration) -> Vec<(Duration, Step)> {
+    let mut steps = Vec::new();
+    let mut at = CALM;
+    while at < end {
+        let index = random.random_range(0..AGENTS);
+        let clock_step = random.random_range(-MAX_CLOCK_STEP_S..=MAX_CLOCK_STEP_S);
+        let late = Duration::from_millis(random.random_range(0..6_000));
+        steps.push((at, Step::Crash(index, clock_step)));
+        steps.push((at + late, Step::LateAnnouncement(index)));
+        at += Duration::from_millis(random.random_range(500..2_500));
+    }
+    steps
+}
+
 fn draw_object(random: &mut StdRng) -> Object {
     match random.random_range(0..10) {
         0..=2 => Object::Process(Target::Balancer(random.random_range(0..BALANCERS))),
--- a/crates/experiments/tests/seeds.rs
+++ b/crates/experiments/tests/seeds.rs
@@ -12,7 +12,7 @@
         seed: 6,
         duration: Duration::from_secs(20),
         history: true,
-        logs: None,
+        ..Settings::default()
     };
     let summary = run(&settings).expect("a run");
     assert!(summary.violations.is_empty(), "{summary:#?}");
--- a/crates/experiments/tests/soak.rs
+++ b/crates/experiments/tests/soak.rs
@@ -87,6 +87,26 @@
 fn a_reset_while_the_upstream_lives_is_reported() {
     let found = violations([accepted("a", 1), Event::Reset(flow(1))]);
     assert_one(&found, "was reset while a lives");
+    // The upstream that got a request lives, although others that accepted a copy of the SYN have ended.
+    let holder_lives = [
+        accepted("a", 1),
+        accepted("b", 1),
+        sent(1, 1),
+        delivered("b", 1, &[1, 2, 3]),
+        stopped("a"),
+        Event::Reset(flow(1)),
+    ];
+    assert_one(&violations(holder_lives), "was reset while b lives");
+    // The upstream that got the request has ended. Another one accepted a copy of the SYN only.
+    let holder_ended = [
+        accepted("a", 1),
+        accepted("b", 1),
+        sent(1, 1),
+        delivered("b", 1, &[1, 2, 3]),
+        stopped("b"),
+        Event::Reset(flow(1)),
+    ];
+    assert_eq!(violations(holder_ended), Vec::<String>::new());
     // Another upstream's end is no reason.
     let found = violations([accepted("a", 1), stopped("b"), Event::Reset(flow(1))]);
     assert_one(&found, "was reset while a lives");
@@ -160,7 +180,7 @@
         seed,
         duration: DURATION,
         history: true,
-        logs: None,
+        ..Settings::default()
     })
 }
 
@@ -170,6 +190,25 @@
     assert_ne!(plan(7), plan(8));
 }
 
+/// A seed that failed once has to play the same faults whatever else is asked for.
+#[test]
+fn crashes_leave_the_other_faults_of_a_seed_as_they_are() {
+    let with_crashes = Plan::draw(&Settings {
+        seed: 7,
+        duration: DURATION,
+        history: true,
+        crashes: true,
+        logs: None,
+    });
+    let is_crash = |step: &Step| matches!(step, Step::Crash(..) | Step::LateAnnouncement(_));
+    let (crashes, others): (Vec<_>, Vec<_>) = with_crashes
+        .steps
+        .into_iter()
+        .partition(|(_, step)| is_crash(step));
+    assert!(crashes.len() > 20, "{crashes:?}");
+    assert_eq!(others, plan(7).steps);
+}
+
 /// A process that stays suspended or away would make the rest of the run prove little.
 #[test]
 fn each_fault_ends_before_the_run_does() {
