--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -214,8 +214,9 @@
     /// deregistered, the upstream has forgotten its flows, or only the other one still announces itself.
     fn replace_if_proven(&mut self) -> bool {
         let has_lost_flows = self.lost_flows >= PROVING_LOST_FLOWS;
+        let has_ended = self.gone || has_lost_flows;
         let is_proven = |successor: &mut Successor| {
-            self.gone || successor.is_confirmed() || has_lost_flows && !successor.is_former()
+            successor.is_confirmed() || has_ended && !successor.is_former()
         };
         let Some(successor) = self.successor.take_if(is_proven) else {
             return false;
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -313,6 +313,23 @@
     assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
 }
 
+/// Guards against an upstream that has left and is in use again: the late announcement is of one that ended
+/// before it.
+#[test]
+fn a_late_announcement_of_an_earlier_incarnation_does_not_bring_a_left_upstream_back() {
+    let mut rig = AgentRig::ready();
+    rig.announce_each(1_200, 5, 1..=3);
+    let id = announcement(5, 1).id;
+    let mut actions = Vec::new();
+    rig.agent
+        .handle_deregistration(rig.now, &id, None, &mut actions);
+    assert_eq!(rig.announce_each(300, 1, 9..=9), []);
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Gone);
+    // Another one that starts there is in force at once.
+    rig.announce_each(300, 7, 1..=1);
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
+}
+
 /// Guards against the end of all flows of an upstream that has started again under its name: the
 /// deregistration of the one before arrives late.
 #[test]
