revert(core): balancers send the packet of a search to restarted agents as before

Cause: the selection of few restarted agents at a time reads all candidates of each search with each answer, and balancers of 0.12 cores are bound by their processor while all flows are searched for.

Change: the balancer's part is taken back.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -383,7 +383,9 @@
             }
             Body::Unconfirmed { flows, .. } => {
                 for flow in flows {
-                    self.handle_unconfirmed(now, *flow, from, actions);
+                    if let Some(search) = self.searches.get_mut(flow) {
+                        search.send_first_packet(from, actions);
+                    }
                 }
             }
             Body::Answer { sent, report } => {
--- a/crates/core/src/flow/balancer/searches.rs
+++ b/crates/core/src/flow/balancer/searches.rs
@@ -102,7 +102,8 @@
         self.rule_out(now, flow, from, actions);
     }
 
-    /// Records that an agent does not own the flow of a search, and ends the search if none is left.
+    /// Records that an agent does not own the flow of a search. Asks further agents if all that
+    /// were asked are ruled out, and ends the search if none is left.
     pub(super) fn rule_out(
         &mut self,
         now: Instant,
@@ -110,37 +111,12 @@
         from: SocketAddrV4,
         actions: &mut Vec<Action>,
     ) {
-        let Some(search) = self.searches.get_mut(&flow) else {
-            return;
-        };
-        search.rule_out(from);
-        self.advance_search(now, flow, actions);
-        if self.searches.get(&flow).is_some_and(Search::is_exhausted) {
-            self.finish_search(now, flow, actions);
-        }
-    }
-
-    /// Handles an agent's answer that only its upstream knows whether it holds the flow.
-    pub(super) fn handle_unconfirmed(
-        &mut self,
-        now: Instant,
-        flow: Key,
-        from: SocketAddrV4,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(search) = self.searches.get_mut(&flow) {
-            search.record_unconfirmed(now, from);
-            self.advance_search(now, flow, actions);
-        }
-    }
-
-    /// Asks further agents if all that were asked have answered, and tries those that cannot tell.
-    fn advance_search(&mut self, now: Instant, flow: Key, actions: &mut Vec<Action>) {
         let batched = self.is_batching();
         let Some(search) = self.searches.get_mut(&flow) else {
             return;
         };
-        if !batched && !search.has_visited_all() && search.have_asked_answered() {
+        search.rule_out(from);
+        if !batched && !search.has_visited_all() && search.are_asked_ruled_out() {
             search.ask(
                 now,
                 false,
@@ -149,7 +125,9 @@
                 actions,
             );
         }
-        search.try_unconfirmed(now, actions);
+        if search.is_exhausted() {
+            self.finish_search(now, flow, actions);
+        }
     }
 
     /// Whether so many searches run that their questions are sent in batches.
@@ -173,17 +151,6 @@
             .map(|(flow, search)| (search.started_at(), *flow))
             .collect();
         due.sort_unstable();
-        let searches = self.searches.iter();
-        let untried = searches.filter(|(_, search)| search.has_untried());
-        let mut untried: Vec<(Instant, Key)> = untried
-            .map(|(flow, search)| (search.started_at(), *flow))
-            .collect();
-        untried.sort_unstable();
-        for (_, flow) in untried {
-            if let Some(search) = self.searches.get_mut(&flow) {
-                search.try_unconfirmed(now, actions);
-            }
-        }
         for (_, flow) in due {
             if let Some(search) = self.searches.get_mut(&flow) {
                 search.ask(
