revert(core): the age of an upstream tells again that its agent knows all its flows

Cause, suspected: with processor time, agents start later than their upstreams and miss the first announcement, so that without the age they ask their upstream about each lost flow.

Change: the two estimates of an upstream's age are back, as well as their test and the limit on restarts in the simulation.

--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -91,6 +91,8 @@
     /// Flows that had a request in progress after their last packet.
     busy_flows: HashSet<Key>,
     started_at: Instant,
+    /// Time of the upstream's first announcement, and the rest of its cold period at that time.
+    first_announcement: Option<(Instant, Duration)>,
     swept_at: Instant,
     stopping: bool,
     /// State and incarnation of the upstream and whether the agent is stopping, as last reported to
@@ -119,6 +121,7 @@
             pending_syns: Vec::new(),
             busy_flows: HashSet::new(),
             started_at: now,
+            first_announcement: None,
             swept_at: now,
             stopping: false,
             last_reported: None,
@@ -200,6 +203,9 @@
         actions: &mut Vec<Action>,
     ) -> Change {
         let change = self.upstream.apply_announcement(now, announcement);
+        if change == Change::First {
+            self.first_announcement = Some((now, announcement.cold_left));
+        }
         if change == Change::Restarted {
             self.handle_restart(actions);
         }
--- a/crates/core/src/flow/agent/admission.rs
+++ b/crates/core/src/flow/agent/admission.rs
@@ -202,7 +202,7 @@
         // Flows that an earlier process of this agent admitted are not counted here, so none is
         // admitted for one window.
         let is_new_process = now.saturating_duration_since(self.started_at) < limiter::WINDOW;
-        if is_new_process && !self.upstream.is_observed_from_start() {
+        if is_new_process && !self.is_observed_from_start() {
             return 0;
         }
         self.cold_limiter.headroom(now, limit)
--- a/crates/core/src/flow/agent/recovery.rs
+++ b/crates/core/src/flow/agent/recovery.rs
@@ -1,11 +1,20 @@
 //! Recovery of flows that this process has not observed from their start, and loss of the flows of
 //! an earlier incarnation of the upstream.
 
-use std::{collections::HashSet, net::SocketAddrV4, time::Instant};
+use std::{
+    collections::HashSet,
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
 
 use super::{Action, Agent, Flow, Phase};
 use crate::flow::{Key, balancer::ResetCause};
 
+/// Shortest time in which the platform restarts a killed process, 500 ms, less the error of clocks
+/// and announcements. An upstream that started less than this before its agent has had no earlier
+/// agent process.
+const MIN_RESTART_TIME: Duration = Duration::from_millis(350);
+
 impl Agent {
     /// Answers a balancer that searches for the owner of a flow. `acknowledgement` is the client's
     /// last acknowledged sequence number.
@@ -35,9 +44,35 @@
 
     /// Whether all open flows of the upstream are in the table.
     fn knows_all_flows(&self, now: Instant) -> bool {
-        self.upstream.is_gone()
-            || self.upstream.is_observed_from_start()
-            || self.has_observed_each_flow(now)
+        self.upstream.is_gone() || self.is_observed_from_start() || self.has_observed_each_flow(now)
+    }
+
+    /// Whether this process has observed all packets to its upstream since the upstream's start.
+    pub(super) fn is_observed_from_start(&self) -> bool {
+        self.upstream.is_announced_from_start()
+            || self
+                .upstream_age_at_start()
+                .is_some_and(|age| age <= MIN_RESTART_TIME)
+    }
+
+    /// The upstream's age when this process started. This is the larger one of two estimates: the
+    /// difference of their start times, which is wrong if the clock was set in between, and the
+    /// elapsed part of the cold period, which is wrong if that has begun anew, as when the zone was
+    /// taken out of service. `None` if one of them is not available.
+    fn upstream_age_at_start(&self) -> Option<Duration> {
+        let (announced_at, cold_left) = self.first_announcement?;
+        let services = &self.intent.as_ref()?.policy.services;
+        let cold_for = services.get(&self.settings.service)?.cold_for;
+        if cold_for.is_zero() || cold_left.is_zero() {
+            return None;
+        }
+        let own_age = announced_at.saturating_duration_since(self.started_at);
+        let age_by_cold_period = cold_for.saturating_sub(cold_left).saturating_sub(own_age);
+        let age_by_clock = self
+            .settings
+            .incarnation
+            .saturating_sub(self.upstream.incarnation());
+        Some(age_by_cold_period.max(Duration::from_millis(age_by_clock)))
     }
 
     /// Whether this process has run for so long that a packet of each open flow has passed: a client sends
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -123,9 +123,9 @@
         self.gone
     }
 
-    /// Whether this agent process has observed all flows of the incarnation: it received the first
-    /// announcement or noticed the restart.
-    pub fn is_observed_from_start(&self) -> bool {
+    /// Whether this agent process received the first announcement of this incarnation or noticed
+    /// the restart to it, and so has observed all its flows.
+    pub fn is_announced_from_start(&self) -> bool {
         self.follows_observed || self.first_received
     }
 
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -27,6 +27,9 @@
 /// arrive at once.
 const DELAY: Duration = Duration::from_millis(1);
 
+/// Shortest time in which a terminated process is restarted, in milliseconds.
+const MIN_RESTART_MS: u64 = 500;
+
 /// Cold rate of the service, and the bound per second that follows with coverage 1.5 and slack 5.
 const COLD_RATE: f64 = 10.0;
 const COLD_BOUND: usize = 20;
@@ -783,9 +786,13 @@
         }
     }
 
-    /// Restarts an agent.
+    /// Restarts an agent, unless its upstream has started within [`MIN_RESTART_MS`]: an agent that
+    /// ends together with its upstream takes that time to restart.
     fn restart_agent(&mut self, agent: usize) {
         let incarnation = self.upstreams[agent].incarnation;
+        if (self.now.as_millis() as u64) < incarnation + MIN_RESTART_MS {
+            return;
+        }
         self.agents[agent] = self.new_agent(agent);
         // The upstream repeats its announcement to the new process.
         self.schedule(ms(20), Event::Announce(agent, incarnation));
