--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -75,10 +75,7 @@
     cold_until: Option<Instant>,
     /// Whether it may have become cold since its last announcement.
     may_be_cold: bool,
-    /// Whether the incarnation follows one that ran beside this agent process.
-    follows_observed: bool,
-    /// Whether the first announcement of the incarnation was received.
-    first_received: bool,
+    announced_from_start: bool,
     /// Flows that were opened before this time were those of the incarnation before, which has ended.
     lost_before: Option<Instant>,
     /// Open flows that the upstream has forgotten since the last announcement.
@@ -126,7 +123,7 @@
     /// Whether this agent process received the first announcement of this incarnation or noticed
     /// the restart to it, and so has observed all its flows.
     pub fn is_announced_from_start(&self) -> bool {
-        self.follows_observed || self.first_received
+        self.announced_from_start
     }
 
     /// Whether the announcements prove that the incarnation in force runs.
@@ -167,7 +164,7 @@
         let is_in_force =
             announcement.incarnation == self.incarnation && announcement.id == self.id;
         if self.incarnation == 0 {
-            self.first_received = announcement.sequence <= 1;
+            self.announced_from_start = announcement.sequence <= 1;
             self.accept(now, announcement);
             Change::First
         } else if !is_in_force {
@@ -228,8 +225,8 @@
         self.former.push_back((id, self.incarnation));
         let announcement = successor.announcement();
         let was_confirmed = self.is_confirmed();
-        self.follows_observed = was_confirmed || has_lost_flows;
-        self.first_received = announcement.sequence <= 1;
+        // The incarnation before ran beside this process, or the first announcement was received.
+        self.announced_from_start = was_confirmed || has_lost_flows || announcement.sequence <= 1;
         // An announcement is sent after the one before it has arrived, so that the incarnation ran then.
         let ran_at = self
             .announced_at
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -367,8 +367,8 @@
         records
     }
 
-    /// Watches for changes after `revision`, and reads stale listings of agents' keys. Returns the last revision seen when the watch is to be opened again, or an error
-    /// after which the keys have to be listed again.
+    /// Watches for changes after `revision`, and reads stale listings of agents' keys. Returns the last
+    /// revision seen when the watch is to be opened again, or an error after which the keys have to be listed again.
     async fn watch(&mut self, revision: Revision) -> Result<Revision, Error> {
         let mut updates = self
             .platform
