--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -9,14 +9,14 @@
 
 const COLD: &str = r#""warmupS":2.0,"warmupPerS":0.0"#;
 
-/// Routes that see no traffic: 110 of the site, and four times the 350 by which the desired state grows.
-const IDLE_ROUTES: usize = 1_510;
+/// Routes that see no traffic: 110 of the site, and six times the 350 by which the desired state grows.
+const IDLE_ROUTES: usize = 2_210;
 
 /// Pause between desired states, and for how long they come.
 const STORM_GAP: Duration = ms(330);
 const STORM_TIME: Duration = ms(4_000);
 
-const FEEDS: usize = 60;
+const FEEDS: usize = 100;
 
 fn play(record: &Record) -> bool {
     let scratch = Scratch::new();
@@ -64,7 +64,7 @@
             thread::spawn(move || {
                 let mut flows = Vec::new();
                 while !is_over.load(Ordering::Relaxed) {
-                    flows.push(client.play(4 + index % 5, ms(200), ms(1_000)));
+                    flows.push(client.play(8 + index % 9, ms(80), ms(1_000)));
                 }
                 flows
             })
@@ -74,7 +74,7 @@
 
     let mut version = 7;
     let mut number = 20;
-    for round in 0..6 {
+    for round in 0..6_u64 {
         record.line(format!("round {round}"));
         let began = Instant::now();
         let mut stopped_at = None;
@@ -85,7 +85,7 @@
                 configure(version);
             }
             // New servers of a release start first, the next one each 0.3 s.
-            if began.elapsed() >= ms(1_500) + ms(300) * released && released < 6 {
+            if began.elapsed() >= ms(1_300) + ms(300) * released && released < 6 {
                 released += 1;
                 let vm = Vm::new(number, ["mvd-cerro", "mvd-carrasco", "mvd-lapaz"][number as usize % 3]);
                 number += 1;
@@ -93,7 +93,7 @@
                 thread::sleep(ms(60));
                 servers.push(Server::start(vm, &format!("i-r{number}"), Duration::ZERO, record));
             }
-            if stopped_at.is_none() && began.elapsed() >= ms(2_000) {
+            if stopped_at.is_none() && began.elapsed() >= ms(1_450 + 70 * round) {
                 record.line("SIGTERM to the first frontend's process");
                 balancers[0].terminate();
                 stopped_at = Some(Instant::now());
