fix(forwarder): the silence of a poll does not confirm the list of agents

Evidence: the balancer logs members_confirmed, then flow_reset with cause lost, before the reply that lists the agents, or without it.

Change: the store is asked.

Price: a call for each request for the list while all keys are watched, before none. True resets given up: none, they wait for a reply.

--- a/crates/forwarder/src/membership/agent_list.rs
+++ b/crates/forwarder/src/membership/agent_list.rs
@@ -25,6 +25,16 @@
 }
 
 impl AgentList {
+    /// Position in the store's history up to which changes are known.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Records that all changes up to `revision` are known.
+    pub fn advance(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Replaces all entries after a listing that is not stale.
     pub fn replace(&mut self, revision: Revision, records: BTreeMap<SocketAddrV4, Record>) {
         self.revision = revision;
@@ -33,13 +43,13 @@
 
     /// Records that a watch has delivered an entry.
     pub fn put(&mut self, revision: Revision, address: SocketAddrV4, record: Record) {
-        self.revision = self.revision.max(revision);
+        self.advance(revision);
         self.records.insert(address, record);
     }
 
     /// Records that a watch has delivered the end of an entry.
     pub fn remove(&mut self, revision: Revision, address: SocketAddrV4) {
-        self.revision = self.revision.max(revision);
+        self.advance(revision);
         self.records.remove(&address);
     }
 
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -11,7 +11,7 @@
 
 use rand::Rng;
 use sassafrasmast_core::flow::{self, Intent, ZoneName};
-use sassafrasmast_store::{Entry, Error, Listing, Position, Range, Revision, Update};
+use sassafrasmast_store::{Changes, Entry, Error, Listing, Position, Range, Revision, Update};
 use tokio::{
     sync::{Notify, mpsc, watch},
     task::JoinSet,
@@ -60,8 +60,8 @@
 /// A read of agents' entries that is due later.
 type StaleListing = Pin<Box<dyn Future<Output = Result<Listing, Error>> + Send>>;
 
-/// Whether the watch has delivered all changes made before a point in time, once that is known.
-type CatchUp = Pin<Box<dyn Future<Output = (Instant, bool)> + Send>>;
+/// A read of the changes of agents' entries, and when it was begun.
+type CatchUp = Pin<Box<dyn Future<Output = (Instant, Result<Changes, Error>)> + Send>>;
 
 /// Lists and watches keys of the store.
 #[derive(Debug)]
@@ -284,11 +284,28 @@
         }
     }
 
-    /// Waits until the pending watch has delivered all present agents.
-    fn begin_catch_up(&self) -> CatchUp {
+    /// Reads the changes of agents' entries that the watch has not delivered after `seen`. While the watch
+    /// covers these entries as well, its silence does not tell whether there are any: a reply may be
+    /// on its way, or lost.
+    fn begin_catch_up(&self, seen: Revision) -> CatchUp {
         let store = self.platform.store();
+        let known = self.agents.revision().max(seen);
         let asked_at = Instant::now();
-        Box::pin(async move { (asked_at, store.watch_caught_up().await) })
+        Box::pin(async move { (asked_at, store.read_changes(Record::range(), known).await) })
+    }
+
+    /// Applies the changes of agents' entries that were read at `asked_at`, which make the list of
+    /// agents complete.
+    async fn finish_catch_up(&mut self, asked_at: Instant, changes: Changes) {
+        metrics::counter!("sassafrasmast_catch_ups").increment(1);
+        for update in changes.updates {
+            self.apply_update(update).await;
+        }
+        self.agents.advance(changes.revision);
+        let now = Instant::now().into_std();
+        self.monitor.record_position(now, changes.revision);
+        self.send(Event::MembersConfirmed(asked_at.into_std()))
+            .await;
     }
 
     /// Asks all peers for their intent, since the first listing may show an older copy that operators
@@ -379,7 +396,7 @@
         let settled_at = self.zones_kept.as_ref().map(|(_, until)| *until);
         let mut stale_listing = self.next_stale_listing();
         let list_requests = Arc::clone(&self.list_requests);
-        let mut catch_up = self.begin_catch_up();
+        let mut catch_up: CatchUp = Box::pin(std::future::pending());
         let mut is_catching_up = false;
         loop {
             let source_ends_at = self.schedule.as_ref().and_then(Schedule::watch_ends_at);
@@ -399,10 +416,10 @@
                 }
                 Ok(()) = self.peer_changes.changed() => self.record_peer_change(),
                 () = at(check_at) => return self.check_watch(LATER_REVISION).await,
-                // A request that comes while the watch catches up is handled after that.
+                // A request that comes during a catch-up is handled after that.
                 () = list_requests.notified(), if !is_catching_up => match self.record_list_request() {
                     Source::Watch if self.watches_agents => {
-                        catch_up = self.begin_catch_up();
+                        catch_up = self.begin_catch_up(seen);
                         is_catching_up = true;
                     }
                     // A listing and a watch of all keys follow.
@@ -414,15 +431,14 @@
                         stale_listing = self.next_stale_listing();
                     }
                 },
-                (asked_at, is_done) = &mut catch_up, if is_catching_up => {
+                (asked_at, result) = &mut catch_up, if is_catching_up => {
                     is_catching_up = false;
-                    if !is_done {
-                        return self.list().await;
+                    match result {
+                        Ok(changes) => self.finish_catch_up(asked_at, changes).await,
+                        Err(Error::Unreachable(_)) => return self.check_watch(REPLY_LOST).await,
+                        Err(Error::Compacted { .. }) => return self.list().await,
+                        Err(error) => return Err(error),
                     }
-                    while let Ok(update) = updates.try_recv() {
-                        seen = self.handle_update(update?).await;
-                    }
-                    self.send(Event::MembersConfirmed(asked_at.into_std())).await;
                 }
                 () = at(settled_at) => return self.list().await,
                 // The source of the list of agents may have changed.
@@ -515,6 +531,17 @@
 
     /// Handles one update of the watch. Returns its revision.
     async fn handle_update(&mut self, update: Update) -> Revision {
+        let revision = match &update {
+            Update::Put(entry) => entry.mod_revision,
+            Update::Delete { revision, .. } => *revision,
+        };
+        self.monitor.record_update(revision);
+        self.apply_update(update).await;
+        revision
+    }
+
+    /// Applies a change. Changes of agents' entries that a later read has covered are passed over.
+    async fn apply_update(&mut self, update: Update) {
         let (key, value, revision) = match &update {
             Update::Put(Entry {
                 key,
@@ -524,8 +551,10 @@
             }) => (key, Some(value.as_slice()), *mod_revision),
             Update::Delete { key, revision } => (key, None, *revision),
         };
-        self.monitor.record_update(revision);
         if let Some(address) = Record::address(key) {
+            if revision < self.agents.revision() {
+                return;
+            }
             match value.map(Record::decode) {
                 Some(Ok(record)) => {
                     self.send(Event::Listed(Box::new(record.member(address))))
@@ -551,7 +580,6 @@
             self.send(Event::Intent(Arc::new(self.intent.clone())))
                 .await;
         }
-        revision
     }
 
     /// The change that an operator's document requests; `None` if the key or value is no document.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,5 +1,6 @@
 //! Interface to the platform's key-value store: the [`Store`] trait.
 
+mod changes;
 mod entry;
 mod error;
 mod position;
@@ -13,6 +14,7 @@
 use tokio::sync::mpsc;
 
 pub use self::{
+    changes::Changes,
     entry::Entry,
     error::Error,
     position::{Era, Position},
@@ -68,10 +70,10 @@
     /// and watches from the revision of that read.
     async fn watch(&self, range: Range, from: Revision) -> Result<Watch, Error>;
 
-    /// Waits until the watch that was opened last has delivered all changes made before this call.
-    /// Returns false if that does not happen within some hundred milliseconds, or if it cannot be
-    /// told. Costs no call to the store while nothing changes.
-    async fn watch_caught_up(&self) -> bool {
-        false
+    /// Reads the changes of `range` after `revision` without waiting for one, so that the reply proves
+    /// what a watch that delivers nothing cannot: that there are no others. Stores without such a
+    /// read answer [`Error::Compacted`], after which the caller lists.
+    async fn read_changes(&self, _range: Range, _revision: Revision) -> Result<Changes, Error> {
+        Err(Error::Compacted { oldest: 0 })
     }
 }
