fix(core): without an answer of the store no flow counts as lost

Cause: a search waits for the list of agents to be confirmed, but for 0.8 s at most, and not at all once the store counted as unreachable. Then the known list was used. That no answer has come proves nothing: it may be the one that names the agent.

Change: a list is complete as of a time only if the store has said so. A search that ends without that drops the packet, and the client's next retransmission begins another one.

Two ways weighed: the known list after 0.8 s as before, which goes on with true resets during an outage and with untrue ones; no reset (kept), for which clients of flows lost during an outage wait for their own time limit, unless the owner is known to have failed. Calls to the store: none in either. Lists of peers prove no more, since they are behind for the same reasons.

--- a/crates/core/src/flow/balancer.rs
+++ b/crates/core/src/flow/balancer.rs
@@ -192,11 +192,6 @@
         self.finish_visited_searches(now, actions);
     }
 
-    /// Records that the store is unreachable, so that it cannot confirm the list of agents.
-    pub fn lose_store(&mut self) {
-        self.listing.lose();
-    }
-
     /// Adds agents that another balancer knows, except those that are known here.
     pub fn add_members(&mut self, now: Instant, members: Vec<Member>) {
         if members.is_empty() {
@@ -299,8 +294,8 @@
     fn confirm_owner(&mut self, now: Instant, owner: SocketAddrV4, actions: &mut Vec<Action>) {
         let member = self.members.get(owner);
         let silent_since = member.and_then(|member| member.unanswered_since);
-        if silent_since.is_some_and(|since| !self.listing.covers(now, since)) {
-            self.listing.want(now);
+        if silent_since.is_some_and(|since| !self.listing.covers(since)) {
+            self.listing.want();
             self.request_list(now, actions);
         }
     }
--- a/crates/core/src/flow/balancer/listing.rs
+++ b/crates/core/src/flow/balancer/listing.rs
@@ -6,22 +6,17 @@
 /// searches that ended meanwhile, and short beside a client's pauses between retransmissions.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Time after which the list that is known is used although the store has not confirmed it: the time
-/// for a watch to catch up and for a reply of a slow store.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// How current the list of agents is.
 ///
 /// Load answered: upstreams are replaced while routers move flows to other balancers. Another
 /// balancer may have opened a flow at an agent that this one has not heard of yet, so that all agents
 /// known here deny the flow. An agent is listed before it gets flows, so a list from after the flow's
-/// packet names its owner.
+/// packet names its owner. Only an answer of the store proves that a list is complete: a reply that does
+/// not come may be late or lost, and may be the one that names the owner.
 #[derive(Debug, Default)]
 pub struct Listing {
-    /// The list is complete as of this time; `None` if the store does not confirm lists at present.
+    /// The list is complete as of this time.
     confirmed_at: Option<Instant>,
-    /// When the list was first requested since it was last confirmed.
-    requested_since: Option<Instant>,
     last_request_at: Option<Instant>,
     /// Whether a search waits for a list for which no request was made since.
     is_wanted: bool,
@@ -31,36 +26,26 @@
     /// Records that the list is complete as of `at`.
     pub fn confirm(&mut self, at: Instant) {
         self.confirmed_at = self.confirmed_at.max(Some(at));
-        self.requested_since = None;
-    }
-
-    /// Records that the store is unreachable, so that the list that is known has to do.
-    pub fn lose(&mut self) {
-        self.confirmed_at = None;
-        self.requested_since = None;
     }
 
-    /// Whether the list is complete as of `at`, or the store does not tell in time.
+    /// Whether the list is known to be complete as of `at`.
     ///
     /// ```
     /// use std::time::{Duration, Instant};
     /// use sassafrasmast_core::flow::balancer::Listing;
     /// let now = Instant::now();
     /// let mut listing = Listing::default();
-    /// assert!(listing.covers(now, now));
+    /// assert!(!listing.covers(now));
     /// listing.confirm(now);
-    /// assert!(!listing.covers(now, now + Duration::from_millis(1)));
+    /// assert!(listing.covers(now));
+    /// assert!(!listing.covers(now + Duration::from_millis(1)));
     /// ```
-    pub fn covers(&self, now: Instant, at: Instant) -> bool {
-        let is_overdue = self
-            .requested_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= CONFIRMATION_TIMEOUT);
-        is_overdue || self.confirmed_at.is_none_or(|confirmed| confirmed >= at)
+    pub fn covers(&self, at: Instant) -> bool {
+        self.confirmed_at >= Some(at)
     }
 
     /// Records that a search waits for the list.
-    pub fn want(&mut self, now: Instant) {
-        self.requested_since.get_or_insert(now);
+    pub fn want(&mut self) {
         self.is_wanted = true;
     }
 
--- a/crates/core/src/flow/balancer/search.rs
+++ b/crates/core/src/flow/balancer/search.rs
@@ -244,14 +244,17 @@
         }
     }
 
+    /// Whether the time limit is reached.
+    pub fn is_overdue(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started_at) >= MAX_SEARCH_TIME
+    }
+
     /// Status of the search. A flow does not count as lost before the list of agents is `settled`.
     pub fn status(&self, now: Instant, members: &Members, settled: bool) -> Status {
         let is_done = settled && !self.candidates.is_empty() && self.has_visited_all();
         match self.best_reachability(members) {
             Some(Reachability::Failed) | None if is_done => Status::Lost,
-            _ if now.saturating_duration_since(self.started_at) >= MAX_SEARCH_TIME => {
-                Status::TimedOut
-            }
+            _ if self.is_overdue(now) => Status::TimedOut,
             Some(Reachability::Silent) if is_done => Status::Unproven,
             _ => Status::Running,
         }
--- a/crates/core/src/flow/balancer/searches.rs
+++ b/crates/core/src/flow/balancer/searches.rs
@@ -194,10 +194,16 @@
         match search.status(now, &self.members, settled) {
             Status::Running => {}
             // Another balancer may have opened the flow at an agent that is not known here yet, and the
-            // list tells which silent agents are being restarted.
-            Status::Unproven | Status::Lost if !self.listing.covers(now, search.started_at()) => {
-                self.listing.want(now);
-                self.request_list(now, actions);
+            // list tells which silent agents are being restarted. Without an answer of the store the
+            // flow is not known to be lost.
+            Status::Unproven | Status::Lost if !self.listing.covers(search.started_at()) => {
+                if search.is_overdue(now) {
+                    self.searches.remove(&flow);
+                    actions.push(Action::Drop(flow, DropCause::NotFound));
+                } else {
+                    self.listing.want();
+                    self.request_list(now, actions);
+                }
             }
             Status::Unproven => {}
             Status::Lost => {
--- a/crates/forwarder/src/balancer.rs
+++ b/crates/forwarder/src/balancer.rs
@@ -269,9 +269,9 @@
             | Event::AgentSource(_)
             | Event::WatchChecked { .. }
             | Event::StoreReachable
+            | Event::StoreUnreachable(_)
             | Event::StoreRestored { .. }
             | Event::ValueRejected(_) => {}
-            Event::StoreUnreachable(_) => self.core.lose_store(),
         }
         self.update_ready(now);
         self.update_view();
