fix(core): times from outside are bounded before they are added

What callers saw: a heartbeat with warmupLeftMs 1e22 ended the agent beside a server (exit 101), and with it the way to the server's flows.

Cause: the number is a valid duration, but now + cold_left cannot be represented and panics. Sums of other times from outside overflow likewise: the largest age of a flow and the idle timeout, the idle timeout and the longest time limit, graceS, and the time to live in a reply of the QUIC transport's store.

Ruled out: whole milliseconds of routes and limits, the largest of which can be added.

Times from outside are added by flow::deadline, which stops a year ahead, or with saturation.

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -8,6 +8,7 @@
 pub mod agent;
 pub mod average;
 pub mod balancer;
+mod deadline;
 pub mod intent;
 pub mod limiter;
 pub mod member;
@@ -17,8 +18,8 @@
 pub use sassafrasmast_wire::flow::{Key, Priority, Purpose, Reason, Report, Revision, State};
 
 pub use self::{
-    agent::Agent, balancer::Balancer, intent::Intent, limiter::Limiter, member::Member,
-    packet::Head,
+    agent::Agent, balancer::Balancer, deadline::deadline, intent::Intent, limiter::Limiter,
+    member::Member, packet::Head,
 };
 
 /// Name of a service.
--- a/crates/core/src/flow/agent.rs
+++ b/crates/core/src/flow/agent.rs
@@ -155,7 +155,8 @@
             let service = &self.settings.service;
             self.latency_objective = intent.policy.latency_objective(service);
             let time_limit = intent.policy.time_limit(service);
-            self.observation_time = time_limit.map(|limit| intent.policy.idle_timeout + limit);
+            self.observation_time =
+                time_limit.map(|limit| intent.policy.idle_timeout.saturating_add(limit));
             self.classes.set_intent(intent, &self.settings.service);
         }
         is_newer
--- a/crates/core/src/flow/agent/attempts.rs
+++ b/crates/core/src/flow/agent/attempts.rs
@@ -8,7 +8,7 @@
 
 use sassafrasmast_wire::flow::Attempt;
 
-use crate::flow::Key;
+use crate::flow::{Key, deadline};
 
 /// Limit of entries: those of a second in which each of 40 balancers refuses a hundred attempts;
 /// about 100 bytes each.
@@ -66,7 +66,7 @@
             self.remove_first(caller);
         }
         self.recorded += 1;
-        let expiry = (now + left, self.recorded);
+        let expiry = (deadline(now, left), self.recorded);
         let caller = (attempt.client, attempt.route);
         self.expiries.insert(expiry, caller);
         let entries = self.callers.entry(caller).or_default();
--- a/crates/core/src/flow/agent/held.rs
+++ b/crates/core/src/flow/agent/held.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use crate::flow::{Head, Key, Priority};
+use crate::flow::{Head, Key, Priority, deadline};
 
 /// Time after which a request without a latency objective is due: a client sends a packet again after
 /// 200 ms, and a process ticks every 20 ms.
@@ -106,9 +106,9 @@
     ) {
         let until_late = objective.map_or(MAX_TIME, |objective| objective / LATE_DIVISOR);
         let until_due = objective.map_or(MAX_TIME, |objective| objective / DUE_DIVISOR);
-        let late_at = now + until_late;
+        let late_at = deadline(now, until_late);
         let due_at = now + until_due.min(MAX_TIME);
-        let expires_at = timeout.map(|timeout| now + timeout);
+        let expires_at = timeout.map(|timeout| deadline(now, timeout));
         self.numbered += 1;
         self.bytes += packet.bytes.len();
         let of_class = self.order.entry(class).or_default();
--- a/crates/core/src/flow/agent/successor.rs
+++ b/crates/core/src/flow/agent/successor.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use super::{Announcement, Confirmation};
+use crate::flow::deadline;
 
 /// An incarnation of the upstream that announces itself beside the one in force. Either the upstream has
 /// restarted, or the announcements are late. Start times cannot tell, as the clock may be set at any time;
@@ -90,6 +91,6 @@
 
     /// Until when the upstream is cold, if it is this incarnation that runs.
     pub fn cold_until(&self) -> Option<Instant> {
-        (!self.is_former).then(|| self.last_at + self.announcement.cold_left)
+        (!self.is_former).then(|| deadline(self.last_at, self.announcement.cold_left))
     }
 }
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -8,7 +8,7 @@
 use sassafrasmast_wire::Incarnation;
 
 use super::{Announcement, Confirmation, Successor};
-use crate::flow::State;
+use crate::flow::{State, deadline};
 
 /// Interval at which a silent upstream is sent one SYN, to detect whether it answers again.
 const SILENT_RETRY_INTERVAL: Duration = Duration::from_millis(300);
@@ -266,7 +266,8 @@
         self.slots = announcement.slots;
         self.draining = announcement.draining;
         self.may_be_cold = false;
-        self.cold_until = (!announcement.cold_left.is_zero()).then(|| now + announcement.cold_left);
+        self.cold_until =
+            (!announcement.cold_left.is_zero()).then(|| deadline(now, announcement.cold_left));
     }
 
     /// Takes the upstream for cold until its next announcement.
--- a/crates/core/src/flow/balancer/flow.rs
+++ b/crates/core/src/flow/balancer/flow.rs
@@ -321,6 +321,6 @@
     /// than `max_age` plus `idle_timeout`.
     pub fn is_expired(&self, now: Instant, idle_timeout: Duration, max_age: Duration) -> bool {
         now.saturating_duration_since(self.last_packet_at) > idle_timeout
-            || now.saturating_duration_since(self.opened_at) > max_age + idle_timeout
+            || now.saturating_duration_since(self.opened_at) > max_age.saturating_add(idle_timeout)
     }
 }
--- a/crates/core/src/flow/balancer/placement.rs
+++ b/crates/core/src/flow/balancer/placement.rs
@@ -9,7 +9,7 @@
     Action, Balancer, DropCause, Flow, ResetCause, Timeliness,
     admission::{self, Ages, Event, QueuedSyn, Turn},
 };
-use crate::flow::{Key, Priority, Purpose, Reason, ServiceName};
+use crate::flow::{Key, Priority, Purpose, Reason, ServiceName, deadline};
 
 /// Interval at which an overdue SYN is checked again that cannot be refused yet.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -440,7 +440,10 @@
         };
         flow_state.set_queued(true);
         // An overdue SYN may be refused as soon as its last copy has arrived here.
-        let overdue_at = flow_state.first_syn_at() + ages.overdue.unwrap_or(ages.expired);
+        let overdue_at = deadline(
+            flow_state.first_syn_at(),
+            ages.overdue.unwrap_or(ages.expired),
+        );
         let expires_at = expires_at(flow_state, &ages);
         let syn = QueuedSyn {
             flow,
@@ -572,7 +575,7 @@
 
 /// When the SYN of a flow expires.
 fn expires_at(flow: &Flow, ages: &Ages) -> Instant {
-    let expires_at = flow.first_syn_at() + ages.expired;
+    let expires_at = deadline(flow.first_syn_at(), ages.expired);
     ages.timed_out.map_or(expires_at, |timed_out| {
         expires_at.min(flow.first_attempt_at() + timed_out)
     })
--- a/crates/core/src/flow/member.rs
+++ b/crates/core/src/flow/member.rs
@@ -7,7 +7,7 @@
 
 use sassafrasmast_wire::Incarnation;
 
-use super::{Report, ServiceName, State, ZoneName};
+use super::{Report, ServiceName, State, ZoneName, deadline};
 
 /// An agent counts as silent if it has sent no frame for this long after a packet that it should
 /// answer: several round trips between zones and one scheduling delay.
@@ -223,7 +223,7 @@
         let is_restarting = self.report.stopping || self.listed_restarting == Some(true);
         let was_steady = self
             .steady_at
-            .is_some_and(|at| at + stop_grace >= silent_since);
+            .is_some_and(|at| deadline(at, stop_grace) >= silent_since);
         !is_restarting && (was_steady || !self.listed)
             || self.is_unreachable(path_good_until, MAX_RESTART_TIME)
     }
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -1,5 +1,7 @@
 //! Tests of the agent: which packets it passes to its upstream, and what it reports to balancers.
 
+use std::time::Duration;
+
 use sassafrasmast_core::flow::{
     Head, Key, Purpose, Reason, State,
     agent::{Action, Announcement, Change},
@@ -854,3 +856,23 @@
     let absent = [Action::Absent { to, flow: flow(1) }];
     assert_eq!(rig.locate(flow(1)), absent);
 }
+
+/// Guards against an agent that ends when an announcement states a cold period that no point in time can
+/// hold: the upstream in force or one that may follow it.
+#[test]
+fn an_announced_cold_period_may_be_of_any_length() {
+    let mut rig = AgentRig::unannounced();
+    let endless = Announcement {
+        cold_left: Duration::MAX,
+        ..announcement(1, 2)
+    };
+    rig.announce(&endless);
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Cold);
+    let successor = Announcement {
+        cold_left: Duration::MAX,
+        ..announcement(2, 1)
+    };
+    rig.announce(&successor);
+    rig.tick(ms(1_000));
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Cold);
+}
--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -4,7 +4,7 @@
     collections::{HashSet, VecDeque},
     net::SocketAddrV4,
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use sassafrasmast_core::flow::{
@@ -1280,3 +1280,37 @@
     }
     assert_eq!(resets, 1);
 }
+
+/// Guards against a balancer that ends because a configured time, added to another one or to the present,
+/// exceeds what can be represented.
+#[test]
+fn configured_times_may_be_of_any_length() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    let settings = balancer::Settings {
+        zone: ZONE.into(),
+        max_flow_age: Duration::MAX,
+        stop_grace: Duration::MAX,
+        ..balancer::Settings::default()
+    };
+    rig.balancer = Balancer::new(rig.now, settings);
+    let mut endless = (*simple_intent()).clone();
+    endless.policy.idle_timeout = Duration::MAX;
+    for route in endless.policy.routes.values_mut() {
+        route.kind = Kind::Safe;
+        route.timeout = Some(Duration::MAX);
+        route.latency_objective = Some(Duration::MAX);
+    }
+    assert!(rig.balancer.set_intent(endless.into()));
+    rig.balancer
+        .set_members(rig.now, vec![member(1, ZONE), member(2, ZONE)]);
+    let owner = rig.open(flow(1));
+    rig.accept(owner, flow(1), 7);
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), owner);
+    rig.confirm(owner, Some(false));
+    for _ in 0..100 {
+        rig.packet(&syn(flow(2)));
+        rig.packet(&data(flow(1), 8));
+        rig.tick(100);
+    }
+    assert!(rig.balancer.flow_count() > 0);
+}
--- a/crates/daemon/src/config/registrar.rs
+++ b/crates/daemon/src/config/registrar.rs
@@ -120,7 +120,8 @@
             sleep(jittered(LEASE_TTL / MIN_KEEP_ALIVES_PER_TTL)).await;
             let asked = Instant::now();
             match self.store.keep_alive(lease).await {
-                Ok(ttl) => expiry = asked + ttl,
+                // A time to live that cannot be added says nothing of the lease's end.
+                Ok(ttl) => expiry = asked.checked_add(ttl).unwrap_or(asked + LEASE_TTL),
                 Err(Error::LeaseNotFound) => return,
                 Err(_) if Instant::now() >= expiry => return,
                 Err(error) => {
