--- a/crates/store/src/position.rs
+++ b/crates/store/src/position.rs
@@ -10,9 +10,6 @@
 /// in 50 years. The bits above hold the era.
 const REVISION_BITS: u32 = 44;
 
-/// Largest era that a [`Revision`] can hold.
-const MAX_ERA: Era = (1 << (63 - REVISION_BITS)) - 1;
-
 /// Position in the history of a store. Positions of a later era are later, whatever the number of
 /// the revision: a store that has come back from a copy gives numbers out again.
 ///
@@ -27,6 +24,12 @@
 }
 
 impl Position {
+    /// Largest era and number that a [`Revision`] can hold.
+    pub const MAX: Self = Self {
+        era: (1 << (63 - REVISION_BITS)) - 1,
+        number: (1 << REVISION_BITS) - 1,
+    };
+
     /// The position as a revision.
     ///
     /// ```
@@ -39,7 +42,7 @@
     /// ```
     pub fn pack(self) -> Revision {
         // The era fits the bits above, so that the sign bit stays clear.
-        let era = self.era.min(MAX_ERA) as Revision;
+        let era = self.era.min(Self::MAX.era) as Revision;
         (era << REVISION_BITS) | self.number
     }
 
@@ -47,7 +50,7 @@
     pub fn unpack(revision: Revision) -> Self {
         Self {
             era: (revision.max(0) >> REVISION_BITS) as Era,
-            number: revision.max(0) & ((1 << REVISION_BITS) - 1),
+            number: revision.max(0) & Self::MAX.number,
         }
     }
 }
