fix(forwarder): an odd entry names no agent, and is reported once

What was reported: odd entries among those of the servers, also with a port out of range, end or mislead the machines that read the list.

Cause: keys and values of agents' entries were read in two places with different results. An entry that was overwritten by an odd value stayed in force at balancers that watch and was gone at those that list; a key with port 0 or no address became an agent that never answers; a port out of range was passed over silently. Odd values were reported at each listing, with all of their text.

Ruled out: an end of the process; none was seen.

Change: an entry that cannot be read, key or value, names no agent, however it is learnt of. It is reported once for each revision of its key, and counted; texts in log lines are cut. Heartbeats that cannot be read are reported, too, if the reason differs from the last one.

Two ways weighed: a rate limit for these lines, which also leaves out the first line of the next odd entry; remembering what was reported (kept, for 1,000 keys). Calls to the store and true resets: the same.

--- a/crates/forwarder/src/agent.rs
+++ b/crates/forwarder/src/agent.rs
@@ -86,6 +86,8 @@
     holding: Option<Holding>,
     /// Requests that had been held at the last tick.
     held_before: u64,
+    /// Why the last call of the upstream that could not be read was refused.
+    invalid_call: Option<String>,
 }
 
 /// Runs an agent until the process is killed.
@@ -185,6 +187,7 @@
             hello_sent_at: now,
             holding: None,
             held_before: 0,
+            invalid_call: None,
             settings,
             upstream,
             platform,
@@ -321,6 +324,10 @@
                         .handle_deregistration(now, &id, incarnation, &mut self.actions);
                 (change, done, id)
             }
+            UpstreamCall::Invalid(reason) => {
+                self.log_invalid_call(now, reason);
+                return;
+            }
         };
         self.execute_actions(now, &[]);
         if change != Change::Nothing {
@@ -331,6 +338,18 @@
         let _ = done.send(());
     }
 
+    /// Logs that a call of the upstream cannot be read, unless the one before had the same reason: a heartbeat
+    /// is repeated for as long as its sender runs.
+    fn log_invalid_call(&mut self, now: Instant, reason: String) {
+        metrics::counter!("sassafrasmast_calls_refused").increment(1);
+        if self.invalid_call.as_ref() == Some(&reason) {
+            return;
+        }
+        self.log
+            .line(now, "call_refused", || [("reason", reason.as_str().into())]);
+        self.invalid_call = Some(reason);
+    }
+
     /// Logs what changed at the upstream named `id`.
     fn log_upstream_change(&mut self, now: Instant, id: String, change: Change) {
         let upstream = self.core.upstream();
--- a/crates/forwarder/src/agent/announcements.rs
+++ b/crates/forwarder/src/agent/announcements.rs
@@ -17,6 +17,8 @@
 pub(super) enum UpstreamCall {
     Announcement(Announcement, oneshot::Sender<()>),
     Deregistration(String, Option<Incarnation>, oneshot::Sender<()>),
+    /// It cannot be read, for this reason.
+    Invalid(String),
 }
 
 /// Serves the upstream's announcements, and readiness of the agent.
@@ -37,7 +39,11 @@
                 Call::Deregister(id, incarnation) => {
                     UpstreamCall::Deregistration(id, incarnation, done)
                 }
-                Call::Invalid(reason) => return Answer::new(StatusCode::BAD_REQUEST, reason),
+                Call::Invalid(reason) => {
+                    // The answer does not depend on whether the refusal is logged.
+                    let _ = sender.try_send(UpstreamCall::Invalid(reason.clone()));
+                    return Answer::new(StatusCode::BAD_REQUEST, reason);
+                }
                 Call::Unknown => return Answer::new(StatusCode::NOT_FOUND, ""),
             };
             // The upstream gets its acknowledgement only after the event loop has applied the call.
--- a/crates/forwarder/src/log.rs
+++ b/crates/forwarder/src/log.rs
@@ -23,6 +23,9 @@
 /// Burst limit for one kind of line.
 const BURST_LINES: u32 = 200;
 
+/// Longest text in a field. Errors quote what could not be read, which may be a megabyte.
+const MAX_TEXT_CHARS: usize = 400;
+
 /// Formats, limits and queues structured log lines.
 #[derive(Debug)]
 pub struct Log {
@@ -79,7 +82,7 @@
             line.insert("left_out".to_owned(), state.suppressed.into());
         }
         for (key, value) in fields() {
-            line.insert(key.to_owned(), value);
+            line.insert(key.to_owned(), shortened(value));
         }
         match self.lines.try_send(Value::Object(line).to_string()) {
             Ok(()) => state.suppressed = 0,
@@ -88,6 +91,17 @@
     }
 }
 
+/// The value, with a long text cut off.
+fn shortened(value: Value) -> Value {
+    match value {
+        Value::String(text) if text.len() > MAX_TEXT_CHARS => {
+            let start: String = text.chars().take(MAX_TEXT_CHARS).collect();
+            format!("{start} ({} bytes)", text.len()).into()
+        }
+        value => value,
+    }
+}
+
 /// Writes queued lines to standard output, all waiting ones in one write, until the log is dropped.
 fn write(queue: &Receiver<String>) {
     let mut batch = String::new();
--- a/crates/forwarder/src/registration.rs
+++ b/crates/forwarder/src/registration.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use anyhow::{Context, bail};
 use rand::Rng;
 use sassafrasmast_core::flow::{Member, Report, ServiceName, State, ZoneName};
 use sassafrasmast_store::{Compare, Error, LeaseId, Put, Range, Revision, Store, Txn};
@@ -74,11 +75,24 @@
     /// ```
     /// use sassafrasmast_forwarder::registration::Record;
     /// let address = "10.0.0.1:7000".parse().unwrap();
-    /// assert_eq!(Record::address(&Record::key(address)), Some(address));
-    /// assert_eq!(Record::address("other"), None);
+    /// assert_eq!(Record::address(&Record::key(address)).unwrap(), Some(address));
+    /// assert_eq!(Record::address("other").unwrap(), None);
+    /// assert!(Record::address("sassafrasmast/agents/10.0.0.1:70000").is_err());
     /// ```
-    pub fn address(key: &str) -> Option<SocketAddrV4> {
-        key.strip_prefix(PREFIX)?.parse().ok()
+    ///
+    /// # Errors
+    ///
+    /// When the key is among those of agents, but names no address that packets can be sent to.
+    pub fn address(key: &str) -> anyhow::Result<Option<SocketAddrV4>> {
+        let Some(text) = key.strip_prefix(PREFIX) else {
+            return Ok(None);
+        };
+        let address: SocketAddrV4 = text.parse().context("the key names no address")?;
+        let ip = address.ip();
+        if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast() {
+            bail!("the key names no address of an agent");
+        }
+        Ok(Some(address))
     }
 
     /// Decodes an entry's value.
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -51,6 +51,9 @@
 /// Bytes of an entry in a listing besides its key and value, which is in base64.
 const ENTRY_OVERHEAD_BYTES: u64 = 110;
 
+/// Odd values that are remembered, so that each is reported once; further ones are only counted.
+const MAX_REFUSED: usize = 1_000;
+
 /// Reason for a check of the watch: another call got no reply, so that the watch's may be lost too.
 const REPLY_LOST: &str = "no reply to another call";
 
@@ -91,6 +94,8 @@
     is_reachable: bool,
     /// Zones that were out when the store came back from an older copy, and until when they stay so.
     zones_kept: Option<(BTreeSet<ZoneName>, Instant)>,
+    /// Keys whose values could not be read, with the revision that was reported.
+    refused: BTreeMap<String, Revision>,
 }
 
 impl<P: Platform> Watcher<P> {
@@ -118,6 +123,7 @@
             failures: 0,
             is_reachable: false,
             zones_kept: None,
+            refused: BTreeMap::new(),
         }
     }
 
@@ -200,7 +206,10 @@
         };
         let mut has_policy = false;
         for entry in &listing.entries {
-            if let Some(change) = self.operator_change(&entry.key, Some(&entry.value)).await {
+            let change = self
+                .operator_change(&entry.key, Some(&entry.value), entry.mod_revision)
+                .await;
+            if let Some(change) = change {
                 has_policy |= matches!(change, OperatorChange::Policy(_));
                 apply(&mut intent, change);
             }
@@ -368,19 +377,25 @@
     }
 
     /// The agents' entries among these by address.
-    async fn records(&self, entries: &[Entry]) -> BTreeMap<SocketAddrV4, Record> {
+    async fn records(&mut self, entries: &[Entry]) -> BTreeMap<SocketAddrV4, Record> {
         let mut records = BTreeMap::new();
         for entry in entries {
-            let Some(address) = Record::address(&entry.key) else {
-                continue;
-            };
-            match Record::decode(&entry.value) {
-                Ok(record) => {
+            match read_record(&entry.key, &entry.value) {
+                Ok(Some((address, record))) => {
                     records.insert(address, record);
                 }
-                Err(error) => self.reject(&entry.key, &error).await,
+                Ok(None) => {}
+                Err(error) => self.reject(&entry.key, entry.mod_revision, &error).await,
             }
         }
+        // Entries are in the order of their keys.
+        let is_listed = |key: &str| {
+            let found = entries.binary_search_by(|entry| entry.key.as_str().cmp(key));
+            found.is_ok()
+        };
+        let operators = self.platform.operator_prefix();
+        self.refused
+            .retain(|key, _| key.starts_with(operators) || is_listed(key));
         records
     }
 
@@ -551,23 +566,18 @@
             }) => (key, Some(value.as_slice()), *mod_revision),
             Update::Delete { key, revision } => (key, None, *revision),
         };
-        if let Some(address) = Record::address(key) {
-            if revision < self.agents.revision() {
+        match Record::address(key) {
+            Ok(Some(address)) => {
+                self.apply_entry(key, address, value, revision).await;
                 return;
             }
-            match value.map(Record::decode) {
-                Some(Ok(record)) => {
-                    self.send(Event::Listed(Box::new(record.member(address))))
-                        .await;
-                    self.agents.put(revision, address, record);
-                }
-                Some(Err(error)) => self.reject(key, &error).await,
-                None => {
-                    self.agents.remove(revision, address);
-                    self.send(Event::Unlisted(address)).await;
-                }
+            Ok(None) => {}
+            Err(error) => {
+                self.reject(key, revision, &error).await;
+                return;
             }
-        } else if let Some(change) = self.operator_change(key, value).await {
+        }
+        if let Some(change) = self.operator_change(key, value, revision).await {
             let before = self.intent.clone();
             self.intent.revision = u64::try_from(revision).unwrap_or(0);
             if let (OperatorChange::ZoneIn(zone), Some((zones, _))) =
@@ -582,21 +592,57 @@
         }
     }
 
+    /// Applies a change of an agent's entry. An entry that cannot be read names no agent.
+    async fn apply_entry(
+        &mut self,
+        key: &str,
+        address: SocketAddrV4,
+        value: Option<&[u8]>,
+        revision: Revision,
+    ) {
+        if revision < self.agents.revision() {
+            return;
+        }
+        match value.map(Record::decode) {
+            Some(Ok(record)) => {
+                self.send(Event::Listed(Box::new(record.member(address))))
+                    .await;
+                self.agents.put(revision, address, record);
+                return;
+            }
+            Some(Err(error)) => self.reject(key, revision, &error).await,
+            None => {}
+        }
+        self.agents.remove(revision, address);
+        self.send(Event::Unlisted(address)).await;
+    }
+
     /// The change that an operator's document requests; `None` if the key or value is no document.
-    async fn operator_change(&self, key: &str, value: Option<&[u8]>) -> Option<OperatorChange> {
+    async fn operator_change(
+        &mut self,
+        key: &str,
+        value: Option<&[u8]>,
+        revision: Revision,
+    ) -> Option<OperatorChange> {
         if !key.starts_with(self.platform.operator_prefix()) {
             return None;
         }
         match self.platform.operator_change(key, value) {
             Ok(change) => change,
             Err(error) => {
-                self.reject(key, &error).await;
+                self.reject(key, revision, &error).await;
                 None
             }
         }
     }
 
-    async fn reject(&self, key: &str, error: &anyhow::Error) {
+    /// Reports once that the value which a key has had since `revision` cannot be read.
+    async fn reject(&mut self, key: &str, revision: Revision, error: &anyhow::Error) {
+        metrics::counter!("sassafrasmast_values_refused").increment(1);
+        let is_full = self.refused.len() >= MAX_REFUSED && !self.refused.contains_key(key);
+        if is_full || self.refused.insert(key.to_owned(), revision) == Some(revision) {
+            return;
+        }
         self.send(Event::ValueRejected(format!("{key}: {error:#}")))
             .await;
     }
@@ -641,6 +687,14 @@
     }
 }
 
+/// The agent that an entry names; `None` if the key is not among those of agents.
+fn read_record(key: &str, value: &[u8]) -> anyhow::Result<Option<(SocketAddrV4, Record)>> {
+    let Some(address) = Record::address(key)? else {
+        return Ok(None);
+    };
+    Ok(Some((address, Record::decode(value)?)))
+}
+
 /// Size of a listing on the link, estimated.
 fn bytes(listing: &Listing) -> u64 {
     let entries = listing.entries.iter();
