fix(platform): one odd route or service leaves the others of a configuration

What callers would see: with one route that cannot be read in a desired state, running processes stay at the version before, and one that starts has no configuration and does not become ready. Not reported; found while looking for what one odd item stops.

Cause: the document was decoded as a whole, and the first invalid member ended that.

Change: what can be read is put in force. A route of which only the address can be read has no backends, so that it takes no new flows and its open ones go on; without an address, or a service without a name or with odd limits, it is left out and reported. Without version or limits the document is refused as before.

Ways weighed: refusing the document (before); keeping the route of the version before, after which processes differ under one version; leaving the route out, after which its open flows are reset.

--- a/crates/core/tests/flow/balancer.rs
+++ b/crates/core/tests/flow/balancer.rs
@@ -10,7 +10,7 @@
 use sassafrasmast_core::flow::{
     Balancer, Head, Intent, Key, Member, Purpose, Reason, Report, State,
     balancer::{self, Action, DropCause, ResetCause},
-    intent::Kind,
+    intent::{Kind, Route},
 };
 use sassafrasmast_wire::flow::Body;
 
@@ -1314,3 +1314,28 @@
     }
     assert!(rig.balancer.flow_count() > 0);
 }
+
+/// Guards against resets of the open flows of a route that cannot be read in a later configuration: it has no
+/// backends then, and takes no new flows.
+#[test]
+fn open_flows_of_a_route_without_backends_go_on() {
+    let mut rig = Rig::new(&[(1, ZONE), (2, ZONE)]);
+    let owner = rig.open(flow(1));
+    rig.accept(owner, flow(1), 7);
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), owner);
+    let mut unreadable = (*simple_intent()).clone();
+    unreadable.revision = 2;
+    for route in unreadable.policy.routes.values_mut() {
+        *route = Route::default();
+    }
+    assert!(rig.balancer.set_intent(unreadable.into()));
+    assert_eq!(target(&rig.packet(&data(flow(1), 8))), owner);
+    // A flow that this balancer does not know is searched.
+    let asked = rig.packet(&data(flow(3), 8));
+    let is_search = |action: &Action| matches!(action, Action::Locate { .. });
+    assert!(asked.iter().any(is_search), "{asked:?}");
+    let opened = rig.packet(&syn(flow(2)));
+    let is_placed = |action: &Action| matches!(action, Action::Forward { .. });
+    assert!(!opened.iter().any(is_placed), "{opened:?}");
+    assert_eq!(rig.resets_within(1_000), 0);
+}
--- a/crates/forwarder/src/platform.rs
+++ b/crates/forwarder/src/platform.rs
@@ -12,7 +12,12 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum OperatorChange {
     /// Puts these routes, services and limits in force.
-    Policy(Policy),
+    Policy {
+        /// What can be read.
+        policy: Policy,
+        /// Why routes or services cannot be read.
+        refused: Vec<String>,
+    },
     /// Sends no new flows to the zone.
     ZoneOut(ZoneName),
     /// Sends new flows to the zone again.
--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -210,7 +210,7 @@
                 .operator_change(&entry.key, Some(&entry.value), entry.mod_revision)
                 .await;
             if let Some(change) = change {
-                has_policy |= matches!(change, OperatorChange::Policy(_));
+                has_policy |= matches!(change, OperatorChange::Policy { .. });
                 apply(&mut intent, change);
             }
         }
@@ -628,6 +628,14 @@
             return None;
         }
         match self.platform.operator_change(key, value) {
+            Ok(Some(OperatorChange::Policy { policy, refused })) => {
+                if let Some(first) = refused.first() {
+                    let count = refused.len();
+                    let error = anyhow::anyhow!("{count} routes or services refused: {first}");
+                    self.reject(key, revision, &error).await;
+                }
+                Some(OperatorChange::Policy { policy, refused })
+            }
             Ok(change) => change,
             Err(error) => {
                 self.reject(key, revision, &error).await;
@@ -708,7 +716,7 @@
 /// Applies the change of one document to the intent.
 fn apply(intent: &mut Intent, change: OperatorChange) {
     match change {
-        OperatorChange::Policy(policy) => intent.policy = policy,
+        OperatorChange::Policy { policy, .. } => intent.policy = policy,
         OperatorChange::ZoneOut(zone) => {
             intent.zones_out.insert(zone);
         }
