fix(core): a late announcement does not end what a successor has announced

Cause: the agent forgot a successor as soon as any announcement of the incarnation in force arrived. Its arrival does not tell when it was sent.

Ruled out: the limit itself, which held before the late heartbeat and after the successor's next one.

Change: what a successor has announced, cold or draining, holds until three announcements of the others without one of its own. A contradicted successor does not take the place of an upstream that leaves, and one of a former incarnation does not displace another.

Ways weighed: arrival or start times, as before; cold until the next announcement of either, which the late one is; three announcements (kept), after which an upstream may count as cold or draining for two intervals longer.

--- a/crates/core/src/flow/agent/successor.rs
+++ b/crates/core/src/flow/agent/successor.rs
@@ -14,6 +14,8 @@
     announcement: Announcement,
     last_at: Instant,
     confirmation: Confirmation,
+    /// Announcements of others since its last one.
+    contradiction: Option<Confirmation>,
     /// Whether the incarnation was in force before, so that it is late unless it is confirmed.
     is_former: bool,
 }
@@ -40,6 +42,7 @@
             announcement: announcement.clone(),
             last_at: now,
             confirmation: Confirmation::new(now),
+            contradiction: None,
             is_former,
         }
     }
@@ -51,7 +54,26 @@
         }
         self.announcement = announcement.clone();
         self.last_at = now;
-        self.confirmation.record(now);
+        match self.contradiction.take() {
+            Some(_) => self.confirmation = Confirmation::new(now),
+            None => self.confirmation.record(now),
+        }
+    }
+
+    /// Records an announcement of another incarnation. It may be the late one itself, so that what this
+    /// incarnation announced holds until the others are proven to run. Returns whether they are.
+    pub fn contradict(&mut self, now: Instant) -> bool {
+        match &mut self.contradiction {
+            Some(contradiction) => contradiction.record(now),
+            None => self.contradiction = Some(Confirmation::new(now)),
+        }
+        self.contradiction
+            .is_some_and(|contradiction| contradiction.is_complete())
+    }
+
+    /// Whether its last announcement is later than those of the others.
+    pub fn is_last(&self) -> bool {
+        self.contradiction.is_none()
     }
 
     /// The last announcement.
--- a/crates/core/src/flow/agent/upstream.rs
+++ b/crates/core/src/flow/agent/upstream.rs
@@ -172,7 +172,8 @@
         } else if announcement.sequence <= self.sequence {
             Change::Stale
         } else {
-            self.successor = None;
+            self.successor
+                .take_if(|successor| successor.contradict(now));
             let starts_draining = announcement.draining && !self.draining;
             self.accept(now, announcement);
             if starts_draining {
@@ -195,6 +196,12 @@
                 let is_former = former.any(|(id, incarnation)| {
                     *incarnation == announcement.incarnation && *id == announcement.id
                 });
+                let is_kept = |known: &mut Successor| {
+                    is_former && !known.is_former() && !known.contradict(now)
+                };
+                if successor.as_mut().is_some_and(is_kept) {
+                    return Change::Stale;
+                }
                 *successor = Some(Successor::new(now, announcement, is_former));
             }
         }
@@ -213,7 +220,7 @@
         let has_lost_flows = self.lost_flows >= PROVING_LOST_FLOWS;
         let has_ended = self.gone || has_lost_flows;
         let is_proven = |successor: &mut Successor| {
-            successor.is_confirmed() || has_ended && !successor.is_former()
+            successor.is_confirmed() || has_ended && !successor.is_former() && successor.is_last()
         };
         let Some(successor) = self.successor.take_if(is_proven) else {
             return false;
--- a/crates/core/tests/flow/agent.rs
+++ b/crates/core/tests/flow/agent.rs
@@ -876,3 +876,70 @@
     rig.tick(ms(1_000));
     assert_eq!(rig.agent.upstream().state(rig.now), State::Cold);
 }
+
+/// New flows that reach an upstream in a second, offered each 10 ms.
+fn opened_in_a_second(rig: &mut AgentRig, first: u16) -> usize {
+    let mut opened = 0;
+    for step in first..first + 100 {
+        rig.now += ms(10);
+        if rig.deliver(Purpose::Open, &syn(flow(step))) == [Action::ToUpstream] {
+            opened += 1;
+            rig.handle_upstream_packet(&syn_ack(flow(step), 7));
+        }
+    }
+    opened
+}
+
+/// Guards against a cold limit that ends with a late announcement, of the crashed incarnation in force or of one
+/// before it: the successor has said that it is cold, and is the one that runs.
+#[test]
+fn late_announcements_do_not_end_the_cold_limit_of_a_successor() {
+    let mut rig = AgentRig::confirmed();
+    assert!(rig.agent.set_intent(intent(2, &[(SERVICE, 1)], 10.0)));
+    // Another incarnation takes the place of the first one.
+    rig.announce_each(600, 2, 1..=3);
+    assert_eq!(rig.agent.upstream().incarnation(), 2);
+    rig.announce(&Announcement {
+        cold_left: ms(10_000),
+        ..announcement(3, 1)
+    });
+    assert!(opened_in_a_second(&mut rig, 0) <= 20);
+    rig.announce(&announcement(2, 4));
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Cold);
+    assert!(opened_in_a_second(&mut rig, 100) <= 20);
+    rig.announce(&announcement(1, 90));
+    assert!(opened_in_a_second(&mut rig, 200) <= 20);
+    rig.announce_each(600, 3, 2..=4);
+    assert_eq!(rig.agent.upstream().incarnation(), 3);
+}
+
+/// Guards against an upstream that stays cold or draining for good because of a late announcement of an incarnation
+/// that was never in force.
+#[test]
+fn an_announcement_that_others_contradict_thrice_is_forgotten() {
+    let mut rig = AgentRig::confirmed();
+    rig.announce(&Announcement {
+        draining: true,
+        ..announcement(9, 50)
+    });
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Draining);
+    rig.announce_each(600, 1, 60..=62);
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Ready);
+}
+
+/// Guards against an upstream that counts as running after it has deregistered, since an announcement that it has
+/// contradicted takes its place.
+#[test]
+fn a_contradicted_announcement_does_not_follow_an_upstream_that_leaves() {
+    let mut rig = AgentRig::confirmed();
+    rig.announce(&announcement(9, 50));
+    rig.now += ms(1_200);
+    rig.announce(&announcement(1, 60));
+    let mut actions = Vec::new();
+    let left = rig
+        .agent
+        .handle_deregistration(rig.now, "i-1", None, &mut actions);
+    assert_eq!(left, Change::Left);
+    rig.tick(ms(100));
+    assert_eq!(rig.agent.upstream().state(rig.now), State::Gone);
+}
