--- a/crates/forwarder/src/watcher.rs
+++ b/crates/forwarder/src/watcher.rs
@@ -51,7 +51,7 @@
 /// Bytes of an entry in a listing besides its key and value, which is in base64.
 const ENTRY_OVERHEAD_BYTES: u64 = 110;
 
-/// Odd values that are remembered, so that each is reported once; further ones are only counted.
+/// Malformed values that are remembered, so that each is reported once; further ones are only counted.
 const MAX_REFUSED: usize = 1_000;
 
 /// Reason for a check of the watch: another call got no reply, so that the watch's may be lost too.
@@ -546,10 +546,7 @@
 
     /// Handles one update of the watch. Returns its revision.
     async fn handle_update(&mut self, update: Update) -> Revision {
-        let revision = match &update {
-            Update::Put(entry) => entry.mod_revision,
-            Update::Delete { revision, .. } => *revision,
-        };
+        let revision = update.revision();
         self.monitor.record_update(revision);
         self.apply_update(update).await;
         revision
@@ -557,14 +554,10 @@
 
     /// Applies a change. Changes of agents' entries that a later read has covered are passed over.
     async fn apply_update(&mut self, update: Update) {
-        let (key, value, revision) = match &update {
-            Update::Put(Entry {
-                key,
-                value,
-                mod_revision,
-                ..
-            }) => (key, Some(value.as_slice()), *mod_revision),
-            Update::Delete { key, revision } => (key, None, *revision),
+        let revision = update.revision();
+        let (key, value) = match &update {
+            Update::Put(Entry { key, value, .. }) => (key, Some(value.as_slice())),
+            Update::Delete { key, .. } => (key, None),
         };
         match Record::address(key) {
             Ok(Some(address)) => {
@@ -644,13 +637,16 @@
         }
     }
 
-    /// Reports once that the value which a key has had since `revision` cannot be read.
+    /// Reports once that the value which a key has had since `revision` cannot be read. A listing may not show
+    /// the revision of such a value, and states 0 then.
     async fn reject(&mut self, key: &str, revision: Revision, error: &anyhow::Error) {
         metrics::counter!("sassafrasmast_values_refused").increment(1);
-        let is_full = self.refused.len() >= MAX_REFUSED && !self.refused.contains_key(key);
-        if is_full || self.refused.insert(key.to_owned(), revision) == Some(revision) {
+        let reported = self.refused.get(key);
+        let is_full = self.refused.len() >= MAX_REFUSED && reported.is_none();
+        if is_full || reported.is_some_and(|reported| *reported >= revision) {
             return;
         }
+        self.refused.insert(key.to_owned(), revision);
         self.send(Event::ValueRejected(format!("{key}: {error:#}")))
             .await;
     }
--- a/crates/store/src/update.rs
+++ b/crates/store/src/update.rs
@@ -15,3 +15,19 @@
         revision: Revision,
     },
 }
+
+impl Update {
+    /// Revision of the change.
+    ///
+    /// ```
+    /// use sassafrasmast_store::Update;
+    /// let update = Update::Delete { key: "a".into(), revision: 7 };
+    /// assert_eq!(update.revision(), 7);
+    /// ```
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Put(entry) => entry.mod_revision,
+            Self::Delete { revision, .. } => *revision,
+        }
+    }
+}
