test: late heartbeats of a crashed server end a drain

Three heartbeats of a server that has crashed arrive between two heartbeats of the next incarnation, which is draining. The agent puts the earlier incarnation in force again and passes SYNs to the server.

--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -787,6 +787,7 @@
     draining: AtomicBool,
     /// Whether a partition delays its heartbeats.
     cut: AtomicBool,
+    announced_at: Mutex<Instant>,
     stopped: AtomicBool,
     state: Mutex<ServerState>,
 }
@@ -804,6 +805,7 @@
             number,
             draining: AtomicBool::new(false),
             cut: AtomicBool::new(false),
+            announced_at: Mutex::new(Instant::now()),
             stopped: AtomicBool::new(false),
             state: Mutex::default(),
         });
@@ -815,6 +817,7 @@
             while !own.stopped.load(Ordering::SeqCst) {
                 if !own.cut.load(Ordering::SeqCst) {
                     own.announce();
+                    *own.announced_at.lock().unwrap() = Instant::now();
                 }
                 sleep(HEARTBEAT_MS);
             }
@@ -1206,6 +1209,7 @@
     match case.as_str() {
         "late" => late(&record, trouble),
         "left" => left(&record, trouble),
+        "drained" => drained(&record, trouble),
         _ => could_not_run("no such case"),
     }
 }
@@ -1380,3 +1384,65 @@
     let broken = threads.into_iter().map(|thread| thread.join().unwrap_or(0)).sum();
     all.finish(broken, "a client got a reset of an open flow that the flow's server did not send")
 }
+
+/// Three heartbeats of a server that has crashed arrive while the new lifetime at its address is draining.
+fn drained(record: &Arc<Record>, trouble: bool) -> ! {
+    const DRAIN_MS: u64 = 3_000;
+    let mut all = Deployment::start(record, None);
+    let router = Router::start(&[&all.fronts[0]], record);
+    let client = Client::start(30);
+    wait_until("the router uses the daemon", 5_000, || router.all_in_rotation());
+    let before = Arc::clone(&all.servers[0]);
+    let machine = before.machine.clone();
+    before.cut.store(trouble, Ordering::SeqCst);
+    let mut delayed = Vec::new();
+    for _ in 0..3 {
+        sleep(HEARTBEAT_MS);
+        if trouble {
+            record.line("server i-01 sends a heartbeat, which is delayed on its way");
+            delayed.push(before.heartbeat());
+        }
+    }
+    sleep(100);
+    before.crash();
+    record.line("server i-01 crashes");
+    sleep(500);
+    let server = Server::start("i-31", &machine, 31, record);
+    // The new lifetime runs for some heartbeats, then it is to leave.
+    sleep(2 * HEARTBEAT_MS + 300);
+    server.draining.store(true, Ordering::SeqCst);
+    wait_until("the draining is acknowledged", 3_000, || server.announce() == 200);
+    let acknowledged_at = Instant::now();
+    record.line("server i-31 says that it is draining: acknowledged");
+    let bound = acknowledged_at + Duration::from_millis(DRAIN_MS);
+    while Instant::now() < bound {
+        sleep(2);
+    }
+    record.line("server i-31 is to get nothing from now on");
+    let last = *server.announced_at.lock().unwrap();
+    wait_until("a heartbeat", 3_000, || *server.announced_at.lock().unwrap() > last);
+    for (index, body) in delayed.iter().enumerate() {
+        if index > 0 {
+            sleep(525);
+        }
+        let status = http(machine.at(CONTROL), "POST", "/instances/i-01/heartbeat", body);
+        record.line(&format!("a delayed heartbeat of server i-01 arrives: {status} {body}"));
+    }
+    let until = Instant::now() + Duration::from_millis(5_000);
+    let mut broken = 0;
+    let mut port = 41_000;
+    while Instant::now() < until {
+        port += 1;
+        let mut flow = client.flow(port, FEED, &router, None, record);
+        if flow.open() == Outcome::Answer(String::new()) {
+            if flow.server == 31 {
+                broken += 1;
+                record.line(&format!("a flow reaches server i-31 {} ms after its draining was acknowledged", acknowledged_at.elapsed().as_millis()));
+            }
+            let _ = flow.request(&format!("r-{port}"), 1_000);
+            flow.close();
+        }
+        sleep(20);
+    }
+    all.finish(broken, "a flow reached a server later than drainMs after its draining was acknowledged")
+}
