test: one lost peer keeps a balancer from a newer configuration

The store's answer to a balancer's watch is lost, and the agent whose frame shows it a newer configuration first is lost for good. The balancer asks only that agent, and refuses flows to an added route more than 4 s after the confirmation.

--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -14,7 +14,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Condvar, Mutex,
     },
     thread,
@@ -303,45 +303,38 @@
     )
 }
 
-/// The store. It is reached through gates, one for each machine, which may turn calls away.
+/// The store. It is reached through gates, one for each machine.
 #[derive(Clone)]
 struct Store {
     content: Arc<(Mutex<Content>, Condvar)>,
+    /// What stale reads may show: the content at earlier times.
+    earlier: Arc<Mutex<Vec<(Instant, i64, BTreeMap<String, Item>)>>>,
 }
 
-const SERVES: u8 = 0;
-const BUSY: u8 = 1;
+/// Age of what stale reads show.
+const STALE_MS: u64 = 3_000;
 
 /// The address of the store for one machine.
 #[derive(Clone)]
 struct Gate {
     address: SocketAddr,
-    mode: Arc<AtomicU8>,
-    /// Connections that were opened before the last change of this number are silent for good.
-    epoch: Arc<AtomicU64>,
-}
-
-impl Gate {
-    /// From now on the store answers 503 to this machine.
-    fn turn_away(&self) {
-        self.mode.store(BUSY, Ordering::SeqCst);
-    }
-    fn serve(&self) {
-        self.mode.store(SERVES, Ordering::SeqCst);
-    }
-    /// All connections that are open fall silent for good, without a reset.
-    fn silence_connections(&self) {
-        self.epoch.fetch_add(1, Ordering::SeqCst);
-    }
+    /// Whether the next answer to a watch that brings changes is lost.
+    loses_next: Arc<AtomicBool>,
 }
 
 impl Store {
     fn start() -> Self {
-        let store = Self { content: Arc::default() };
+        let store = Self { content: Arc::default(), earlier: Arc::default() };
         let ticking = store.clone();
         thread::spawn(move || loop {
             sleep(50);
-            ticking.content.0.lock().unwrap().expire();
+            let now = Instant::now();
+            let mut content = ticking.content.0.lock().unwrap();
+            content.expire();
+            let mut earlier = ticking.earlier.lock().unwrap();
+            earlier.push((now, content.revision, content.items.clone()));
+            earlier.retain(|(at, ..)| now.duration_since(*at) < Duration::from_millis(2 * STALE_MS));
+            drop(content);
             ticking.content.1.notify_all();
         });
         store
@@ -354,35 +347,31 @@
         let Ok(listener) = TcpListener::bind("127.0.0.1:0") else {
             could_not_run("the store has no address")
         };
-        let gate = Gate { address: listener.local_addr().unwrap(), mode: Arc::new(AtomicU8::new(SERVES)), epoch: Arc::default() };
-        let (store, mode, epoch) = (self.clone(), Arc::clone(&gate.mode), Arc::clone(&gate.epoch));
+        let gate = Gate { address: listener.local_addr().unwrap(), loses_next: Arc::default() };
+        let (store, loses_next) = (self.clone(), Arc::clone(&gate.loses_next));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, mode, epoch) = (store.clone(), Arc::clone(&mode), Arc::clone(&epoch));
-                thread::spawn(move || store.serve(stream, &mode, &epoch));
+                let (store, loses_next) = (store.clone(), Arc::clone(&loses_next));
+                thread::spawn(move || store.serve(stream, &loses_next));
             }
         });
         gate
     }
-    fn serve(&self, stream: TcpStream, mode: &AtomicU8, epoch: &AtomicU64) {
-        let opened_in = epoch.load(Ordering::SeqCst);
-        let silence = || {
-            while epoch.load(Ordering::SeqCst) != opened_in {
-                sleep(1_000);
-            }
-        };
+    fn serve(&self, stream: TcpStream, loses_next: &AtomicBool) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Some((method, target, body)) = read_request(&mut reader) {
             sleep(2);
-            silence();
-            let (status, reply) = if mode.load(Ordering::SeqCst) == BUSY {
-                (503, String::new())
-            } else {
-                self.call(&method, &target, &body, mode)
-            };
-            silence();
+            let (status, reply) = self.call(&method, &target, &body);
+            // A watch that its client has given up does not count.
+            let brings_changes = target.starts_with("/kv-watch?prefix=op") && reply.contains("\"key\"");
+            if brings_changes && loses_next.swap(false, Ordering::SeqCst) {
+                // The connection stays open and returns nothing further.
+                loop {
+                    sleep(1_000);
+                }
+            }
             let head = format!(
                 "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 reply.len()
@@ -392,7 +381,7 @@
             }
         }
     }
-    fn call(&self, method: &str, target: &str, body: &str, mode: &AtomicU8) -> (u16, String) {
+    fn call(&self, method: &str, target: &str, body: &str) -> (u16, String) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let query: HashMap<String, String> = query
             .split('&')
@@ -402,7 +391,7 @@
         let field = |name: &str| query.get(name).cloned().unwrap_or_default();
         let body = Json::parse(body).unwrap_or(Json::Null);
         if path == "/kv-watch" {
-            return self.watch(&field("prefix"), field("after").parse().unwrap_or(0), field("waitMs").parse().unwrap_or(0), mode);
+            return self.watch(&field("prefix"), field("after").parse().unwrap_or(0), field("waitMs").parse().unwrap_or(0));
         }
         let mut content = self.content.0.lock().unwrap();
         content.expire();
@@ -418,17 +407,19 @@
             },
             ("GET", "/kv-range") => {
                 let (prefix, after) = (field("prefix"), field("after"));
-                let all: Vec<_> = content
-                    .items
-                    .iter()
-                    .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
-                    .collect();
+                let earlier = self.earlier.lock().unwrap();
+                let stale = earlier.iter().rev().find(|(at, ..)| at.elapsed() >= Duration::from_millis(STALE_MS));
+                let (revision, items) = match stale.filter(|_| field("allowStale") == "1") {
+                    Some((_, revision, items)) => (*revision, items),
+                    None => (content.revision, &content.items),
+                };
+                let all: Vec<_> =
+                    items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after).collect();
                 let items: Vec<String> = all.iter().take(500).map(|(key, item)| item_json(key, item)).collect();
                 let reply = format!(
-                    r#"{{"items":[{}],"hasMore":{},"storeRevision":{}}}"#,
+                    r#"{{"items":[{}],"hasMore":{},"storeRevision":{revision}}}"#,
                     items.join(","),
-                    all.len() > 500,
-                    content.revision
+                    all.len() > 500
                 );
                 (200, reply)
             }
@@ -480,13 +471,10 @@
         }
         (200, format!(r#"{{"revision":{}}}"#, content.revision))
     }
-    fn watch(&self, prefix: &str, after: i64, wait_ms: u64, mode: &AtomicU8) -> (u16, String) {
+    fn watch(&self, prefix: &str, after: i64, wait_ms: u64) -> (u16, String) {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut content = self.content.0.lock().unwrap();
         loop {
-            if mode.load(Ordering::SeqCst) == BUSY {
-                return (503, String::new());
-            }
             if after > content.revision {
                 return (410, "{}".to_owned());
             }
@@ -1210,6 +1198,7 @@
         "late" => late(&record, trouble),
         "left" => left(&record, trouble),
         "drained" => drained(&record, trouble),
+        "pinned" => pinned(&record, trouble),
         _ => could_not_run("no such case"),
     }
 }
@@ -1446,3 +1435,80 @@
     }
     all.finish(broken, "a flow reached a server later than drainMs after its draining was acknowledged")
 }
+
+/// One answer of the store to an entry machine is lost, and the machine that shows it the change first is
+/// lost for good.
+fn pinned(record: &Arc<Record>, trouble: bool) -> ! {
+    const ADDED: &str = "198.18.0.9:8443";
+    let mut all = Deployment::start(record, None);
+    sleep(2_000);
+    let router = Router::start(&[&all.fronts[1]], record);
+    let client = Client::start(30);
+    let front = all.fronts[1].clone();
+    wait_until("the router uses the daemon", 5_000, || router.all_in_rotation());
+    front.gate.loses_next.store(trouble, Ordering::SeqCst);
+    all.store.put("op/config", &config(9, &[ADDED]));
+    let confirmed_at = Instant::now();
+    record.line("the store confirms version 9, which adds the route 198.18.0.9:8443");
+    wait_until("the answer is lost", 1_000, || !front.gate.loses_next.load(Ordering::SeqCst));
+    if trouble {
+        record.line(&format!("the answer to the watch of {} is lost", front.name));
+    }
+    sleep(5);
+    // A client opens a flow through that daemon, and so the agent beside the server shows it the change.
+    let mut flow = client.flow(42_000, FEED, &router, Some(front.at(DATA)), record);
+    if flow.open() != Outcome::Answer(String::new()) {
+        could_not_run("no server took the flow");
+    }
+    let index = flow.server as usize - 1;
+    let (lost, server) = (all.sides[index].clone(), Arc::clone(&all.servers[index]));
+    if trouble {
+        server.crash();
+        all.fleet.kill(&lost);
+        record.line(&format!("{} is lost for good", lost.name));
+        silence(&lost);
+    }
+    // In touch again `contactMs` after the lost answer.
+    let bound = confirmed_at + Duration::from_millis(CONFIG_APPLY_MS.max(CONTACT_MS + 50));
+    while Instant::now() < bound {
+        sleep(2);
+    }
+    record.line("the configuration has to be in force, and the daemon is in touch");
+    let until = bound + Duration::from_millis(5_000);
+    let mut refused = 0;
+    let mut port = 43_000;
+    while Instant::now() < until {
+        port += 1;
+        let sent_at = confirmed_at.elapsed().as_millis();
+        let mut flow = client.flow(port, ADDED, &router, Some(front.at(DATA)), record);
+        match flow.open() {
+            Outcome::Reset(_) => {
+                refused += 1;
+                record.line(&format!("refused, sent {sent_at} ms after the confirmation"));
+            }
+            Outcome::Answer(_) => {
+                flow.close();
+                record.line(&format!("served, sent {sent_at} ms after the confirmation"));
+            }
+            Outcome::Timeout => {}
+        }
+        sleep(100);
+    }
+    all.finish(refused, "a flow to an added route was refused later than configApplyMs after its confirmation")
+}
+
+/// From now on nothing answers at a machine's address for frames: connections to it hang.
+fn silence(machine: &Machine) {
+    if let Ok(listener) = TcpListener::bind(machine.at(FRAMES)) {
+        thread::spawn(move || {
+            let held: Vec<_> = listener.incoming().collect();
+            drop(held);
+        });
+    }
+    if let Ok(socket) = UdpSocket::bind(machine.at(FRAMES)) {
+        thread::spawn(move || {
+            let mut buffer = [0; 2_048];
+            while socket.recv(&mut buffer).is_ok() {}
+        });
+    }
+}
