test: a late heartbeat ends the cold limit of a zone that is taken back

A server becomes cold just before its zone is taken back. A heartbeat that it sent before that arrives after it, and the agent passes all new flows to the server until the next one.

--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -4,8 +4,6 @@
 //! Usage: standin-3 CASE FOLDER. Reads `TROUBLE` from the environment (0: without the disruption) and
 //! writes FOLDER/record.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
-#![allow(dead_code)]
-
 use std::{
     collections::{BTreeMap, HashMap},
     fs::File,
@@ -671,9 +669,6 @@
 }
 
 impl Process {
-    fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
-    }
     fn kill(&mut self) {
         let id = self.child.id();
         let _ = self.child.kill();
@@ -724,10 +719,6 @@
             None => could_not_run("no such process"),
         }
     }
-    fn terminate(&mut self, machine: &Machine) {
-        self.record.line(&format!("SIGTERM to {}", machine.name));
-        self.process(machine).signal("-TERM");
-    }
     fn kill(&mut self, machine: &Machine) {
         self.record.line(&format!("SIGKILL to {}", machine.name));
         self.process(machine).kill();
@@ -761,6 +752,8 @@
     /// Flows by key: the server's sequence number, whether the flow is open, and the client's data
     /// up to which all is received.
     flows: HashMap<Key, (u32, bool, u32)>,
+    /// When the opening packet of each flow arrived.
+    arrivals: Vec<(Key, Instant)>,
     /// Copies of the answers, by flow and sequence number of the request.
     answers: HashMap<(Key, u32), Vec<u8>>,
 }
@@ -776,6 +769,8 @@
     /// Whether a partition delays its heartbeats.
     cut: AtomicBool,
     announced_at: Mutex<Instant>,
+    /// Until when the server is cold.
+    cold_until: Mutex<Instant>,
     stopped: AtomicBool,
     state: Mutex<ServerState>,
 }
@@ -794,6 +789,7 @@
             draining: AtomicBool::new(false),
             cut: AtomicBool::new(false),
             announced_at: Mutex::new(Instant::now()),
+            cold_until: Mutex::new(Instant::now()),
             stopped: AtomicBool::new(false),
             state: Mutex::default(),
         });
@@ -812,6 +808,10 @@
         });
         server
     }
+    /// The server becomes cold.
+    fn cool(&self, cold_ms: u64) {
+        *self.cold_until.lock().unwrap() = Instant::now() + Duration::from_millis(cold_ms);
+    }
     fn announce(&self) -> u16 {
         let body = self.heartbeat();
         http(self.machine.at(CONTROL), "POST", &format!("/instances/{}/heartbeat", self.id), &body)
@@ -821,8 +821,12 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         format!(
-            r#"{{"service":"{}","address":"{}:{APP}","zone":"{}","version":"v1","slots":5,"state":"{state}","warmupLeftMs":0,"sequence":{sequence},"born":{}}}"#,
-            self.machine.service, self.machine.ip, self.machine.zone, self.born
+            r#"{{"service":"{}","address":"{}:{APP}","zone":"{}","version":"v1","slots":5,"state":"{state}","warmupLeftMs":{},"sequence":{sequence},"born":{}}}"#,
+            self.machine.service,
+            self.machine.ip,
+            self.machine.zone,
+            self.cold_until.lock().unwrap().saturating_duration_since(Instant::now()).as_millis(),
+            self.born
         )
     }
     fn crash(&self) {
@@ -842,6 +846,9 @@
             let mut state = self.state.lock().unwrap();
             if packet.flags & SYN != 0 {
                 started += 1;
+                if !state.flows.contains_key(&key) {
+                    state.arrivals.push((key, Instant::now()));
+                }
                 let next = (self.number << 24) | (started * 64 & 0x00ff_ffff);
                 let (own, ..) = *state.flows.entry(key).or_insert((next, false, packet.sequence.wrapping_add(1)));
                 record.line(&format!("server {} takes SYN copy {} of {} > {}", self.id, packet.ack, key.client, key.route));
@@ -1093,9 +1100,15 @@
 // ---------------------------------------------------------------- the deployment
 
 const FEED: &str = "198.18.0.1:8443";
+const BOOKING: &str = "198.18.0.1:8080";
 
 /// A configuration with these further routes to `dispatch`, each an address of the platform.
 fn config(version: u64, further: &[&str]) -> String {
+    config_with(version, further, 2.0, 0.0)
+}
+
+/// As `config`, with the cold period and the cold rate of the services.
+fn config_with(version: u64, further: &[&str], warmup_s: f64, warmup_per_s: f64) -> String {
     let route = |name: &str, host: &str, port: &str, kind: &str, service: &str, priority: u8| {
         format!(r#"{{"name":"{name}","host":"{host}","prefix":"/{port}/","kind":"{kind}","timeoutMs":1000,"targetLatencyMs":150,"priority":{priority},"service":"{service}","maxAttempts":2}}"#)
     };
@@ -1108,7 +1121,7 @@
         let (host, port) = address.split_once(':').unwrap();
         routes.push(route(&format!("further-{host}"), host, port, "safe", "dispatch", 2));
     }
-    let service = |name: &str| format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":2000,"protocol":"h1","tls":false,"warmupS":2.0,"warmupPerS":0.0}}"#);
+    let service = |name: &str| format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":2000,"protocol":"h1","tls":false,"warmupS":{warmup_s:.1},"warmupPerS":{warmup_per_s:.1}}}"#);
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{},{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         routes.join(","),
@@ -1199,6 +1212,7 @@
         "left" => left(&record, trouble),
         "drained" => drained(&record, trouble),
         "pinned" => pinned(&record, trouble),
+        "returned" => returned(&record, trouble),
         _ => could_not_run("no such case"),
     }
 }
@@ -1512,3 +1526,103 @@
         });
     }
 }
+
+
+/// A zone is taken back whose servers have become cold; a heartbeat that one of them sent just before that
+/// arrives just after.
+fn returned(record: &Arc<Record>, trouble: bool) -> ! {
+    const COLD_MS: u64 = 10_000;
+    const COLD_PER_S: f64 = 6.0;
+    // `warmupPerS` x `coldOverage` + `coldSlack`.
+    const ALLOWED: u64 = 14;
+    let mut all = Deployment::start(record, None);
+    all.store.put("op/config", &config_with(9, &[], COLD_MS as f64 / 1e3, COLD_PER_S));
+    sleep(CONFIG_APPLY_MS);
+    let router = Router::start(&[&all.fronts[0], &all.fronts[1]], record);
+    let client = Client::start(30);
+    wait_until("the router uses both daemons", 5_000, || router.all_in_rotation());
+    // Clients of the zone open 150 flows a second, a request each.
+    let sent: Arc<Mutex<HashMap<Key, Instant>>> = Arc::default();
+    let until = Instant::now() + Duration::from_millis(14_000);
+    let threads: Vec<_> = (0..15_u16)
+        .map(|thread| {
+            let (client, router, record, sent) =
+                (Arc::clone(&client), Arc::clone(&router), Arc::clone(record), Arc::clone(&sent));
+            thread::spawn(move || {
+                let mut port = 20_000 + 1_000 * thread;
+                let mut next = Instant::now() + Duration::from_millis(6 * u64::from(thread));
+                while Instant::now() < until {
+                    while Instant::now() < next {
+                        sleep(1);
+                    }
+                    next += Duration::from_millis(100);
+                    port += 1;
+                    let mut flow = client.flow(port, BOOKING, &router, None, &record);
+                    sent.lock().unwrap().insert(flow.key, Instant::now());
+                    if flow.open() == Outcome::Answer(String::new()) {
+                        let _ = flow.request(&format!("r-{port}"), 1_000);
+                        flow.close();
+                    }
+                }
+            })
+        })
+        .collect();
+    sleep(2_000);
+    all.store.put("op/evacuate/mvd-cerro", "{}");
+    record.line("zone mvd-cerro is to get nothing");
+    sleep(6_000);
+    let server = Arc::clone(&all.servers[0]);
+    // From here on the heartbeats of the first server are sent by hand, at the same interval.
+    server.cut.store(true, Ordering::SeqCst);
+    sleep(HEARTBEAT_MS);
+    let first = Instant::now();
+    let after = |ms: u64| {
+        while first.elapsed() < Duration::from_millis(ms) {
+            sleep(1);
+        }
+    };
+    let warm = server.heartbeat();
+    let deliver = || http(server.machine.at(CONTROL), "POST", &format!("/instances/{}/heartbeat", server.id), &warm);
+    if trouble {
+        record.line("server i-01 sends a heartbeat, which is delayed on its way");
+    } else {
+        record.line(&format!("a heartbeat of server i-01 arrives: {}", deliver()));
+    }
+    after(100);
+    for cold in &all.servers[..3] {
+        cold.cool(COLD_MS);
+    }
+    record.line("the servers of the zone have become cold");
+    after(200);
+    all.store.content.0.lock().unwrap().remove("op/evacuate/mvd-cerro");
+    all.store.content.1.notify_all();
+    record.line("zone mvd-cerro is taken back");
+    after(300);
+    if trouble {
+        record.line(&format!("the delayed heartbeat of server i-01 arrives: {}", deliver()));
+    }
+    for round in 1..4 {
+        after(round * HEARTBEAT_MS);
+        record.line(&format!("a heartbeat of server i-01 arrives: {}", server.announce()));
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let arrivals = server.state.lock().unwrap().arrivals.clone();
+    let sent = sent.lock().unwrap();
+    let cold_at = first + Duration::from_millis(100);
+    let cold_arrivals: Vec<_> = arrivals.iter().filter(|(_, at)| *at >= cold_at).collect();
+    let mut most = 0;
+    for (key, at) in &cold_arrivals {
+        let from = sent.get(key).copied().unwrap_or(*at);
+        let to = from + Duration::from_secs(1);
+        let inside = cold_arrivals.iter().filter(|(key, at)| {
+            let sent_at = sent.get(key).copied().unwrap_or(*at);
+            sent_at >= from && *at < to
+        });
+        most = most.max(inside.count() as u64);
+    }
+    record.line(&format!("the cold server i-01 got {most} flows in one second at most; {ALLOWED} are allowed"));
+    println!("{most} flows in one second at most, {ALLOWED} allowed");
+    all.finish(most.saturating_sub(ALLOWED), "a cold server got a flow too many in one second")
+}
