--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -65,7 +65,7 @@
 fn end(code: i32) -> ! {
     let children = std::mem::take(&mut *CHILDREN.lock().unwrap());
     for id in children {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        let _ = Command::new("sh").args(["-c", "kill -KILL \"$0\"", &id.to_string()]).status();
     }
     std::process::exit(code)
 }
@@ -1202,6 +1202,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::new(&folder);
+    std::panic::set_hook(Box::new(|panic| could_not_run(&panic.to_string())));
     thread::spawn(|| {
         sleep(115_000);
         could_not_run("it takes too long");
